--- /dev/null
+++ b/Makefile
@@ -0,0 +1,103 @@
+# Targets: all, check, demo, format, format-check, lint, clean.
+# SAN=address,undefined or SAN=thread builds into its own directory.
+
+CC ?= gcc
+CXX ?= g++
+SAN ?=
+comma := ,
+BUILD := $(if $(SAN),build-$(subst $(comma),-,$(SAN)),build)
+
+PACKAGES := liburcu msgpack log4c jansson libxxhash libcurl libcrypto \
+	tomlplusplus
+WARN := -Wall -Wextra -Werror -Wshadow -Wvla
+COMMON := -D_GNU_SOURCE -Ilib -O2 -g -fno-omit-frame-pointer -pthread \
+	$(WARN) $(if $(SAN),-fsanitize=$(SAN))
+CFLAGS += -std=c11 -Wstrict-prototypes -Wmissing-prototypes $(COMMON)
+CXXFLAGS += -std=c++17 $(COMMON)
+LDFLAGS += -pthread $(if $(SAN),-fsanitize=$(SAN))
+LDLIBS += -llog4c -lmsgpackc -lcivetweb -ljansson -lxxhash -lcurl -lcrypto \
+	-lurcu-memb -lurcu-common -ltomlplusplus -lstdc++ -lm
+
+LIB_C := $(wildcard lib/*/*.c)
+LIB_CXX := $(wildcard lib/*/*.cpp)
+LIB_OBJ := $(LIB_C:%.c=$(BUILD)/%.o) $(LIB_CXX:%.cpp=$(BUILD)/%.o)
+LIB := $(BUILD)/libperidot.a
+
+PROGRAM_C := $(wildcard programs/peridot*.c)
+PROGRAMS := $(PROGRAM_C:programs/%.c=$(BUILD)/%)
+PROGRAM_PARTS := $(filter-out $(PROGRAM_C),$(wildcard programs/*.c) \
+	$(wildcard programs/*/*.c))
+STANDIN_C := $(wildcard tests/standins/fake-*.c) \
+	$(wildcard tests/standins/tcp-*.c)
+STANDINS := $(STANDIN_C:tests/standins/%.c=$(BUILD)/standins/%)
+STANDIN_PARTS := $(filter-out $(STANDIN_C),$(wildcard tests/standins/*.c))
+UNIT_C := $(wildcard tests/unit/test_*.c)
+UNITS := $(UNIT_C:tests/unit/%.c=$(BUILD)/unit/%)
+UNIT_PARTS := $(filter-out $(UNIT_C),$(wildcard tests/unit/*.c))
+
+SOURCES := $(wildcard lib/*/*.[ch] programs/*.[ch] programs/*/*.[ch] \
+	tests/*/*.[ch] lib/*/*.cpp)
+
+.PHONY: all check demo format format-check lint clean deps programs
+
+all: programs $(STANDINS) $(UNITS)
+
+programs: $(PROGRAMS)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+$(BUILD)/%.o: %.cpp
+	@mkdir -p $(@D)
+	$(CXX) $(CXXFLAGS) -MMD -MP -c -o $@ $<
+
+$(LIB): $(LIB_OBJ)
+	rm -f $@
+	ar rcs $@ $^
+
+# Objects of programs/NAME/ belong to the program peridot-NAME or peridotNAME.
+.SECONDEXPANSION:
+$(PROGRAMS): $(BUILD)/%: $(BUILD)/programs/%.o \
+	$$(patsubst programs/$$(*:peridot-%=%)/%.c,$(BUILD)/programs/$$(*:peridot-%=%)/%.o,$$(wildcard programs/$$(*:peridot-%=%)/*.c)) \
+	$(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/standins/%: $(BUILD)/tests/standins/%.o \
+	$(STANDIN_PARTS:%.c=$(BUILD)/%.o) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/unit/%: $(BUILD)/tests/unit/%.o \
+	$(UNIT_PARTS:%.c=$(BUILD)/%.o) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(LDLIBS)
+
+deps:
+	scripts/install-deps.sh
+
+check: deps
+	$(MAKE) all
+	scripts/run-tests.sh $(BUILD)
+
+demo: deps
+	$(MAKE) all
+	scripts/demo.sh $(BUILD)
+
+format:
+	clang-format -i $(SOURCES)
+
+format-check:
+	clang-format --dry-run -Werror $(SOURCES)
+
+LINT_C := $(filter %.c,$(SOURCES))
+lint: $(LINT_C:%=lint-%)
+.PHONY: $(LINT_C:%=lint-%)
+$(LINT_C:%=lint-%): lint-%:
+	@clang-tidy --quiet $* -- $(filter-out -fno-omit-frame-pointer,$(CFLAGS)) \
+		2>/dev/null
+
+clean:
+	rm -rf build build-*
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/lib/base/buf.h
@@ -0,0 +1,43 @@
+#ifndef BASE_BUF_H
+#define BASE_BUF_H
+
+#include "base/str.h"
+
+/*
+ * buf - growable byte buffer
+ *
+ * Zero-initialise a buf_t before the first use (BUF_INIT). Running out of
+ * memory ends the process: a daemon keeps nothing, its bounded queues keep the
+ * memory within limits, and no caller could do anything better.
+ */
+typedef struct buf {
+	char *ptr;
+	size_t len;
+	size_t cap;
+} buf_t;
+
+#define BUF_INIT           \
+	{                  \
+		NULL, 0, 0 \
+	}
+
+void buf_reserve(buf_t *buf, size_t extra);
+void buf_append(buf_t *buf, const void *data, size_t len);
+void buf_append_str(buf_t *buf, str_t s);
+void buf_printf(buf_t *buf, const char *format, ...)
+	__attribute__((format(printf, 2, 3)));
+
+/* Appends the text as a quoted JSON string. */
+void buf_append_json(buf_t *buf, str_t s);
+
+/* Removes the first `len` bytes. */
+void buf_consume(buf_t *buf, size_t len);
+void buf_reset(buf_t *buf);
+void buf_release(buf_t *buf);
+
+static inline str_t buf_view(const buf_t *buf)
+{
+	return (str_t){buf->ptr, buf->len};
+}
+
+#endif
--- /dev/null
+++ b/lib/coordination/window.h
@@ -0,0 +1,76 @@
+#ifndef COORDINATION_WINDOW_H
+#define COORDINATION_WINDOW_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/str.h"
+
+/*
+ * window - limit of one dispatcher's requests in flight to one endpoint
+ *
+ * Cold until warmth is proven; slow start from one when warm; see section 6.2
+ * of docs/design.md. The caller passes monotonic times.
+ */
+#define WINDOW_PROOF_MS 5000	  /* life of a proof of warmth */
+#define WINDOW_LATE_FACTOR 4	  /* times the median that counts as late */
+#define WINDOW_LATE_IN_A_ROW 2	  /* late first tokens that end the proof */
+#define WINDOW_REPORT_MAX_MS 5000 /* older load reports prove nothing */
+
+typedef enum window_report_state {
+	WINDOW_REPORT_COLD,
+	WINDOW_REPORT_WARM,
+	WINDOW_REPORT_LEAVING
+} window_report_state_t;
+
+/* A load report of the endpoint. */
+typedef struct window_report {
+	uint64_t boot; /* hash of the boot id; another value: a restart */
+	window_report_state_t state;
+	unsigned running;
+	unsigned waiting;
+	int64_t age_ms; /* lag that the report states */
+} window_report_t;
+
+typedef struct window {
+	unsigned max_in_flight;
+	unsigned limit;	    /* when warm */
+	unsigned in_flight; /* exact */
+	bool proven;	    /* warmth has been proven and not voided */
+	int64_t proven_until_ms;
+	bool leaving;
+	bool boot_known;
+	uint64_t boot;
+	unsigned late_in_a_row;
+	double median_first_token_ms; /* 0: not learned yet */
+	unsigned reported_waiting;
+} window_t;
+
+void window_init(window_t *window, unsigned max_in_flight);
+void window_set_max(window_t *window, unsigned max_in_flight);
+
+bool window_is_warm(const window_t *window, int64_t now_ms);
+
+/* Requests that may be in flight now, given the usable cold share. */
+unsigned window_limit(const window_t *window, int64_t now_ms,
+		      unsigned cold_units);
+
+/* True when one more request may be sent now. */
+bool window_may_send(const window_t *window, int64_t now_ms,
+		     unsigned cold_units);
+
+void window_on_send(window_t *window);
+/* Ends one request in flight. */
+void window_on_end(window_t *window);
+/* `first_token_ms`: from the send to the first token. */
+void window_on_first_token(window_t *window, int64_t now_ms,
+			   int64_t first_token_ms);
+void window_on_refused(window_t *window); /* engine refused: halve */
+void window_on_broken(window_t *window);  /* connection broke: cold */
+void window_on_silence(window_t *window); /* no first token in time */
+void window_on_report(window_t *window, int64_t now_ms,
+		      const window_report_t *report);
+/* The process was paused: back to slow start, proofs void. */
+void window_on_pause(window_t *window);
+
+#endif
--- /dev/null
+++ b/lib/state/node.h
@@ -0,0 +1,67 @@
+#ifndef STATE_NODE_H
+#define STATE_NODE_H
+
+#include "base/buf.h"
+#include "base/err.h"
+#include "state/sheet.h"
+
+/*
+ * node - a sheet as immutable nodes under one root
+ *
+ * The root names the base node (all but the customers) and NODE_INDEXES index
+ * nodes; an index node names NODE_BUCKETS customer buckets. Nodes are msgpack
+ * maps addressed by their SHA-256 digest, so a change of one customer changes
+ * one bucket, one index node and the root, and everything else is shared with
+ * the version before. An all-zero digest stands for an empty index or bucket.
+ */
+#define NODE_INDEXES 16
+#define NODE_BUCKETS 64
+#define NODE_MAX_BYTES (1024 * 1024)
+
+typedef struct node_digest {
+	uint8_t bytes[SHEET_DIGEST_BYTES];
+} node_digest_t;
+
+/* Called once per node by node_pack(), the root last. */
+typedef err_code_t (*node_sink_t)(void *user, const node_digest_t *digest,
+				  str_t bytes);
+
+/* Fetches the bytes of a node into `out`. */
+typedef err_code_t (*node_source_t)(void *user, const node_digest_t *digest,
+				    buf_t *out, err_t *err);
+
+/* Packs the sheet and gives every node to the sink. */
+err_code_t node_pack(const sheet_t *sheet, node_sink_t sink, void *user,
+		     node_digest_t *root, err_t *err);
+
+/* Computes the digest of the packed root. */
+err_code_t node_digest_of(const sheet_t *sheet, node_digest_t *root);
+
+/*
+ * Builds a sheet from a root and the nodes it names. Each node's digest is
+ * verified. The source is asked only for nodes that the root reaches; a caching
+ * source (node_cache) keeps the ones that are shared with the version before.
+ *
+ * RETURN VALUE: the sheet, or NULL with `err` filled: ERR_INVALID for a
+ * malformed node or wrong digest, or the source's error.
+ */
+sheet_t *node_unpack(str_t root, node_source_t source, void *user, err_t *err);
+
+/* The version that a root states, without its nodes; 0 when malformed. */
+uint64_t node_root_version(str_t root);
+
+/*
+ * node_cache - nodes of the sheet in force, for peers and for the next version
+ */
+typedef struct node_cache node_cache_t;
+
+node_cache_t *node_cache_create(void);
+void node_cache_free(node_cache_t *cache);
+bool node_cache_get(node_cache_t *cache, const node_digest_t *digest,
+		    buf_t *out);
+void node_cache_put(node_cache_t *cache, const node_digest_t *digest,
+		    str_t bytes);
+/* Drops every node that this root does not reach. */
+void node_cache_retain(node_cache_t *cache, str_t root);
+
+#endif
--- /dev/null
+++ b/lib/state/sheet.h
@@ -0,0 +1,167 @@
+#ifndef STATE_SHEET_H
+#define STATE_SHEET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/str.h"
+
+/*
+ * sheet - the operators' configuration as an immutable structure
+ *
+ * A sheet_t is built once (from TOML by sheetcheck, from packed nodes by node)
+ * and never changed afterwards, so that readers use it without locks under
+ * RCU. All strings and arrays live in the sheet's own memory. References
+ * between parts are indices into the arrays below.
+ */
+#define SHEET_DIGEST_BYTES 32
+#define SHEET_TIERS 5
+#define SHEET_MAX_DOMAINS 32
+#define SHEET_MAX_CLASSES 32
+#define SHEET_MAX_POOLS 64
+#define SHEET_MAX_ENDPOINTS 4096
+#define SHEET_MAX_CUSTOMERS 200000
+#define SHEET_NAME_BYTES 64
+
+/* State that the operators want for a domain or an endpoint. */
+typedef enum sheet_state {
+	SHEET_STATE_UP,
+	SHEET_STATE_LEAVING, /* no new work, work in flight ends */
+	SHEET_STATE_OUT	     /* as leaving; the domain is expected to go */
+} sheet_state_t;
+
+/* A host that holds a share of its domain's cold limits. */
+typedef struct sheet_cold_host {
+	str_t host;
+	str_t address; /* dispatch address, IP:PORT */
+} sheet_cold_host_t;
+
+/* A planned absence of a domain, in Unix seconds. */
+typedef struct sheet_plan {
+	sheet_state_t state;
+	int64_t from_s;
+	int64_t until_s;
+} sheet_plan_t;
+
+typedef struct sheet_domain {
+	str_t name;
+	str_t region;
+	sheet_state_t state;
+	sheet_cold_host_t *cold_hosts;
+	size_t cold_host_count;
+	int64_t cold_hosts_since_s; /* Unix time of their last change */
+	sheet_plan_t *plans;
+	size_t plan_count;
+	unsigned max_loading; /* endpoints that may load weights at once */
+} sheet_domain_t;
+
+typedef struct sheet_class {
+	str_t name;
+	unsigned tier;		   /* 0 is the highest */
+	int64_t first_token_ms;	   /* target */
+	int64_t between_tokens_ms; /* target */
+	int64_t timeout_ms;	   /* a request is given up on after this */
+	unsigned floor_percent;	  /* guaranteed share of a dispatcher's sends */
+	unsigned max_queue;	  /* queued requests at one dispatcher */
+	unsigned expected_tokens; /* first estimate of the output length */
+	unsigned max_tokens;	  /* bound sent to the engine */
+	bool cross_region;	  /* may use endpoints of another region */
+} sheet_class_t;
+
+typedef enum sheet_pool_kind {
+	SHEET_POOL_MODEL,
+	SHEET_POOL_SERVICE
+} sheet_pool_kind_t;
+
+/* A call of a plain service. */
+typedef struct sheet_call {
+	str_t name;
+	unsigned class_index;
+	bool repeatable;
+} sheet_call_t;
+
+/* A model or a plain service with the endpoints that serve it. */
+typedef struct sheet_pool {
+	str_t name; /* without the kind */
+	sheet_pool_kind_t kind;
+	sheet_call_t *calls; /* services only */
+	size_t call_count;
+} sheet_pool_t;
+
+typedef struct sheet_endpoint {
+	str_t name;
+	unsigned domain_index;
+	unsigned pool_index;
+	str_t address; /* IP:PORT */
+	sheet_state_t state;
+	unsigned cold_limit;	/* requests in flight during cold start */
+	unsigned max_in_flight; /* requests in flight when warm */
+	bool checks_fence;	/* refuses orders with an old fencing number */
+} sheet_endpoint_t;
+
+typedef struct sheet_customer {
+	str_t name;
+	uint8_t key_digest[SHEET_DIGEST_BYTES]; /* SHA-256 of the key */
+	unsigned weight;			/* share within a class */
+	unsigned max_in_flight;			/* requests at one entry host */
+	uint32_t classes;			/* bit per class index */
+} sheet_customer_t;
+
+typedef struct sheet {
+	uint64_t version;
+	uint8_t digest[SHEET_DIGEST_BYTES]; /* of the packed root node */
+	int64_t cold_share_ttl_s;
+	sheet_domain_t *domains;
+	size_t domain_count;
+	sheet_class_t *classes;
+	size_t class_count;
+	sheet_pool_t *pools;
+	size_t pool_count;
+	sheet_endpoint_t *endpoints;
+	size_t endpoint_count;
+	sheet_customer_t *customers;
+	size_t customer_count;
+	struct sheet_index *index; /* customers by key digest */
+	struct sheet_arena *arena; /* memory of everything above */
+} sheet_t;
+
+/* A new, empty sheet; NULL without memory. */
+sheet_t *sheet_create(void);
+void sheet_free(sheet_t *sheet);
+
+/* Zeroed memory that lives as long as the sheet. */
+void *sheet_alloc(sheet_t *sheet, size_t bytes);
+
+/* A copy of the text that lives as long as the sheet. */
+str_t sheet_copy_str(sheet_t *sheet, str_t s);
+
+/* Builds the customer index; call once when all customers are in place. */
+void sheet_build_index(sheet_t *sheet);
+
+/*
+ * Look-ups by name. The index of the entry, or -1.
+ */
+int sheet_find_domain(const sheet_t *sheet, str_t name);
+int sheet_find_class(const sheet_t *sheet, str_t name);
+int sheet_find_pool(const sheet_t *sheet, sheet_pool_kind_t kind, str_t name);
+int sheet_find_endpoint(const sheet_t *sheet, str_t name);
+
+/* The customer whose key has this SHA-256 digest, or NULL. Constant time in
+ * the number of customers. */
+const sheet_customer_t *sheet_find_customer(
+	const sheet_t *sheet, const uint8_t digest[SHEET_DIGEST_BYTES]);
+
+const sheet_call_t *sheet_find_call(const sheet_pool_t *pool, str_t name);
+
+/* State of a domain at this time of day: its own state or the plan's. */
+sheet_state_t sheet_domain_state(const sheet_domain_t *domain, int64_t wall_s);
+
+/* State of an endpoint: its own or its domain's, whichever is further out. */
+sheet_state_t sheet_endpoint_state(const sheet_t *sheet,
+				   const sheet_endpoint_t *endpoint,
+				   int64_t wall_s);
+
+/* The longest class timeout. */
+int64_t sheet_longest_timeout_ms(const sheet_t *sheet);
+
+#endif
