--- /dev/null
+++ b/lib/transport/frame.c
@@ -0,0 +1,28 @@
+#include "transport/frame.h"
+
+#include <arpa/inet.h>
+#include <stdint.h>
+
+void frame_append(buf_t *out, str_t content)
+{
+	uint32_t length = htonl((uint32_t)content.len);
+
+	buf_append(out, &length, sizeof(length));
+	buf_append_str(out, content);
+}
+
+err_code_t frame_peek(str_t data, str_t *content)
+{
+	uint32_t length;
+
+	*content = (str_t){NULL, 0};
+	if (data.len < FRAME_HEADER_BYTES)
+		return ERR_OK;
+	memcpy(&length, data.ptr, sizeof(length));
+	length = ntohl(length);
+	if (length > FRAME_MAX_BYTES)
+		return ERR_TOO_LARGE;
+	if (data.len - FRAME_HEADER_BYTES >= length)
+		*content = (str_t){data.ptr + FRAME_HEADER_BYTES, length};
+	return ERR_OK;
+}
--- /dev/null
+++ b/lib/transport/frame.h
@@ -0,0 +1,26 @@
+#ifndef TRANSPORT_FRAME_H
+#define TRANSPORT_FRAME_H
+
+#include "base/buf.h"
+#include "base/err.h"
+
+/*
+ * frame - length-prefixed frames in a byte stream
+ *
+ * A frame is a 4-byte big-endian length and that many bytes.
+ */
+#define FRAME_HEADER_BYTES 4
+#define FRAME_MAX_BYTES (1024 * 1024 + 64 * 1024)
+
+/* Appends a frame with this content. */
+void frame_append(buf_t *out, str_t content);
+
+/*
+ * Looks for a whole frame at the start of `data`.
+ *
+ * RETURN VALUE: ERR_OK with `content` set, its ptr NULL while the frame is
+ * incomplete; ERR_TOO_LARGE as soon as the length is over FRAME_MAX_BYTES.
+ */
+err_code_t frame_peek(str_t data, str_t *content);
+
+#endif
--- a/lib/transport/link.h
+++ b/lib/transport/link.h
@@ -9,10 +9,9 @@
  * link - framed TCP connections between daemons
  *
  * A frame is a 4-byte big-endian length and that many bytes, at most
- * LINK_MAX_FRAME_BYTES. An outgoing link reconnects by itself with backoff
- * until link_close(). Each link belongs to one loop.
+ * FRAME_MAX_BYTES (transport/frame.h). An outgoing link reconnects by itself
+ * with backoff until link_close(). Each link belongs to one loop.
  */
-#define LINK_MAX_FRAME_BYTES (1024 * 1024 + 64 * 1024)
 #define LINK_MAX_OUTPUT_BYTES (8 * 1024 * 1024)
 #define LINK_BACKOFF_MIN_MS 100
 #define LINK_BACKOFF_MAX_MS 2000
@@ -50,6 +49,9 @@
 			     void *user, err_t *err);
 void link_listener_close(link_listener_t *listener);
 
+/* The bound port, which a request for port 0 leaves to the system. */
+int link_listener_port(const link_listener_t *listener);
+
 /*
  * Queues one frame.
  *
--- /dev/null
+++ b/lib/transport/loop.c
@@ -0,0 +1,304 @@
+#include "transport/loop.h"
+
+#include <assert.h>
+#include <errno.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#define LOOP_EVENTS 64
+#define LOOP_MAX_WAIT_MS 1000
+
+typedef struct watch {
+	loop_io_t io;
+	void *user;
+	bool dead;	    /* unwatched during this turn */
+	struct watch *next; /* in the list of dead ones, freed after the turn */
+} watch_t;
+
+typedef struct post {
+	loop_call_t call;
+	void *user;
+	struct post *next;
+} post_t;
+
+struct loop {
+	const mclock_t *clock;
+	int epoll_fd;
+	int wake_fd;
+	watch_t **watches; /* by descriptor */
+	size_t watch_cap;
+	watch_t *dead;
+	loop_timer_t *timers; /* sorted by due time */
+	pthread_mutex_t post_lock;
+	post_t *posts;
+	post_t **posts_tail;
+	atomic_bool stopped;
+	int64_t turn_ms;
+};
+
+static void free_dead_watches(loop_t *loop);
+static void run_posts(loop_t *loop);
+
+static void read_wake(void *user, uint32_t events)
+{
+	loop_t *loop = user;
+	uint64_t count;
+
+	(void)events;
+	if (read(loop->wake_fd, &count, sizeof(count)) < 0)
+		assert(errno == EAGAIN);
+}
+
+static void wake(loop_t *loop)
+{
+	uint64_t one = 1;
+
+	if (write(loop->wake_fd, &one, sizeof(one)) < 0)
+		assert(errno == EAGAIN);
+}
+
+loop_t *loop_create(const mclock_t *clock)
+{
+	loop_t *loop = calloc(1, sizeof(*loop));
+
+	if (!loop)
+		return NULL;
+	loop->clock = clock;
+	loop->posts_tail = &loop->posts;
+	pthread_mutex_init(&loop->post_lock, NULL);
+	loop->wake_fd = -1;
+	loop->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	if (loop->epoll_fd < 0)
+		goto fail;
+	loop->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	if (loop->wake_fd < 0)
+		goto fail;
+	if (loop_watch(loop, loop->wake_fd, EPOLLIN, read_wake, loop))
+		goto fail;
+	loop->turn_ms = mclock_now_ms(clock);
+	return loop;
+fail:
+	loop_free(loop);
+	return NULL;
+}
+
+void loop_free(loop_t *loop)
+{
+	if (!loop)
+		return;
+	free_dead_watches(loop);
+	for (size_t fd = 0; fd < loop->watch_cap; fd++)
+		free(loop->watches[fd]);
+	free(loop->watches);
+	while (loop->posts)
+		run_posts(loop);
+	if (loop->wake_fd >= 0)
+		close(loop->wake_fd);
+	if (loop->epoll_fd >= 0)
+		close(loop->epoll_fd);
+	pthread_mutex_destroy(&loop->post_lock);
+	free(loop);
+}
+
+const mclock_t *loop_clock(const loop_t *loop)
+{
+	return loop->clock;
+}
+
+static watch_t *find_watch(const loop_t *loop, int fd)
+{
+	return (size_t)fd < loop->watch_cap ? loop->watches[fd] : NULL;
+}
+
+static watch_t *add_watch(loop_t *loop, int fd)
+{
+	watch_t *watch = calloc(1, sizeof(*watch));
+	size_t cap = loop->watch_cap ? loop->watch_cap : LOOP_EVENTS;
+	watch_t **grown;
+
+	if (!watch)
+		abort();
+	while (cap <= (size_t)fd)
+		cap *= 2;
+	if (cap > loop->watch_cap) {
+		grown = realloc(loop->watches, cap * sizeof(*grown));
+		if (!grown)
+			abort();
+		memset(grown + loop->watch_cap, 0,
+		       (cap - loop->watch_cap) * sizeof(*grown));
+		loop->watches = grown;
+		loop->watch_cap = cap;
+	}
+	loop->watches[fd] = watch;
+	return watch;
+}
+
+int loop_watch(loop_t *loop, int fd, uint32_t events, loop_io_t io, void *user)
+{
+	watch_t *watch = find_watch(loop, fd);
+	struct epoll_event event = {.events = events};
+	int op = watch ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
+
+	if (!watch)
+		watch = add_watch(loop, fd);
+	watch->io = io;
+	watch->user = user;
+	event.data.ptr = watch;
+	return epoll_ctl(loop->epoll_fd, op, fd, &event);
+}
+
+void loop_unwatch(loop_t *loop, int fd)
+{
+	watch_t *watch = find_watch(loop, fd);
+
+	if (!watch)
+		return;
+	epoll_ctl(loop->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
+	loop->watches[fd] = NULL;
+	watch->dead = true;
+	watch->next = loop->dead;
+	loop->dead = watch;
+}
+
+static void free_dead_watches(loop_t *loop)
+{
+	while (loop->dead) {
+		watch_t *watch = loop->dead;
+
+		loop->dead = watch->next;
+		free(watch);
+	}
+}
+
+void loop_timer_cancel(loop_t *loop, loop_timer_t *timer)
+{
+	if (!timer->due_ms)
+		return;
+	if (timer->prev)
+		timer->prev->next = timer->next;
+	else
+		loop->timers = timer->next;
+	if (timer->next)
+		timer->next->prev = timer->prev;
+	timer->due_ms = 0;
+	timer->prev = timer->next = NULL;
+}
+
+void loop_timer_set(loop_t *loop, loop_timer_t *timer, int64_t delay_ms,
+		    loop_call_t call, void *user)
+{
+	loop_timer_t *after = NULL;
+	loop_timer_t *at;
+
+	loop_timer_cancel(loop, timer);
+	timer->due_ms = mclock_now_ms(loop->clock) + delay_ms;
+	timer->call = call;
+	timer->user = user;
+	for (at = loop->timers; at && at->due_ms <= timer->due_ms;
+	     at = at->next)
+		after = at;
+	timer->prev = after;
+	timer->next = at;
+	if (after)
+		after->next = timer;
+	else
+		loop->timers = timer;
+	if (at)
+		at->prev = timer;
+}
+
+static void run_timers(loop_t *loop)
+{
+	int64_t now = mclock_now_ms(loop->clock);
+
+	while (loop->timers && loop->timers->due_ms <= now) {
+		loop_timer_t *timer = loop->timers;
+
+		loop_timer_cancel(loop, timer);
+		timer->call(timer->user);
+	}
+}
+
+void loop_post(loop_t *loop, loop_call_t call, void *user)
+{
+	post_t *post = malloc(sizeof(*post));
+
+	if (!post)
+		abort();
+	*post = (post_t){call, user, NULL};
+	pthread_mutex_lock(&loop->post_lock);
+	*loop->posts_tail = post;
+	loop->posts_tail = &post->next;
+	pthread_mutex_unlock(&loop->post_lock);
+	wake(loop);
+}
+
+static void run_posts(loop_t *loop)
+{
+	post_t *posts;
+
+	pthread_mutex_lock(&loop->post_lock);
+	posts = loop->posts;
+	loop->posts = NULL;
+	loop->posts_tail = &loop->posts;
+	pthread_mutex_unlock(&loop->post_lock);
+	while (posts) {
+		post_t *post = posts;
+
+		posts = post->next;
+		post->call(post->user);
+		free(post);
+	}
+}
+
+static int wait_ms(const loop_t *loop)
+{
+	int64_t left;
+
+	if (!loop->timers)
+		return LOOP_MAX_WAIT_MS;
+	left = loop->timers->due_ms - mclock_now_ms(loop->clock);
+	if (left < 0)
+		return 0;
+	return left < LOOP_MAX_WAIT_MS ? (int)left : LOOP_MAX_WAIT_MS;
+}
+
+static void run_turn(loop_t *loop)
+{
+	struct epoll_event events[LOOP_EVENTS];
+	int count =
+		epoll_wait(loop->epoll_fd, events, LOOP_EVENTS, wait_ms(loop));
+
+	loop->turn_ms = mclock_now_ms(loop->clock);
+	for (int i = 0; i < count; i++) {
+		watch_t *watch = events[i].data.ptr;
+
+		if (!watch->dead)
+			watch->io(watch->user, events[i].events);
+	}
+	run_timers(loop);
+	run_posts(loop);
+	free_dead_watches(loop);
+}
+
+void loop_run(loop_t *loop)
+{
+	while (!atomic_load(&loop->stopped))
+		run_turn(loop);
+}
+
+void loop_stop(loop_t *loop)
+{
+	atomic_store(&loop->stopped, true);
+	wake(loop);
+}
+
+int64_t loop_turn_ms(const loop_t *loop)
+{
+	return loop->turn_ms;
+}
--- a/lib/transport/loop.h
+++ b/lib/transport/loop.h
@@ -25,6 +25,8 @@
 } loop_timer_t;
 
 loop_t *loop_create(const mclock_t *clock);
+
+/* Runs the calls still posted and frees the loop. */
 void loop_free(loop_t *loop);
 const mclock_t *loop_clock(const loop_t *loop);
 
