--- a/Makefile
+++ b/Makefile
@@ -25,8 +25,7 @@
 
 PROGRAM_C := $(wildcard programs/peridot*.c)
 PROGRAMS := $(PROGRAM_C:programs/%.c=$(BUILD)/%)
-PROGRAM_PARTS := $(filter-out $(PROGRAM_C),$(wildcard programs/*.c) \
-	$(wildcard programs/*/*.c))
+PROGRAM_COMMON := $(filter-out $(PROGRAM_C),$(wildcard programs/*.c))
 STANDIN_C := $(wildcard tests/standins/fake-*.c) \
 	$(wildcard tests/standins/tcp-*.c)
 STANDINS := $(STANDIN_C:tests/standins/%.c=$(BUILD)/standins/%)
@@ -60,7 +59,7 @@
 .SECONDEXPANSION:
 $(PROGRAMS): $(BUILD)/%: $(BUILD)/programs/%.o \
 	$$(patsubst programs/$$(*:peridot-%=%)/%.c,$(BUILD)/programs/$$(*:peridot-%=%)/%.o,$$(wildcard programs/$$(*:peridot-%=%)/*.c)) \
-	$(LIB)
+	$(PROGRAM_COMMON:%.c=$(BUILD)/%.o) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/standins/%: $(BUILD)/tests/standins/%.o \
--- a/lib/protocol/msg.c
+++ b/lib/protocol/msg.c
@@ -266,12 +266,13 @@
 
 static void encode_submit(msgpack_packer *pk, const msg_submit_t *m)
 {
-	begin(pk, MSG_SUBMIT, 16);
+	begin(pk, MSG_SUBMIT, 17);
 	put_id(pk, &m->id);
 	put_uint(pk, m->kind);
 	put_str(pk, m->pool);
 	put_str(pk, m->class_name);
 	put_str(pk, m->customer);
+	put_uint(pk, m->customer_weight);
 	put_str(pk, m->call);
 	put_str(pk, m->ticket);
 	put_uint(pk, m->timeout_ms);
@@ -292,6 +293,7 @@
 	m->pool = get_str(in);
 	m->class_name = get_str(in);
 	m->customer = get_str(in);
+	m->customer_weight = get_unsigned(in);
 	m->call = get_str(in);
 	m->ticket = get_str(in);
 	m->timeout_ms = get_ms(in);
--- a/lib/transport/loop.c
+++ b/lib/transport/loop.c
@@ -238,6 +238,41 @@
 	wake(loop);
 }
 
+/* A call that another thread waits for. */
+typedef struct waited_call {
+	loop_call_t call;
+	void *user;
+	pthread_mutex_t lock;
+	pthread_cond_t done_cond;
+	bool done;
+} waited_call_t;
+
+static void run_waited_call(void *user)
+{
+	waited_call_t *waited = user;
+
+	waited->call(waited->user);
+	pthread_mutex_lock(&waited->lock);
+	waited->done = true;
+	pthread_cond_signal(&waited->done_cond);
+	pthread_mutex_unlock(&waited->lock);
+}
+
+void loop_call(loop_t *loop, loop_call_t call, void *user)
+{
+	waited_call_t waited = {.call = call, .user = user};
+
+	pthread_mutex_init(&waited.lock, NULL);
+	pthread_cond_init(&waited.done_cond, NULL);
+	loop_post(loop, run_waited_call, &waited);
+	pthread_mutex_lock(&waited.lock);
+	while (!waited.done)
+		pthread_cond_wait(&waited.done_cond, &waited.lock);
+	pthread_mutex_unlock(&waited.lock);
+	pthread_cond_destroy(&waited.done_cond);
+	pthread_mutex_destroy(&waited.lock);
+}
+
 static void run_posts(loop_t *loop)
 {
 	post_t *posts;
--- a/lib/transport/loop.h
+++ b/lib/transport/loop.h
@@ -9,7 +9,7 @@
 /*
  * loop - one-threaded event loop over epoll
  *
- * All functions but loop_post() and loop_stop() are called from the loop's own
+ * All functions but loop_post(), loop_call() and loop_stop() are called from the loop's own
  * thread, or before loop_run().
  */
 typedef struct loop loop_t;
@@ -46,6 +46,12 @@
 /* Runs `call` on the loop's thread soon. Safe from any thread. */
 void loop_post(loop_t *loop, loop_call_t call, void *user);
 
+/*
+ * Runs `call` on the loop's thread and waits until it has returned. Not from
+ * the loop's own thread; the loop must keep running until then.
+ */
+void loop_call(loop_t *loop, loop_call_t call, void *user);
+
 /*
  * Monotonic time in ms at which the loop last returned from waiting. A decision
  * made much later than this was made after a pause of the process.
--- /dev/null
+++ b/programs/dispatchd/client.c
@@ -0,0 +1,233 @@
+#include "dispatchd.h"
+
+#include <stdlib.h>
+
+#include "base/metrics.h"
+#include "base/plog.h"
+
+/* A connection that says nothing for this long is closed. */
+#define GREETING_TIMEOUT_MS 5000
+
+static void drop_client(client_t *client)
+{
+	dispatchd_t *d = client->d;
+
+	request_on_client_down(client);
+	if (client->prev)
+		client->prev->next = client->next;
+	else
+		d->clients = client->next;
+	if (client->next)
+		client->next->prev = client->prev;
+	free(client);
+}
+
+void client_send(client_t *client, const msg_t *msg)
+{
+	err_code_t code;
+
+	if (!client || !client->link)
+		return;
+	code = peers_send_on(client->link, msg);
+	if (code != ERR_FULL)
+		return;
+	/* The peer does not read; its answers would be incomplete. */
+	plog_write(PLOG_LINK_DOWN, "peer=%s step=\"write\" message=\"output "
+				   "buffer full\"",
+		   link_peer(client->link));
+	link_close(client->link);
+	client->link = NULL; /* clients_sweep() drops the rest */
+}
+
+static void fill_pool(dispatchd_t *d, const pool_t *pool, msg_pool_t *row)
+{
+	*row = (msg_pool_t){.name = str_from(pool->name)};
+	for (endpoint_t *e = d->endpoints; e; e = e->next) {
+		unsigned limit;
+
+		if (e->pool != pool || !e->in_sheet)
+			continue;
+		limit = endpoint_limit(e);
+		if (!limit && !e->window.in_flight)
+			continue;
+		row->warm += window_is_warm(&e->window,
+					    mclock_now_ms(d->clock));
+		row->window += limit;
+		row->in_flight += e->window.in_flight;
+	}
+	row->queued = (unsigned)queue_length(pool->queue);
+	row->wait_ms = (uint64_t)pool_wait_ms(d, pool, 0);
+}
+
+static bool is_served(const dispatchd_t *d, const pool_t *pool)
+{
+	for (endpoint_t *e = d->endpoints; e; e = e->next)
+		if (e->pool == pool && e->in_sheet &&
+		    (e->owned || e->usable_units))
+			return true;
+	return false;
+}
+
+static void fill_status(dispatchd_t *d, uint64_t sequence, msg_t *msg,
+			uint8_t digest[SHEET_DIGEST_BYTES])
+{
+	msg_status_t *status = &msg->u.status;
+
+	memset(msg, 0, sizeof(*msg));
+	msg->kind = MSG_STATUS;
+	status->sequence = sequence;
+	status->host = str_from(d->settings->host);
+	status->domain = str_from(d->settings->domain);
+	status->address = str_from(d->settings->advertise);
+	status->incarnation = d->incarnation;
+	status->leaving = d->leaving;
+	status->sheet_version = store_version(d->store, digest);
+	status->sheet_digest = (str_t){(char *)digest, SHEET_DIGEST_BYTES};
+	status->wall_ms = mclock_wall_ms(d->clock);
+	for (size_t i = 0; i < d->pool_count; i++)
+		if (is_served(d, d->pools[i]))
+			fill_pool(d, d->pools[i],
+				  &status->pools[status->pool_count++]);
+	peers_fill_members(d->peers, status);
+}
+
+static void send_status(client_t *client, uint64_t sequence)
+{
+	uint8_t digest[SHEET_DIGEST_BYTES];
+	msg_t msg;
+
+	fill_status(client->d, sequence, &msg, digest);
+	client_send(client, &msg);
+}
+
+void clients_announce(dispatchd_t *d)
+{
+	for (client_t *client = d->clients; client; client = client->next)
+		if (client->greeted)
+			send_status(client, 0);
+}
+
+static int greet(client_t *client, const msg_hello_t *hello)
+{
+	dispatchd_t *d = client->d;
+
+	client->greeted = true;
+	client->role = hello->role;
+	str_copy(client->host, sizeof(client->host), hello->host);
+	/* A new peer is heard of before it answers a PING. */
+	if (hello->role == MSG_ROLE_DISPATCH &&
+	    !str_equals(hello->address, str_from(d->settings->advertise)))
+		member_learn(peers_table(d->peers), hello->host, hello->domain,
+			     hello->address);
+	return 0;
+}
+
+static int take_message(client_t *client, const msg_t *msg)
+{
+	switch (msg->kind) {
+	case MSG_HELLO:
+		return greet(client, &msg->u.hello);
+	case MSG_PING:
+		send_status(client, msg->u.ping.sequence);
+		return 0;
+	case MSG_SUBMIT:
+		request_submit(client, &msg->u.submit);
+		return 0;
+	case MSG_CANCEL:
+		request_cancel(client, &msg->u.cancel.id);
+		return 0;
+	case MSG_TICKET_GET:
+		call_issue_ticket(client, &msg->u.ticket_get);
+		return 0;
+	case MSG_NODE_GET:
+		confsync_serve(client->d->confsync, client->link,
+			       &msg->u.node_get);
+		return 0;
+	default:
+		return -1;
+	}
+}
+
+static int on_frame(link_t *link, str_t frame)
+{
+	client_t *client = link_user(link);
+	msg_t msg;
+	err_t err = {0};
+	int result = -1;
+
+	if (!msg_decode(frame, &msg, &err) &&
+	    (client->greeted || msg.kind == MSG_HELLO))
+		result = take_message(client, &msg);
+	if (result) {
+		metrics_add(METRIC_INVALID_INPUT, STR_LIT("peers"), 1);
+		plog_write(PLOG_MESSAGE_INVALID,
+			   "peer=%s step=\"%s\" message=\"%s\"",
+			   link_peer(link), err.code ? err.step : "read message",
+			   err.code ? err.message : "unexpected kind");
+	}
+	return result;
+}
+
+static void on_down(link_t *link, const err_t *err)
+{
+	client_t *client = link_user(link);
+
+	plog_write(PLOG_LINK_DOWN, "peer=%s host=%s step=\"%s\" message=\"%s\"",
+		   link_peer(link), client->host, err->step, err->message);
+	drop_client(client);
+}
+
+static void on_accept(void *user, link_t *link)
+{
+	dispatchd_t *d = user;
+	client_t *client = calloc(1, sizeof(*client));
+
+	if (!client)
+		abort();
+	client->d = d;
+	client->link = link;
+	client->accepted_ms = mclock_now_ms(d->clock);
+	client->next = d->clients;
+	if (d->clients)
+		d->clients->prev = client;
+	d->clients = client;
+	link_set_user(link, client);
+}
+
+static const link_ops_t client_ops = {NULL, on_frame, on_down};
+
+err_code_t clients_listen(dispatchd_t *d, err_t *err)
+{
+	d->listener = link_listen(d->loop, d->settings->listen, &client_ops,
+				  on_accept, d, err);
+	return d->listener ? ERR_OK : err->code;
+}
+
+void clients_sweep(dispatchd_t *d)
+{
+	int64_t now = mclock_now_ms(d->clock);
+	client_t *next;
+
+	for (client_t *client = d->clients; client; client = next) {
+		next = client->next;
+		if (client->link && !client->greeted &&
+		    now - client->accepted_ms > GREETING_TIMEOUT_MS) {
+			link_close(client->link);
+			client->link = NULL;
+		}
+		if (!client->link)
+			drop_client(client);
+	}
+}
+
+void clients_free(dispatchd_t *d)
+{
+	link_listener_close(d->listener);
+	d->listener = NULL;
+	while (d->clients) {
+		client_t *client = d->clients;
+
+		link_close(client->link);
+		drop_client(client);
+	}
+}
