--- a/lib/coordination/coldshare.h
+++ b/lib/coordination/coldshare.h
@@ -28,10 +28,10 @@
 
 /*
  * Units that may be used now: zero during the quarantine after the start and
- * when the sheet has not been confirmed for its cold_share_ttl_s; zero also
- * while a change of the domain's cold hosts is younger than the ttl plus the
- * longest timeout, for a host that was not sure to hold its units before
- * (`held_before` false).
+ * when the sheet has not been confirmed for its cold_share_ttl_s. While a
+ * change of the domain's cold hosts is younger than the ttl plus the
+ * quarantine, at most `held_before` units: the result of this function for the
+ * former sheet at the moment of the change; 0 when this process had none.
  */
 unsigned coldshare_usable(const sheet_t *sheet,
 			  const sheet_endpoint_t *endpoint, str_t host,
