--- a/lib/coordination/window.h
+++ b/lib/coordination/window.h
@@ -29,7 +29,9 @@
 	window_report_state_t state;
 	unsigned running;
 	unsigned waiting;
-	int64_t age_ms; /* lag that the report states */
+	/* Lag that the report states plus the round trip of the poll, so that
+	 * now - age_ms is never later than the measurement. */
+	int64_t age_ms;
 } window_report_t;
 
 typedef struct window {
@@ -43,7 +45,14 @@
 	uint64_t boot;
 	unsigned late_in_a_row;
 	double median_first_token_ms; /* 0: not learned yet */
+	unsigned median_samples;
 	unsigned reported_waiting;
+	bool reported_cold;	  /* the newest report said cold */
+	int64_t reported_cold_ms; /* when that was measured */
+	int64_t reported_ms;	  /* when the newest report was measured */
+	int64_t voided_ms;	  /* evidence up to this time is void */
+	unsigned lost;		  /* may still run at the endpoint */
+	int64_t lost_until_ms;	  /* ends all of `lost` */
 } window_t;
 
 void window_init(window_t *window, unsigned max_in_flight);
@@ -60,17 +69,36 @@
 		     unsigned cold_units);
 
 void window_on_send(window_t *window);
-/* Ends one request in flight. */
+/* Ends one request in flight. Without any in flight, it does nothing. */
 void window_on_end(window_t *window);
-/* `first_token_ms`: from the send to the first token. */
+/*
+ * Ends one request in flight that the endpoint may still be running, such as
+ * one whose connection broke. It counts against the cold share until
+ * `until_ms`, the time at which the endpoint ends it on its own.
+ */
+void window_on_lost(window_t *window, int64_t now_ms, int64_t until_ms);
+/*
+ * A first token arrived `first_token_ms` after the send. Call it before
+ * window_on_end(), since the window grows only up to twice the requests in
+ * flight that the endpoint has been seen to serve. Requests sent before the
+ * last event that voided the proof prove nothing.
+ */
 void window_on_first_token(window_t *window, int64_t now_ms,
 			   int64_t first_token_ms);
 void window_on_refused(window_t *window); /* engine refused: halve */
-void window_on_broken(window_t *window);  /* connection broke: cold */
-void window_on_silence(window_t *window); /* no first token in time */
+/* Connection broke: cold. In-flight requests end one by one as usual. */
+void window_on_broken(window_t *window, int64_t now_ms);
+/* No first token in time. The first token of the same request must not be
+ * reported later, or it counts as late twice. */
+void window_on_silence(window_t *window, int64_t now_ms);
+/*
+ * A load report arrived. It proves warmth from its measurement on for
+ * WINDOW_PROOF_MS, unless it was measured before the last event that voided the
+ * proof. While the newest report says cold, first tokens prove nothing.
+ */
 void window_on_report(window_t *window, int64_t now_ms,
 		      const window_report_t *report);
 /* The process was paused: back to slow start, proofs void. */
-void window_on_pause(window_t *window);
+void window_on_pause(window_t *window, int64_t now_ms);
 
 #endif
