Add class queues

Cause: every class must be served in the end, and no burst of one class or customer may crowd out the others.

Change: floors by credits with a least floor of one percent, deficit round robin by customer, displacement of lower tiers only, bounds by class, customer and queue. Displacement no longer applies when only the class is full, since it would make no room there.

--- a/lib/coordination/queue.h
+++ b/lib/coordination/queue.h
@@ -12,6 +12,27 @@
  */
 typedef struct queue queue_t;
 
+/* Queued entries beyond the first of each class: 8,192 entries of 1 KiB body
+ * are 8 MiB. The first entry of a class has room in any case, so that no class
+ * is kept out or displaced altogether. */
+#define QUEUE_MAX_TOTAL 8192
+/*
+ * A customer may queue up to this many times the free places of its class, so
+ * that one customer fills at most 4/5 of a class and others find room.
+ */
+#define QUEUE_CUSTOMER_SHARE 4
+/*
+ * Least floor in percent that a class is served by, whatever the sheet says.
+ * A class with queued entries and floor f is served within
+ * ceil(100 / max(f, 1)) + SHEET_MAX_CLASSES pops as long as the floors add up
+ * to at most 50: after 132 pops at the latest with floor 0.
+ */
+#define QUEUE_MIN_FLOOR_PERCENT 1
+/* Tokens that a customer of weight 1 may send in one round. */
+#define QUEUE_QUANTUM_TOKENS 1024
+/* Larger costs count as this, which bounds the rounds of one pop. */
+#define QUEUE_MAX_COST_TOKENS 65536
+
 /* An entry that its owner embeds; the names stay valid while queued. */
 typedef struct queue_entry {
 	unsigned class_index;
@@ -21,13 +42,16 @@
 	int64_t target_ms;   /* monotonic time of the first-token target */
 	int64_t deadline_ms; /* monotonic time at which it is given up */
 	uint64_t cost_tokens;
-	struct queue_entry *prev, *next; /* used by the queue */
-	void *owner;			 /* used by the queue */
+	struct queue_entry *prev, *next;   /* used by the queue */
+	void *owner;			   /* used by the queue: its customer */
+	struct queue_entry *older, *newer; /* used by the queue */
+	uint64_t sequence;		   /* used by the queue */
+	size_t slots[2];		   /* used by the queue */
 } queue_entry_t;
 
 typedef enum queue_verdict {
 	QUEUE_ACCEPTED,
-	QUEUE_FULL,    /* refused; retry later */
+	QUEUE_FULL,    /* refused by a bound; retry later */
 	QUEUE_TOO_LATE /* refused; it could not start before its deadline */
 } queue_verdict_t;
 
@@ -40,18 +64,21 @@
 		       queue_entry_t **dropped);
 
 /*
- * Admits an entry. When its class is full or `max_total` entries are queued,
- * the newest entry of the lowest tier strictly below may be displaced and
- * comes back through `displaced` for an immediate "not run".
+ * Admits an entry. Its class must have room by max_queue, and its customer by
+ * QUEUE_CUSTOMER_SHARE; displacing another class would not make such room.
+ * When QUEUE_MAX_TOTAL entries are queued, the newest entry of the lowest tier
+ * strictly below is displaced and comes back through `displaced` for an
+ * immediate "not run"; otherwise `*displaced` is NULL.
  * `wait_ms` is the expected wait; above the time to the deadline: too late.
  */
 queue_verdict_t queue_push(queue_t *queue, queue_entry_t *entry, int64_t now_ms,
 			   int64_t wait_ms, queue_entry_t **displaced);
 
-/* Next entry to send, or NULL. */
+/* Next entry to send, or NULL. Never one whose deadline has passed. */
 queue_entry_t *queue_pop(queue_t *queue, int64_t now_ms);
 
-/* Puts a popped entry that could not be sent back in front. */
+/* Puts a popped entry that could not be sent back in front, beyond any bound.
+ * Directly after its pop, the pop does not count as a send. */
 void queue_push_back(queue_t *queue, queue_entry_t *entry);
 
 /* Removes an entry, such as a cancelled one. */
