--- a/lib/coordination/ticket.h
+++ b/lib/coordination/ticket.h
@@ -15,8 +15,17 @@
 #define TICKET_LIFE_MS 600000	      /* of an unspent ticket */
 #define TICKET_RESULT_LIFE_MS 3600000 /* of a recorded result */
 #define TICKET_MAX 10000	      /* results kept */
-#define TICKET_MAX_UNSPENT 10000      /* issued and not yet spent or expired */
+#define TICKET_MAX_UNSPENT 10000      /* issued or running, not yet expired */
 #define TICKET_TEXT_BYTES 512
+/* Bytes of results kept; the oldest results go first. An eighth of the 256 MB
+ * that a daemon may use. */
+#define TICKET_MAX_RESULT_BYTES ((size_t)32 * 1024 * 1024)
+/*
+ * Newest serials of which one bit says for ever whether they were spent. Older
+ * ones answer TICKET_FORGOTTEN, which claims nothing. 2 MiB; at 10 tickets/s
+ * this is 19 days.
+ */
+#define TICKET_REMEMBERED (UINT64_C(1) << 24)
 
 typedef struct ticket_table ticket_table_t;
 
@@ -32,7 +41,7 @@
 	TICKET_IN_PROGRESS, /* being run: wait for the result */
 	TICKET_DONE,	    /* the recorded result */
 	TICKET_EXPIRED,	    /* never run, and never will be */
-	TICKET_FORGOTTEN,   /* spent, result no longer kept */
+	TICKET_FORGOTTEN,   /* result no longer kept: outcome unknown */
 	TICKET_FOREIGN,	    /* of another process: outcome unknown */
 	TICKET_OTHER_BODY,  /* spent with another body */
 	TICKET_OTHER_CALL,  /* for another customer, service or call */
@@ -50,8 +59,15 @@
 	str_t message;
 } ticket_result_t;
 
+/* NULL without memory or randomness, or when a name contains a blank, a slash
+ * or is longer than 63 bytes. */
 ticket_table_t *ticket_table_create(const mclock_t *clock, str_t host,
 				    str_t address, const msg_id_t *incarnation);
+/* As above, with another number of serials in place of TICKET_REMEMBERED. */
+ticket_table_t *ticket_table_create_sized(const mclock_t *clock, str_t host,
+					  str_t address,
+					  const msg_id_t *incarnation,
+					  uint64_t remembered);
 void ticket_table_free(ticket_table_t *table);
 
 /*
