--- a/lib/coordination/member.h
+++ b/lib/coordination/member.h
@@ -29,7 +29,9 @@
 	bool said_leaving;   /* by itself */
 	bool listed_leaving; /* by the host list */
 	bool is_seed;
-	int64_t heard_ms; /* monotonic; 0: never */
+	int64_t learnt_ms; /* monotonic */
+	int64_t heard_ms;  /* monotonic; 0: never */
+	unsigned restarts; /* changes of the incarnation */
 	uint64_t sheet_version;
 	uint8_t sheet_digest[SHEET_DIGEST_BYTES];
 	msg_pool_t pools[MSG_MAX_POOLS]; /* names point into pool_names */
@@ -43,12 +45,19 @@
 member_table_t *member_table_create(const mclock_t *clock);
 void member_table_free(member_table_t *table);
 
-/* Adds a member by address, or returns the one that is there. NULL if full. */
+/* Adds a member by address, or returns the one that is there. NULL when the
+ * table is full or a name is overlong. */
 member_t *member_learn(member_table_t *table, str_t host, str_t domain,
 		       str_t address);
 member_t *member_find(member_table_t *table, str_t address);
 
-/* Notes a STATUS. True when the member was not live before. */
+/*
+ * Notes a STATUS.
+ *
+ * RETURN VALUE: true when the member was not live before or has another
+ * incarnation; then what was known of the process before no longer holds. False
+ * also for a STATUS with an overlong name, which changes nothing.
+ */
 bool member_heard(member_table_t *table, member_t *member,
 		  const msg_status_t *status);
 
--- a/lib/coordination/placement.h
+++ b/lib/coordination/placement.h
@@ -24,7 +24,7 @@
 	double median_first_token_ms;
 } placement_endpoint_t;
 
-/* Index of the endpoint to use, or -1 for none with room. */
+/* Index of the endpoint to use, or -1 for none with room. Affinity 0: none. */
 int placement_pick_endpoint(const placement_endpoint_t *endpoints, size_t count,
 			    uint64_t affinity);
 
@@ -34,7 +34,7 @@
 	bool same_domain;
 	bool same_region;
 	unsigned warm;
-	unsigned window;
+	unsigned window; /* 0: no wait can be promised; the last choice */
 	unsigned in_flight;
 	unsigned queued;
 	int64_t wait_ms;
@@ -50,7 +50,7 @@
 			      size_t count, int64_t target_ms,
 			      bool cross_region, uint64_t affinity);
 
-/* Hash of the first PLACEMENT_AFFINITY_BYTES of a prompt. */
+/* Hash of the first PLACEMENT_AFFINITY_BYTES of a prompt; 0 when empty. */
 uint64_t placement_affinity(str_t prompt);
 
 #endif
