Add sheet, packed nodes, store and settings

The TOML parser library is C++, so one file wraps it behind a C interface that lets no exception out; all checks are in C and report every fault.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: all, check, demo, format, format-check, lint, clean.
+# Targets: all, check, bench, demo, format, format-check, lint, clean.
 # SAN=address,undefined or SAN=thread builds into its own directory.
 
 CC ?= gcc
@@ -33,14 +33,16 @@
 STANDIN_PARTS := $(filter-out $(STANDIN_C),$(wildcard tests/standins/*.c))
 UNIT_C := $(wildcard tests/unit/test_*.c)
 UNITS := $(UNIT_C:tests/unit/%.c=$(BUILD)/unit/%)
+BENCH_C := $(wildcard tests/bench/bench_*.c)
+BENCHES := $(BENCH_C:tests/bench/%.c=$(BUILD)/bench/%)
 UNIT_PARTS := $(filter-out $(UNIT_C),$(wildcard tests/unit/*.c))
 
 SOURCES := $(wildcard lib/*/*.[ch] programs/*.[ch] programs/*/*.[ch] \
 	tests/*/*.[ch] lib/*/*.cpp)
 
-.PHONY: all check demo format format-check lint clean deps programs
+.PHONY: all check bench demo format format-check lint clean deps programs
 
-all: programs $(STANDINS) $(UNITS)
+all: programs $(STANDINS) $(UNITS) $(BENCHES)
 
 programs: $(PROGRAMS)
 
@@ -73,6 +75,13 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(LDLIBS)
 
+$(BUILD)/bench/%: $(BUILD)/tests/bench/%.o $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+bench: $(BENCHES)
+	@for bench in $(BENCHES); do $$bench || exit 1; done
+
 deps:
 	scripts/install-deps.sh
 
--- a/lib/state/sheet.h
+++ b/lib/state/sheet.h
@@ -21,7 +21,25 @@
 #define SHEET_MAX_POOLS 64
 #define SHEET_MAX_ENDPOINTS 4096
 #define SHEET_MAX_CUSTOMERS 200000
-#define SHEET_NAME_BYTES 64
+#define SHEET_NAME_BYTES 64 /* with a final NUL */
+#define SHEET_MAX_COLD_HOSTS 64
+#define SHEET_MAX_PLANS 16
+#define SHEET_MAX_CALLS 32
+/* Sum of the floors of all classes. */
+#define SHEET_MAX_FLOOR_PERCENT 50
+#define SHEET_CUSTOMER_BUCKETS 1024
+
+/* Ranges of the values, for TOML and for packed nodes alike. */
+#define SHEET_MIN_TTL_S 60
+#define SHEET_MAX_TTL_S 86400
+#define SHEET_MAX_LOADING 1000
+#define SHEET_MAX_FIRST_TOKEN_MS 600000
+#define SHEET_MAX_BETWEEN_TOKENS_MS 60000
+#define SHEET_MAX_TIMEOUT_MS 3600000
+#define SHEET_MAX_QUEUE 100000
+#define SHEET_MAX_TOKENS 1000000
+#define SHEET_MAX_IN_FLIGHT 100000
+#define SHEET_MAX_WEIGHT 1000
 
 /* State that the operators want for a domain or an endpoint. */
 typedef enum sheet_state {
@@ -135,8 +153,30 @@
 /* A copy of the text that lives as long as the sheet. */
 str_t sheet_copy_str(sheet_t *sheet, str_t s);
 
-/* Builds the customer index; call once when all customers are in place. */
-void sheet_build_index(sheet_t *sheet);
+/*
+ * Orders the customers by bucket and name and builds their index; call once
+ * when all customers are in place.
+ *
+ * RETURN VALUE: false when two customers have the same name or key digest.
+ */
+bool sheet_build_index(sheet_t *sheet);
+
+/*
+ * Checks ranges, names and references, so that a sheet from a peer can be
+ * used without further checks.
+ *
+ * RETURN VALUE: NULL, or what is wrong.
+ */
+const char *sheet_find_fault(const sheet_t *sheet);
+
+/* 1 to 63 of A-Z a-z 0-9 - _ . with a letter or digit first. */
+bool sheet_is_name(str_t s);
+
+/* IPv4:PORT or [IPv6]:PORT with a port from 1 to 65535. */
+bool sheet_is_address(str_t s);
+
+/* Bucket of a customer, below SHEET_CUSTOMER_BUCKETS. */
+unsigned sheet_customer_bucket(str_t name);
 
 /*
  * Look-ups by name. The index of the entry, or -1.
--- a/lib/state/sheetcheck.h
+++ b/lib/state/sheetcheck.h
@@ -15,7 +15,7 @@
  * reference, floors above 50 in sum. All faults are reported, not just the
  * first.
  */
-#define SHEETCHECK_MAX_BYTES (16 * 1024 * 1024)
+#define SHEETCHECK_MAX_BYTES (16UL * 1024 * 1024)
 
 /*
  * Parses `text`; `file` names it in reports.
--- a/lib/state/store.h
+++ b/lib/state/store.h
@@ -27,12 +27,14 @@
 
 /*
  * Puts a sheet in force and takes ownership of it, also on failure. Frees the
- * former one after a grace period.
+ * former one after a grace period, for which it waits: a thread must not call
+ * this within its own read lock.
  *
  * RETURN VALUE: ERR_OK; ERR_OK also when the same version and digest are in
  * force already (counts as a confirmation); ERR_VERSION for a lower version;
  * ERR_CONFLICT for the same version with another digest; ERR_INVALID when
- * cold hosts of a domain changed without a later cold_hosts_since.
+ * cold hosts of a domain changed without a later cold_hosts_since, or when
+ * cold_hosts_since went back.
  */
 err_code_t store_activate(store_t *store, sheet_t *sheet, err_t *err);
 
--- /dev/null
+++ b/lib/state/tomlcheck.h
@@ -0,0 +1,122 @@
+#ifndef STATE_TOMLCHECK_H
+#define STATE_TOMLCHECK_H
+
+#include "base/buf.h"
+#include "state/sheet.h"
+#include "state/toml.h"
+
+/*
+ * tomlcheck - typed access to TOML tables that reports every fault
+ *
+ * Faults are appended to the report as FILE:LINE: KEY: EXPECTED. A getter that
+ * reports a fault returns a usable value, so that checking goes on and finds
+ * the other faults. KEY counts array elements from 0, as in class[2].tier.
+ */
+#define TOMLCHECK_MAX_FAULTS 100
+#define TOMLCHECK_PATH_BYTES 96
+/* Dots outside strings in one line. Bounds the depth of nested tables, whose
+ * recursive destruction in the parser library could exhaust the stack. */
+#define TOMLCHECK_MAX_DOTS 16
+
+typedef struct tomlcheck {
+	const char *file;
+	buf_t *report;
+	size_t faults;
+	toml_doc_t *doc;
+} tomlcheck_t;
+
+typedef struct tomlcheck_table {
+	tomlcheck_t *check;
+	const toml_node_t *node;
+	char path[TOMLCHECK_PATH_BYTES]; /* empty for the document */
+} tomlcheck_table_t;
+
+typedef struct tomlcheck_int {
+	const char *key;
+	int64_t min;
+	int64_t max;
+	int64_t fallback; /* value of a missing key that is not required */
+	bool required;
+} tomlcheck_int_t;
+
+typedef enum tomlcheck_presence {
+	TOMLCHECK_OPTIONAL,
+	TOMLCHECK_REQUIRED
+} tomlcheck_presence_t;
+
+/* Parses the text; false with the fault reported. */
+bool tomlcheck_open(tomlcheck_t *check, str_t text, size_t max_bytes,
+		    const char *file, buf_t *report);
+void tomlcheck_close(tomlcheck_t *check);
+
+tomlcheck_table_t tomlcheck_root(tomlcheck_t *check);
+
+/* Reports a fault of the key, or of the table itself when `key` is NULL. */
+void tomlcheck_fault(const tomlcheck_table_t *table, const char *key,
+		     unsigned line, const char *format, ...)
+	__attribute__((format(printf, 4, 5)));
+
+/* Line of a key's value, or of the table when the key is missing. */
+unsigned tomlcheck_line(const tomlcheck_table_t *table, const char *key);
+
+/* Reports each key that is not in the NULL-terminated list. */
+void tomlcheck_keys(const tomlcheck_table_t *table, const char *const *known);
+
+/* A table value; false when it is missing or of another type. */
+bool tomlcheck_get_table(const tomlcheck_table_t *table, const char *key,
+			 tomlcheck_presence_t presence, tomlcheck_table_t *out);
+
+/* Number of elements of an array within min and max; 0 when missing. */
+size_t tomlcheck_get_array(const tomlcheck_table_t *table, const char *key,
+			   size_t min, size_t max, const char *element);
+
+/* Element `i` of an array of tables; false when it is no table. */
+bool tomlcheck_get_element(const tomlcheck_table_t *table, const char *key,
+			   size_t i, tomlcheck_table_t *out);
+
+/* Element `i` of an array of strings; false when it is no string. `path`
+ * gets the element's key. */
+bool tomlcheck_get_string_element(const tomlcheck_table_t *table,
+				  const char *key, size_t i,
+				  char path[TOMLCHECK_PATH_BYTES], str_t *value,
+				  unsigned *line);
+
+int64_t tomlcheck_get_int(const tomlcheck_table_t *table,
+			  const tomlcheck_int_t *spec);
+bool tomlcheck_get_bool(const tomlcheck_table_t *table, const char *key,
+			tomlcheck_presence_t presence, bool fallback);
+/* A string that the sheet accepts as a name; empty when faulty. */
+str_t tomlcheck_get_name(const tomlcheck_table_t *table, const char *key);
+/* IP:PORT; empty when missing or faulty. */
+str_t tomlcheck_get_address(const tomlcheck_table_t *table, const char *key,
+			    tomlcheck_presence_t presence);
+/* A file path without NUL; empty when missing or faulty. */
+str_t tomlcheck_get_path(const tomlcheck_table_t *table, const char *key);
+/* Index of the string in a NULL-terminated list; `fallback` when missing. */
+int tomlcheck_get_choice(const tomlcheck_table_t *table, const char *key,
+			 const char *const *choices, int fallback);
+/* 64 hexadecimal digits. */
+bool tomlcheck_get_digest(const tomlcheck_table_t *table, const char *key,
+			  uint8_t digest[SHEET_DIGEST_BYTES]);
+/* An offset date-time in Unix seconds; 0 when missing or faulty. */
+int64_t tomlcheck_get_time(const tomlcheck_table_t *table, const char *key,
+			   tomlcheck_presence_t presence);
+
+/*
+ * tomlcheck_set - values seen so far, with the line of the first use
+ */
+typedef struct tomlcheck_set {
+	struct tomlcheck_set_entry *entries;
+	size_t cap;
+	size_t count;
+} tomlcheck_set_t;
+
+/*
+ * Adds the bytes, which must outlive the set.
+ *
+ * RETURN VALUE: 0 when new, else the line of the first use.
+ */
+unsigned tomlcheck_set_add(tomlcheck_set_t *set, str_t value, unsigned line);
+void tomlcheck_set_release(tomlcheck_set_t *set);
+
+#endif
