--- a/lib/state/store.c
+++ b/lib/state/store.c
@@ -9,6 +9,21 @@
 
 #define STEP "sheet-activate"
 
+/*
+ * ThreadSanitizer does not see the ordering that liburcu makes with inline
+ * assembly and membarrier(2), so its guarantees are stated here: a reader sees
+ * what was written before publication, and the end of a grace period comes
+ * after the readers that it waited for.
+ */
+#ifdef __SANITIZE_THREAD__
+#include <sanitizer/tsan_interface.h>
+#define NOTE_RELEASE(address) __tsan_release(address)
+#define NOTE_ACQUIRE(address) __tsan_acquire(address)
+#else
+#define NOTE_RELEASE(address) ((void)(address))
+#define NOTE_ACQUIRE(address) ((void)(address))
+#endif
+
 struct store {
 	const mclock_t *clock;
 	sheet_t *sheet; /* RCU pointer; written with the mutex held */
@@ -17,6 +32,8 @@
 	_Atomic uint64_t conflicts;
 };
 
+static char grace_period; /* address for NOTE_RELEASE and NOTE_ACQUIRE */
+
 static bool has_cold_host(const sheet_domain_t *domain,
 			  const sheet_cold_host_t *host)
 {
@@ -69,6 +86,53 @@
 	return ERR_OK;
 }
 
+/* The endpoint with this address; `hint` is its likely position. */
+static const sheet_endpoint_t *find_address(const sheet_t *sheet, str_t address,
+					    size_t hint)
+{
+	if (hint < sheet->endpoint_count &&
+	    str_equals(sheet->endpoints[hint].address, address))
+		return &sheet->endpoints[hint];
+	for (size_t i = 0; i < sheet->endpoint_count; i++) {
+		if (str_equals(sheet->endpoints[i].address, address))
+			return &sheet->endpoints[i];
+	}
+	return NULL;
+}
+
+/* Units depend on the endpoint's name and domain, so a server that gets
+ * another name or domain has its units moved. */
+static err_code_t check_moves(const sheet_t *old, const sheet_t *new,
+			      err_t *err)
+{
+	for (size_t i = 0; i < new->endpoint_count; i++) {
+		const sheet_endpoint_t *after = &new->endpoints[i];
+		const sheet_endpoint_t *before =
+			find_address(old, after->address, i);
+		const sheet_domain_t *to = &new->domains[after->domain_index];
+		const sheet_domain_t *from;
+		int same;
+
+		if (!before || !to->cold_host_count)
+			continue;
+		from = &old->domains[before->domain_index];
+		if (str_equals(before->name, after->name) &&
+		    str_equals(from->name, to->name))
+			continue;
+		same = sheet_find_domain(old, to->name);
+		if (same >= 0)
+			from = &old->domains[same];
+		if (to->cold_hosts_since_s <= from->cold_hosts_since_s)
+			return err_set(err, ERR_INVALID, STEP, "",
+				       "endpoint %" STR_FMT
+				       " has another name or domain without a "
+				       "later cold_hosts_since of domain "
+				       "%" STR_FMT,
+				       STR_ARG(after->name), STR_ARG(to->name));
+	}
+	return ERR_OK;
+}
+
 static void note_confirmation(store_t *store)
 {
 	atomic_store(&store->confirmed_ms, mclock_now_ms(store->clock));
@@ -79,8 +143,13 @@
 			      const sheet_t *new, bool *same, err_t *err)
 {
 	*same = false;
-	if (!old || new->version > old->version)
-		return old ? check_cold_hosts(old, new, err) : ERR_OK;
+	if (!old)
+		return ERR_OK;
+	if (new->version > old->version) {
+		err_code_t code = check_cold_hosts(old, new, err);
+
+		return code == ERR_OK ? check_moves(old, new, err) : code;
+	}
 	if (new->version < old->version)
 		return err_set(err, ERR_VERSION, STEP, "",
 			       "version %" PRIu64 " is below %" PRIu64
@@ -137,12 +206,16 @@
 
 void store_read_unlock(void)
 {
+	NOTE_RELEASE(&grace_period);
 	urcu_memb_read_unlock();
 }
 
 const sheet_t *store_sheet(const store_t *store)
 {
-	return rcu_dereference(store->sheet);
+	const sheet_t *sheet = rcu_dereference(store->sheet);
+
+	NOTE_ACQUIRE((void *)(uintptr_t)sheet);
+	return sheet;
 }
 
 err_code_t store_activate(store_t *store, sheet_t *sheet, err_t *err)
@@ -157,8 +230,10 @@
 	if (code == ERR_OK) {
 		note_confirmation(store);
 		if (!same) {
+			NOTE_RELEASE(sheet);
 			unused = rcu_xchg_pointer(&store->sheet, sheet);
 			urcu_memb_synchronize_rcu();
+			NOTE_ACQUIRE(&grace_period);
 		}
 	}
 	pthread_mutex_unlock(&store->mutex);
--- a/lib/state/store.h
+++ b/lib/state/store.h
@@ -33,8 +33,9 @@
  * RETURN VALUE: ERR_OK; ERR_OK also when the same version and digest are in
  * force already (counts as a confirmation); ERR_VERSION for a lower version;
  * ERR_CONFLICT for the same version with another digest; ERR_INVALID when
- * cold hosts of a domain changed without a later cold_hosts_since, or when
- * cold_hosts_since went back.
+ * cold hosts of a domain changed without a later cold_hosts_since, when
+ * cold_hosts_since went back, or when the server at an address got another
+ * endpoint name or domain without a later cold_hosts_since of its domain.
  */
 err_code_t store_activate(store_t *store, sheet_t *sheet, err_t *err);
 
