--- /dev/null
+++ b/tests/standins/standin.c
@@ -0,0 +1,584 @@
+#include "standin.h"
+
+#include <argp.h>
+#include <arpa/inet.h>
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "base/mclock.h"
+
+/* Both tables are bounded; what does not fit is counted as dropped. */
+#define LOG_ENTRIES 4096
+#define RUN_KEYS 16384
+/* Descriptors besides the served connections: listeners, queue, library. */
+#define OTHER_FDS 256
+#define MAX_FDS 4096
+#define MAX_OPTIONS 64
+#define POLL_US 2000
+
+enum {
+	OPT_LISTEN = 'l',
+	OPT_CONTROL = 'c',
+	OPT_THREADS = 't',
+	OPT_TO = 'o',
+	OPT_SWITCH = 512
+};
+
+typedef struct log_entry {
+	int64_t wall_ms;
+	char key[STANDIN_KEY_MAX];
+	char path[STANDIN_KEY_MAX];
+	const char *note;
+} log_entry_t;
+
+typedef struct run_entry {
+	char key[STANDIN_KEY_MAX];
+	long runs;
+} run_entry_t;
+
+/* clang-format off */
+#define COMMON_SWITCHES(X) \
+	X(hang, 0, "accept and never answer while 1") \
+	X(fail_next, 0, "answer the next N requests with 500") \
+	X(delay_ms, 0, "wait before handling a request") \
+	X(down, 0, "accept and reset connections while 1") \
+	X(crash, 0, "control: reset all connections now")
+#define COMMON_COUNTERS(X) X(received) X(max_runs) X(runs_dropped)
+/* clang-format on */
+STANDIN_DEFINE_TABLES(COMMON_SWITCHES, COMMON_COUNTERS);
+#define COMMON_COUNT (sizeof(set) / sizeof(standin_switch_t))
+
+static const standin_program_t *program;
+char standin_address[STANDIN_ADDRESS_MAX] = "127.0.0.1:0";
+char standin_to[STANDIN_ADDRESS_MAX] = "";
+static char control_address[STANDIN_ADDRESS_MAX] = "127.0.0.1:0";
+static int threads = 64;
+static atomic_bool stopping;
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static log_entry_t requests[LOG_ENTRIES];
+static run_entry_t runs[RUN_KEYS];
+static long run_keys;
+
+static standin_switch_t *switch_at(size_t i)
+{
+	if (i < program->switch_count)
+		return &program->switches[i];
+	i -= program->switch_count;
+	return i < COMMON_COUNT ? (standin_switch_t *)&set + i : NULL;
+}
+
+static bool parse_long(const char *text, long *value)
+{
+	char *end;
+
+	errno = 0;
+	*value = strtol(text, &end, 10);
+	return *text && !*end && !errno;
+}
+
+bool standin_stopping(void)
+{
+	return atomic_load(&stopping);
+}
+
+int64_t standin_now_us(void)
+{
+	return mclock_now_us(mclock_system());
+}
+
+void standin_wait(pthread_cond_t *cond, pthread_mutex_t *mutex, int64_t us)
+{
+	struct timespec at;
+
+	clock_gettime(CLOCK_MONOTONIC, &at);
+	us = us * 1000 + at.tv_nsec;
+	at.tv_sec += us / 1000000000;
+	at.tv_nsec = us % 1000000000;
+	pthread_cond_clockwait(cond, mutex, CLOCK_MONOTONIC, &at);
+}
+
+bool standin_resolve(const char *text, struct sockaddr_in *sa)
+{
+	const char *colon = strrchr(text, ':');
+	char ip[STANDIN_ADDRESS_MAX];
+	long port;
+
+	memset(sa, 0, sizeof(*sa));
+	if (!colon || !parse_long(colon + 1, &port) || port < 0 ||
+	    port > 65535 ||
+	    !str_copy(ip, sizeof(ip), (str_t){text, (size_t)(colon - text)}))
+		return false;
+	sa->sin_family = AF_INET;
+	sa->sin_port = htons((uint16_t)port);
+	return inet_pton(AF_INET, ip, &sa->sin_addr) == 1;
+}
+
+void standin_print_address(char *text, const struct sockaddr_in *sa)
+{
+	char ip[INET_ADDRSTRLEN];
+
+	inet_ntop(AF_INET, &sa->sin_addr, ip, sizeof(ip));
+	snprintf(text, STANDIN_ADDRESS_MAX, "%s:%d", ip, ntohs(sa->sin_port));
+}
+
+void standin_raise(standin_counter_t *peak, long value)
+{
+	long old = *peak;
+
+	while (value > old && !atomic_compare_exchange_weak(peak, &old, value))
+		;
+}
+
+bool standin_take_failure(void)
+{
+	return standin_take(&set.fail_next);
+}
+
+bool standin_take(standin_switch_t *counted)
+{
+	long left = atomic_load(&counted->value);
+
+	while (left > 0)
+		if (atomic_compare_exchange_weak(&counted->value, &left,
+						 left - 1))
+			return true;
+	return false;
+}
+
+long standin_query(const struct mg_connection *conn, const char *name,
+		   long fallback)
+{
+	const char *query = mg_get_request_info(conn)->query_string;
+	char text[32];
+	long value;
+
+	if (!query ||
+	    mg_get_var(query, strlen(query), name, text, sizeof(text)) < 0)
+		return fallback;
+	return parse_long(text, &value) ? value : fallback;
+}
+
+bool standin_read_body(struct mg_connection *conn, buf_t *body)
+{
+	long long announced = mg_get_request_info(conn)->content_length;
+	int got;
+
+	if (announced > STANDIN_BODY_MAX)
+		return false;
+	for (;;) {
+		buf_reserve(body, 16384);
+		got = mg_read(conn, body->ptr + body->len, 16384);
+		if (got <= 0)
+			break;
+		body->len += (size_t)got;
+		if (body->len > STANDIN_BODY_MAX)
+			return false;
+	}
+	return !got && (announced < 0 || (size_t)announced == body->len);
+}
+
+void standin_answer(struct mg_connection *conn, int status, const char *headers,
+		    str_t body)
+{
+	mg_printf(conn,
+		  "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n"
+		  "Content-Type: application/json\r\n%s\r\n",
+		  status, mg_get_response_code_text(conn, status), body.len,
+		  headers);
+	if (body.len)
+		mg_write(conn, body.ptr, body.len);
+}
+
+void standin_error(struct mg_connection *conn, int status, const char *headers,
+		   const char *type)
+{
+	char body[96];
+
+	snprintf(body, sizeof(body), "{\"error\":{\"type\":\"%s\"}}\n", type);
+	standin_answer(conn, status, headers, str_from(body));
+}
+
+/* Finds the next descriptor above `fd` on the local port; -1 at the end. */
+static int next_socket(int fd, int local_port, struct sockaddr_in *peer)
+{
+	struct sockaddr_in local = {0};
+	socklen_t len;
+
+	for (fd++; fd < threads + OTHER_FDS; fd++) {
+		len = sizeof(local);
+		if (getsockname(fd, (struct sockaddr *)&local, &len) ||
+		    local.sin_family != AF_INET ||
+		    ntohs(local.sin_port) != local_port)
+			continue;
+		len = sizeof(*peer);
+		if (!getpeername(fd, (struct sockaddr *)peer, &len))
+			return fd;
+	}
+	return -1;
+}
+
+int standin_socket(const struct mg_connection *conn)
+{
+	const struct mg_request_info *info = mg_get_request_info(conn);
+	char ip[INET_ADDRSTRLEN];
+	struct sockaddr_in peer;
+	int fd = 2;
+
+	while ((fd = next_socket(fd, info->server_port, &peer)) >= 0)
+		if (ntohs(peer.sin_port) == info->remote_port &&
+		    inet_ntop(AF_INET, &peer.sin_addr, ip, sizeof(ip)) &&
+		    !strcmp(ip, info->remote_addr))
+			break;
+	return fd;
+}
+
+bool standin_peer_closed(int fd)
+{
+	char byte;
+	ssize_t got;
+
+	if (fd < 0)
+		return true;
+	got = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return !got || (got < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+void standin_reset_socket(int fd)
+{
+	struct linger abort_at_close = {1, 0};
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &abort_at_close,
+		   sizeof(abort_at_close));
+	shutdown(fd, SHUT_RDWR);
+}
+
+void standin_reset(struct mg_connection *conn)
+{
+	int fd = standin_socket(conn);
+
+	mg_disable_connection_keep_alive(conn);
+	if (fd >= 0)
+		standin_reset_socket(fd);
+}
+
+void standin_reset_all(void)
+{
+	struct sockaddr_in sa, peer;
+	int fd = 2;
+
+	if (!standin_resolve(standin_address, &sa))
+		return;
+	while ((fd = next_socket(fd, ntohs(sa.sin_port), &peer)) >= 0)
+		standin_reset_socket(fd);
+}
+
+uint64_t standin_hash(uint64_t state, str_t bytes)
+{
+	for (size_t i = 0; i < bytes.len; i++)
+		state = (state ^ (unsigned char)bytes.ptr[i]) *
+			1099511628211ULL;
+	return state;
+}
+
+void standin_log(const char *key, const char *path, const char *note)
+{
+	log_entry_t *entry;
+
+	pthread_mutex_lock(&lock);
+	entry = &requests[n.received++ % LOG_ENTRIES];
+	entry->wall_ms = mclock_wall_ms(mclock_system());
+	str_copy(entry->key, sizeof(entry->key), str_from(key));
+	str_copy(entry->path, sizeof(entry->path), str_from(path));
+	entry->note = note;
+	pthread_mutex_unlock(&lock);
+}
+
+long standin_count_run(const char *key)
+{
+	size_t at = standin_hash(STANDIN_HASH_START, str_from(key)) % RUN_KEYS;
+	long number = 0;
+
+	pthread_mutex_lock(&lock);
+	while (runs[at].runs &&
+	       strncmp(runs[at].key, key, STANDIN_KEY_MAX - 1) != 0)
+		at = (at + 1) % RUN_KEYS;
+	if (!runs[at].runs && run_keys >= RUN_KEYS / 2) {
+		n.runs_dropped++;
+	} else {
+		if (!runs[at].runs)
+			run_keys++;
+		str_copy(runs[at].key, STANDIN_KEY_MAX, str_from(key));
+		number = ++runs[at].runs;
+		standin_raise(&n.max_runs, number);
+	}
+	pthread_mutex_unlock(&lock);
+	return number;
+}
+
+static void append_counters(buf_t *out, const standin_counter_t *counters,
+			    const char *const *names)
+{
+	for (int i = 0; names[i]; i++)
+		buf_printf(out, "\"%s\":%ld,", names[i], counters[i]);
+}
+
+static void append_stats(buf_t *out)
+{
+	long last = n.received;
+	const char *comma = "";
+
+	buf_printf(out, "{");
+	append_counters(out, program->counters, program->counter_names);
+	append_counters(out, (standin_counter_t *)&n, counter_names);
+	if (program->stats)
+		program->stats(out);
+	buf_printf(out, "\"runs\":{");
+	pthread_mutex_lock(&lock);
+	for (size_t i = 0; i < RUN_KEYS; i++) {
+		if (!runs[i].runs)
+			continue;
+		buf_printf(out, "%s", comma);
+		buf_append_json(out, str_from(runs[i].key));
+		buf_printf(out, ":%ld", runs[i].runs);
+		comma = ",";
+	}
+	buf_printf(out, "},\"requests\":[");
+	for (long i = last > LOG_ENTRIES ? last - LOG_ENTRIES : 0; i < last;
+	     i++) {
+		const log_entry_t *entry = &requests[i % LOG_ENTRIES];
+
+		buf_printf(out, "{\"wall_ms\":%lld,\"note\":\"%s\",\"key\":",
+			   (long long)entry->wall_ms, entry->note);
+		buf_append_json(out, str_from(entry->key));
+		buf_printf(out, ",\"path\":");
+		buf_append_json(out, str_from(entry->path));
+		buf_printf(out, i + 1 < last ? "}," : "}");
+	}
+	pthread_mutex_unlock(&lock);
+	buf_printf(out, "]}\n");
+}
+
+/* Sets the keys in order; stops at one that is not valid. */
+static bool set_switches(const char *query)
+{
+	char copy[1024], *save = NULL, *part;
+
+	if (!query || !str_copy(copy, sizeof(copy), str_from(query)))
+		return false;
+	for (part = strtok_r(copy, "&", &save); part;
+	     part = strtok_r(NULL, "&", &save)) {
+		char *equals = strchr(part, '=');
+		standin_switch_t *s;
+		size_t i = 0;
+		long value;
+
+		if (!equals || !parse_long(equals + 1, &value))
+			return false;
+		*equals = '\0';
+		while ((s = switch_at(i)) && strcmp(s->name, part) != 0)
+			i++;
+		if (!s)
+			return false;
+		s->value = value;
+		if (program->on_set)
+			program->on_set(s);
+		if (s == &set.crash)
+			standin_reset_all();
+	}
+	return true;
+}
+
+static int handle_control(struct mg_connection *conn, void *data)
+{
+	const struct mg_request_info *info = mg_get_request_info(conn);
+	bool post = !strcmp(info->request_method, "POST");
+	buf_t out = BUF_INIT;
+
+	(void)data;
+	if (post && !strcmp(info->local_uri, "/control/set")) {
+		if (set_switches(info->query_string))
+			standin_answer(conn, 200, "", STR_LIT("{}\n"));
+		else
+			standin_error(conn, 400, "", "key or value");
+	} else if (!post && !strcmp(info->local_uri, "/control/stats")) {
+		append_stats(&out);
+		standin_answer(conn, 200, "", buf_view(&out));
+	} else if (!program->control ||
+		   !program->control(conn, info->local_uri)) {
+		standin_error(conn, 404, "", "path");
+	}
+	buf_release(&out);
+	return 200;
+}
+
+static int handle_published(struct mg_connection *conn, void *data)
+{
+	int64_t until = standin_now_us() + set.delay_ms.value * 1000;
+	int fd = standin_socket(conn);
+
+	(void)data;
+	while (!standin_stopping() && !set.down.value &&
+	       (set.hang.value || standin_now_us() < until)) {
+		if (standin_peer_closed(fd)) {
+			mg_disable_connection_keep_alive(conn);
+			return 200;
+		}
+		usleep(POLL_US);
+	}
+	if (set.down.value || standin_stopping()) {
+		standin_reset(conn);
+		return 200;
+	}
+	program->handle(conn, mg_get_request_info(conn)->local_uri);
+	return 200;
+}
+
+/* Keeps CivetWeb from writing a log file. */
+static int ignore_log(const struct mg_connection *conn, const char *message)
+{
+	(void)conn;
+	(void)message;
+	return 1;
+}
+
+static struct mg_context *start_server(char *address, int count,
+				       mg_request_handler handler)
+{
+	struct mg_callbacks callbacks = {.log_message = ignore_log};
+	struct mg_server_port port;
+	struct mg_context *ctx;
+	struct sockaddr_in sa;
+	char number[16];
+	/* clang-format off */
+	const char *options[] = {
+		"listening_ports", address, "num_threads", number,
+		"enable_keep_alive", "yes", "keep_alive_timeout_ms", "2000",
+		"tcp_nodelay", "1", NULL};
+	/* clang-format on */
+
+	snprintf(number, sizeof(number), "%d", count);
+	if (!standin_resolve(address, &sa))
+		return NULL;
+	ctx = mg_start(&callbacks, NULL, options);
+	if (!ctx || mg_get_server_ports(ctx, 1, &port) != 1)
+		return NULL;
+	sa.sin_port = htons((uint16_t)port.port);
+	standin_print_address(address, &sa);
+	mg_set_request_handler(ctx, "/", handler, NULL);
+	return ctx;
+}
+
+static error_t parse_option(int key, char *arg, struct argp_state *state)
+{
+	char *target = key == OPT_LISTEN  ? standin_address :
+		       key == OPT_CONTROL ? control_address :
+					    standin_to;
+	long value = 0;
+
+	if (key == OPT_LISTEN || key == OPT_CONTROL || key == OPT_TO) {
+		if (!str_copy(target, STANDIN_ADDRESS_MAX, str_from(arg)))
+			argp_error(state, "address too long: %s", arg);
+		return 0;
+	}
+	if (key != OPT_THREADS &&
+	    (key < OPT_SWITCH || key >= OPT_SWITCH + MAX_OPTIONS))
+		return ARGP_ERR_UNKNOWN;
+	if (!parse_long(arg, &value) ||
+	    (key == OPT_THREADS && (value < 1 || value > 1024)))
+		argp_error(state, "not a valid number: %s", arg);
+	if (key == OPT_THREADS)
+		threads = (int)value;
+	else
+		switch_at((size_t)(key - OPT_SWITCH))->value = value;
+	return 0;
+}
+
+static void parse_options(int argc, char **argv)
+{
+	static struct argp_option options[MAX_OPTIONS + 5] = {
+		{"listen", OPT_LISTEN, "IP:PORT", 0, "published address", 0},
+		{"control", OPT_CONTROL, "IP:PORT", 0, "control address", 0},
+		{"to", OPT_TO, "IP:PORT", 0, "where the relay forwards to", 0},
+		{"threads", OPT_THREADS, "N", 0,
+		 "connections served at once, idle ones included (64)", 0}};
+	static char names[MAX_OPTIONS][32];
+	struct argp argp = {.options = options,
+			    .parser = parse_option,
+			    .doc = program->doc};
+	const standin_switch_t *s;
+
+	for (size_t i = 0; i < MAX_OPTIONS && (s = switch_at(i)); i++) {
+		str_copy(names[i], sizeof(names[i]), str_from(s->name));
+		for (char *c = names[i]; *c; c++)
+			if (*c == '_')
+				*c = '-';
+		options[4 + i].name = names[i];
+		options[4 + i].key = OPT_SWITCH + (int)i;
+		options[4 + i].arg = "N";
+		options[4 + i].doc = s->doc;
+	}
+	argp_parse(&argp, argc, argv, 0, NULL, NULL);
+}
+
+/* Wakes CivetWeb's accepting threads, which otherwise poll every 2 s. */
+static void stop_listening(void)
+{
+	for (int fd = 3; fd < threads + OTHER_FDS; fd++) {
+		int listens = 0;
+		socklen_t len = sizeof(listens);
+
+		if (!getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens,
+				&len) &&
+		    listens)
+			shutdown(fd, SHUT_RD);
+	}
+}
+
+int standin_main(const standin_program_t *wanted, int argc, char **argv)
+{
+	struct mg_context *published = NULL, *control;
+	struct rlimit files = {MAX_FDS, MAX_FDS};
+	sigset_t ends;
+	int number;
+
+	program = wanted;
+	parse_options(argc, argv);
+	signal(SIGPIPE, SIG_IGN);
+	setrlimit(RLIMIT_NOFILE, &files);
+	/* Threads started below inherit the mask; only sigwait() sees these. */
+	sigemptyset(&ends);
+	sigaddset(&ends, SIGTERM);
+	sigaddset(&ends, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &ends, NULL);
+	mg_init_library(0);
+	if (program->start && !program->start())
+		return 1;
+	if (program->handle)
+		published = start_server(standin_address, threads,
+					 handle_published);
+	control = start_server(control_address, 4, handle_control);
+	if (!control || (program->handle && !published)) {
+		fprintf(stderr, "cannot listen on %s or %s\n", standin_address,
+			control_address);
+		return 1;
+	}
+	printf("ready %s %s\n", standin_address, control_address);
+	fflush(stdout);
+	sigwait(&ends, &number);
+	atomic_store(&stopping, true);
+	if (program->stop)
+		program->stop();
+	stop_listening();
+	if (published)
+		mg_stop(published);
+	mg_stop(control);
+	mg_exit_library();
+	return 0;
+}
--- /dev/null
+++ b/tests/standins/standin.h
@@ -0,0 +1,137 @@
+#ifndef STANDIN_H
+#define STANDIN_H
+
+#include <civetweb.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/buf.h"
+
+/*
+ * standin - common part of the stand-ins
+ *
+ * A stand-in has a published address (--listen) and a control address
+ * (--control). It prints "ready ADDRESS CONTROL" once both accept connections
+ * and exits 0 on SIGTERM. Every switch is both an option (cold_ms is
+ * --cold-ms=N) and a key of POST /control/set.
+ */
+
+#define STANDIN_KEY_MAX 96
+#define STANDIN_BODY_MAX (4 << 20)
+
+typedef struct standin_switch {
+	const char *name;
+	const char *doc;
+	_Atomic long value;
+} standin_switch_t;
+
+typedef _Atomic long standin_counter_t;
+
+/*
+ * Defines the struct `set` of switches and the struct `n` of counters from two
+ * X-macro lists, X(name, value, doc) and X(name).
+ */
+#define STANDIN_SWITCH_MEMBER(name, value, doc) standin_switch_t name;
+#define STANDIN_SWITCH_INIT(name, value, doc) {#name, doc, value},
+#define STANDIN_COUNTER_MEMBER(name) standin_counter_t name;
+#define STANDIN_COUNTER_NAME(name) #name,
+#define STANDIN_DEFINE_TABLES(switches, counters)    \
+	static struct {                              \
+		switches(STANDIN_SWITCH_MEMBER)      \
+	} set = {switches(STANDIN_SWITCH_INIT)};     \
+	static struct {                              \
+		counters(STANDIN_COUNTER_MEMBER)     \
+	} n;                                         \
+	static const char *const counter_names[] = { \
+		counters(STANDIN_COUNTER_NAME) NULL}
+#define STANDIN_TABLES                                          \
+	.switches = (standin_switch_t *)&set,                   \
+	.switch_count = sizeof(set) / sizeof(standin_switch_t), \
+	.counters = (standin_counter_t *)&n, .counter_names = counter_names
+
+typedef struct standin_program {
+	const char *doc;
+	standin_switch_t *switches;
+	size_t switch_count;
+	const standin_counter_t *counters;
+	const char *const *counter_names;
+	/* Answers one request on the published address; NULL if not HTTP. */
+	void (*handle)(struct mg_connection *conn, const char *path);
+	/* Answers a control path of its own; false when there is none. */
+	bool (*control)(struct mg_connection *conn, const char *path);
+	/* Called after a switch was set through the control address. */
+	void (*on_set)(const standin_switch_t *changed);
+	/* Appends further "\"name\":value," members to the statistics. */
+	void (*stats)(buf_t *out);
+	/* Called after the options were read; false ends the process. */
+	bool (*start)(void);
+	/* Called on SIGTERM; must wake every waiting handler. */
+	void (*stop)(void);
+} standin_program_t;
+
+/* Raises a peak to the value if it is higher. */
+void standin_raise(standin_counter_t *peak, long value);
+
+/* Takes one of the requests that fail_next makes fail. */
+bool standin_take_failure(void);
+
+/* Addresses of --listen, where the relay puts its port, and of --to. */
+#define STANDIN_ADDRESS_MAX 32
+extern char standin_address[STANDIN_ADDRESS_MAX];
+extern char standin_to[STANDIN_ADDRESS_MAX];
+
+/* Runs the stand-in; the result is main()'s. */
+int standin_main(const standin_program_t *program, int argc, char **argv);
+
+bool standin_stopping(void);
+int64_t standin_now_us(void);
+
+/* Waits for the condition, at most for the given time. */
+void standin_wait(pthread_cond_t *cond, pthread_mutex_t *mutex, int64_t us);
+
+/* Reads IP:PORT; false when it is malformed. */
+bool standin_resolve(const char *text, struct sockaddr_in *sa);
+void standin_print_address(char *text, const struct sockaddr_in *sa);
+
+/* Takes one of the counted faults; false when none is left. */
+bool standin_take(standin_switch_t *counted);
+
+/* Reads an integer of the query string. */
+long standin_query(const struct mg_connection *conn, const char *name,
+		   long fallback);
+
+/* Appends the body; false when it is above STANDIN_BODY_MAX or cut off. */
+bool standin_read_body(struct mg_connection *conn, buf_t *body);
+
+/* Sends a whole answer; `headers` holds complete lines or is empty. */
+void standin_answer(struct mg_connection *conn, int status, const char *headers,
+		    str_t body);
+
+/* Sends {"error":{"type":TYPE}}. */
+void standin_error(struct mg_connection *conn, int status, const char *headers,
+		   const char *type);
+
+/* The connection's socket, which CivetWeb does not expose; -1 if closed. */
+int standin_socket(const struct mg_connection *conn);
+bool standin_peer_closed(int fd);
+
+void standin_reset_socket(int fd);
+
+/* Resets one connection, or all connections of the published address. */
+void standin_reset(struct mg_connection *conn);
+void standin_reset_all(void);
+
+/* Lists a received request; `note` is a literal or empty. */
+void standin_log(const char *key, const char *path, const char *note);
+
+/* Counts a run under the key and returns its number. */
+long standin_count_run(const char *key);
+
+/* Hash (FNV-1a, 64 bits) that test scripts can recompute. */
+#define STANDIN_HASH_START 14695981039346656037ULL
+uint64_t standin_hash(uint64_t state, str_t bytes);
+
+#endif
