Add relay that injects network faults

While drop is set the listening socket stops listening but keeps its port, so that clients see refused connections and not a port taken by others.

--- /dev/null
+++ b/tests/standins/tcp-relay.c
@@ -0,0 +1,304 @@
+#include "standin.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define MAX_PAIRS 128
+#define CHUNK 8192
+#define QUEUED 32
+#define IDLE_MS 1000
+
+/* Directions: from the connecting side up to --to, and back down. */
+enum { UP, DOWN, DIRECTIONS };
+
+typedef struct chunk {
+	int64_t due_us;
+	size_t len, sent;
+	char bytes[CHUNK];
+} chunk_t;
+
+typedef struct queue {
+	chunk_t *chunks[QUEUED]; /* ring; allocated on first use */
+	size_t head, count;
+	bool ended; /* no more input; shut down the output once empty */
+} queue_t;
+
+/* fd[UP] is the connecting side, which direction UP reads from. */
+typedef struct pair {
+	bool used;
+	int fd[DIRECTIONS];
+	queue_t queue[DIRECTIONS];
+} pair_t;
+
+/* clang-format off */
+#define SWITCHES(X) \
+	X(drop, 0, "1: reset all connections and refuse new ones") \
+	X(blackhole_up, 0, "1: forward nothing towards --to") \
+	X(blackhole_down, 0, "1: forward nothing back") \
+	X(delay_up_ms, 0, "delay towards --to") \
+	X(delay_down_ms, 0, "delay back")
+#define COUNTERS(X) \
+	X(accepted) X(open) X(dropped) X(bytes_up) X(bytes_down)
+/* clang-format on */
+STANDIN_DEFINE_TABLES(SWITCHES, COUNTERS);
+
+static pair_t pairs[MAX_PAIRS];
+static int listener = -1, wake_fd = -1;
+static struct sockaddr_in target;
+static pthread_t relay_thread;
+
+static void close_pair(pair_t *pair, bool reset)
+{
+	for (int d = 0; d < DIRECTIONS; d++) {
+		if (reset)
+			standin_reset_socket(pair->fd[d]);
+		close(pair->fd[d]);
+		for (int i = 0; i < QUEUED; i++)
+			free(pair->queue[d].chunks[i]);
+	}
+	memset(pair, 0, sizeof(*pair));
+	n.open--;
+}
+
+static void accept_pair(void)
+{
+	pair_t *pair = pairs;
+	int from = accept4(listener, NULL, NULL, SOCK_NONBLOCK), to;
+
+	if (from < 0)
+		return;
+	while (pair < pairs + MAX_PAIRS && pair->used)
+		pair++;
+	to = socket(AF_INET, SOCK_STREAM, 0);
+	/* Blocking, which loopback answers at once. */
+	if (pair == pairs + MAX_PAIRS || to < 0 ||
+	    connect(to, (struct sockaddr *)&target, sizeof(target))) {
+		close(from);
+		if (to >= 0)
+			close(to);
+		return;
+	}
+	fcntl(to, F_SETFL, O_NONBLOCK);
+	pair->used = true;
+	pair->fd[UP] = from;
+	pair->fd[DOWN] = to;
+	n.accepted++;
+	n.open++;
+}
+
+static bool is_blackholed(int d)
+{
+	return (d == UP ? &set.blackhole_up : &set.blackhole_down)->value != 0;
+}
+
+/* Reads one chunk; false when the connection failed. */
+static bool receive(pair_t *pair, int d)
+{
+	queue_t *q = &pair->queue[d];
+	chunk_t **slot = &q->chunks[(q->head + q->count) % QUEUED];
+	ssize_t got;
+
+	if (!*slot)
+		*slot = malloc(sizeof(**slot));
+	if (!*slot)
+		return false;
+	got = recv(pair->fd[d], (*slot)->bytes, CHUNK, 0);
+	if (got < 0)
+		return errno == EAGAIN || errno == EINTR;
+	if (!got) {
+		q->ended = true;
+		return true;
+	}
+	(*slot)->len = (size_t)got;
+	(*slot)->sent = 0;
+	(*slot)->due_us =
+		standin_now_us() +
+		(d == UP ? &set.delay_up_ms : &set.delay_down_ms)->value * 1000;
+	q->count++;
+	return true;
+}
+
+/* Sends what is due; false when the connection failed or both ended. */
+static bool forward(pair_t *pair, int d)
+{
+	queue_t *q = &pair->queue[d];
+	int out = pair->fd[1 - d];
+
+	while (q->count && q->chunks[q->head]->due_us <= standin_now_us()) {
+		chunk_t *c = q->chunks[q->head];
+		ssize_t sent = send(out, c->bytes + c->sent, c->len - c->sent,
+				    MSG_NOSIGNAL);
+
+		if (sent < 0)
+			return errno == EAGAIN || errno == EINTR;
+		*(d == UP ? &n.bytes_up : &n.bytes_down) += sent;
+		c->sent += (size_t)sent;
+		if (c->sent < c->len)
+			return true;
+		q->head = (q->head + 1) % QUEUED;
+		q->count--;
+	}
+	if (q->ended && !q->count) {
+		shutdown(out, SHUT_WR);
+		return !pair->queue[1 - d].ended || pair->queue[1 - d].count;
+	}
+	return true;
+}
+
+/* Follows the drop switch; a socket that stops listening keeps its port. */
+static void apply_drop(bool *listening)
+{
+	bool drop = set.drop.value != 0;
+
+	if (drop && *listening)
+		shutdown(listener, SHUT_RD);
+	else if (!drop && !*listening)
+		listen(listener, MAX_PAIRS);
+	*listening = !drop;
+	for (pair_t *pair = pairs; drop && pair < pairs + MAX_PAIRS; pair++) {
+		if (!pair->used)
+			continue;
+		close_pair(pair, true);
+		n.dropped++;
+	}
+}
+
+/* Fills the poll entries of one pair and shortens the wait to its next send. */
+static void prepare(const pair_t *pair, struct pollfd *polls, int *wait_ms)
+{
+	for (int d = 0; d < DIRECTIONS; d++) {
+		polls[d].fd = -1;
+		polls[d].events = 0;
+	}
+	for (int d = 0; pair->used && d < DIRECTIONS; d++) {
+		const queue_t *q = &pair->queue[d];
+		int64_t left;
+
+		if (!q->ended && q->count < QUEUED)
+			polls[d].events |= POLLIN;
+		if (!q->count || is_blackholed(d))
+			continue;
+		left = q->chunks[q->head]->due_us - standin_now_us();
+		if (left <= 0)
+			polls[1 - d].events |= POLLOUT;
+		else if (left / 1000 + 1 < *wait_ms)
+			*wait_ms = (int)(left / 1000) + 1;
+	}
+	for (int d = 0; d < DIRECTIONS; d++)
+		if (polls[d].events)
+			polls[d].fd = pair->fd[d];
+}
+
+static void serve(pair_t *pair, const struct pollfd *polls)
+{
+	bool alive = true;
+
+	for (int d = 0; alive && d < DIRECTIONS; d++) {
+		queue_t *q = &pair->queue[d];
+
+		if (polls[d].revents && !q->ended && q->count < QUEUED)
+			alive = receive(pair, d);
+		if (alive && !is_blackholed(d))
+			alive = forward(pair, d);
+	}
+	if (!alive)
+		close_pair(pair, false);
+}
+
+static void *run_relay(void *arg)
+{
+	struct pollfd polls[2 + MAX_PAIRS * DIRECTIONS];
+	bool listening = true;
+	uint64_t ignored;
+
+	while (!standin_stopping()) {
+		int wait_ms = IDLE_MS;
+
+		apply_drop(&listening);
+		polls[0] = (struct pollfd){wake_fd, POLLIN, 0};
+		polls[1] =
+			(struct pollfd){listening ? listener : -1, POLLIN, 0};
+		for (int i = 0; i < MAX_PAIRS; i++)
+			prepare(&pairs[i], &polls[2 + i * DIRECTIONS],
+				&wait_ms);
+		if (poll(polls, 2 + MAX_PAIRS * DIRECTIONS, wait_ms) < 0)
+			continue;
+		if (polls[0].revents && read(wake_fd, &ignored, 8) != 8)
+			continue;
+		for (int i = 0; i < MAX_PAIRS; i++)
+			if (pairs[i].used)
+				serve(&pairs[i], &polls[2 + i * DIRECTIONS]);
+		if (polls[1].revents & POLLIN)
+			accept_pair();
+	}
+	for (pair_t *pair = pairs; pair < pairs + MAX_PAIRS; pair++)
+		if (pair->used)
+			close_pair(pair, false);
+	return arg;
+}
+
+static void wake_relay(const standin_switch_t *changed)
+{
+	uint64_t one = 1;
+
+	(void)changed;
+	if (write(wake_fd, &one, 8) != 8)
+		perror("eventfd");
+}
+
+static bool start_relay(void)
+{
+	struct sockaddr_in sa;
+	socklen_t len = sizeof(sa);
+	int on = 1;
+
+	if (!standin_resolve(standin_to, &target) ||
+	    !standin_resolve(standin_address, &sa)) {
+		fprintf(stderr, "--to and --listen need IP:PORT\n");
+		return false;
+	}
+	/*
+	 * A port chosen by the kernel is released when the socket stops
+	 * listening, so it is looked up first and then bound by number.
+	 */
+	for (bool chosen = false; !chosen;) {
+		chosen = sa.sin_port != 0;
+		if (listener >= 0)
+			close(listener);
+		listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+		if (bind(listener, (struct sockaddr *)&sa, sizeof(sa)) ||
+		    getsockname(listener, (struct sockaddr *)&sa, &len)) {
+			perror("bind");
+			return false;
+		}
+	}
+	standin_print_address(standin_address, &sa);
+	wake_fd = eventfd(0, 0);
+	return wake_fd >= 0 && !listen(listener, MAX_PAIRS) &&
+	       !pthread_create(&relay_thread, NULL, run_relay, NULL);
+}
+
+static void stop_relay(void)
+{
+	wake_relay(NULL);
+	pthread_join(relay_thread, NULL);
+}
+
+static const standin_program_t relay = {
+	.doc = "Forwards TCP connections and injects network faults.",
+	STANDIN_TABLES,
+	.on_set = wake_relay,
+	.start = start_relay,
+	.stop = stop_relay};
+
+int main(int argc, char **argv)
+{
+	return standin_main(&relay, argc, argv);
+}
