--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -232,9 +232,18 @@
  * force: the daemons use indices and limits without checking them again. */
 static void test_invalid_content(void)
 {
+	sheet_t *sheet = sheets_parse(str_from(sheets_valid));
 	tree_t tree;
 
 	pack_tree(&tree, sheets_valid);
+	/* one key digest for two customers, so that a key is ambiguous */
+	expect_change_refused(
+		&tree,
+		(str_t){(const char *)sheet->customers[0].key_digest,
+			SHEET_DIGEST_BYTES},
+		(str_t){(const char *)sheet->customers[1].key_digest,
+			SHEET_DIGEST_BYTES});
+	sheet_free(sheet);
 	/* unknown key */
 	expect_change_refused(&tree, STR_LIT("classes"), STR_LIT("clasess"));
 	/* cold_limit 4 of 16 to 20 of 16 */
