--- a/lib/state/node.c
+++ b/lib/state/node.c
@@ -820,6 +820,41 @@
 	msgpack_unpacked_destroy(&result);
 }
 
+/* A list of digests with a bound. */
+typedef struct missing_list {
+	node_digest_t *digests;
+	size_t count;
+	size_t max;
+} missing_list_t;
+
+/* Adds the digest unless the cache has it. True when the cache has it. */
+static bool note_missing(node_cache_t *cache, const node_digest_t *digest,
+			 missing_list_t *missing)
+{
+	if (is_zero(digest) || *find_entry(cache, digest))
+		return true;
+	if (missing->count < missing->max)
+		missing->digests[missing->count++] = *digest;
+	return false;
+}
+
+static void note_missing_buckets(node_cache_t *cache,
+				 const node_digest_t *digest,
+				 missing_list_t *missing)
+{
+	struct cache_entry *entry = *find_entry(cache, digest);
+	node_digest_t buckets[NODE_BUCKETS];
+	msgpack_unpacked result;
+
+	if (!entry)
+		return;
+	if (unpack_object(buf_view(&entry->bytes), &result) &&
+	    read_index(&result.data, buckets))
+		for (size_t b = 0; b < NODE_BUCKETS; b++)
+			note_missing(cache, &buckets[b], missing);
+	msgpack_unpacked_destroy(&result);
+}
+
 static void free_entry(struct cache_entry *entry)
 {
 	buf_release(&entry->bytes);
@@ -974,6 +1009,23 @@
 	*place = entry;
 }
 
+size_t node_cache_missing(node_cache_t *cache, str_t root,
+			  node_digest_t *digests, size_t max)
+{
+	node_digest_t indexes[NODE_INDEXES];
+	missing_list_t missing = {digests, 0, max};
+	node_digest_t base;
+	uint64_t version;
+
+	if (!read_root(root, &version, &base, indexes))
+		return 0;
+	note_missing(cache, &base, &missing);
+	for (size_t i = 0; i < NODE_INDEXES; i++)
+		if (note_missing(cache, &indexes[i], &missing))
+			note_missing_buckets(cache, &indexes[i], &missing);
+	return missing.count;
+}
+
 void node_cache_retain(node_cache_t *cache, str_t root)
 {
 	node_digest_t indexes[NODE_INDEXES];
--- a/lib/state/node.h
+++ b/lib/state/node.h
@@ -82,6 +82,14 @@
 /* Keeps a copy; ignores bytes that do not have this digest. */
 void node_cache_put(node_cache_t *cache, const node_digest_t *digest,
 		    str_t bytes);
+/*
+ * Lists nodes that the root reaches and the cache does not have, at most `max`;
+ * those behind a missing index node are not known yet.
+ *
+ * RETURN VALUE: their number; 0 when all are there or the root is malformed.
+ */
+size_t node_cache_missing(node_cache_t *cache, str_t root,
+			  node_digest_t *digests, size_t max);
 /* Drops every node that this root does not reach. */
 void node_cache_retain(node_cache_t *cache, str_t root);
 
