--- a/programs/dispatchd/report.c
+++ b/programs/dispatchd/report.c
@@ -1,26 +1,6 @@
 #include "dispatchd.h"
 
-#include <jansson.h>
-#include <stdio.h>
-#include <stdlib.h>
-
-#include "base/plog.h"
-#include "state/sheetcheck.h"
-
-#define ADMIN_THREADS 4
-
-/* A call of an operator that the loop's thread works on. */
-typedef struct query {
-	dispatchd_t *d;
-	json_t *answer;
-} query_t;
-
-static void digest_to_hex(const uint8_t digest[SHEET_DIGEST_BYTES],
-			  char hex[2 * SHEET_DIGEST_BYTES + 1])
-{
-	for (size_t i = 0; i < SHEET_DIGEST_BYTES; i++)
-		snprintf(hex + 2 * i, 3, "%02x", digest[i]);
-}
+#include "programs.h"
 
 static json_t *report_endpoint(endpoint_t *e)
 {
@@ -77,127 +57,75 @@
 
 static void build_status(void *user)
 {
-	query_t *query = user;
-	dispatchd_t *d = query->d;
-	uint8_t digest[SHEET_DIGEST_BYTES];
-	char hex[2 * SHEET_DIGEST_BYTES + 1];
+	programs_query_t *query = user;
+	dispatchd_t *d = query->daemon;
 	char incarnation[2 * MSG_ID_BYTES + 1];
-	uint64_t version = store_version(d->store, digest);
 	json_t *endpoints = json_array();
 	json_t *pools = json_array();
 
-	digest_to_hex(digest, hex);
 	msg_id_to_hex(&d->incarnation, incarnation);
 	for (endpoint_t *e = d->endpoints; e; e = e->next)
 		if (e->in_sheet)
 			json_array_append_new(endpoints, report_endpoint(e));
 	for (size_t i = 0; i < d->pool_count; i++)
 		json_array_append_new(pools, report_pool(d, d->pools[i]));
-	query->answer = json_pack(
-		"{s:s, s:s, s:s, s:s, s:s, s:b, s:I, s:s, s:I, s:I, s:I, s:I, "
-		"s:o, s:o, s:o}",
-		"role", "dispatch", "host", d->settings->host, "domain",
-		d->settings->domain, "address", d->settings->advertise,
-		"incarnation", incarnation, "leaving", d->leaving,
-		"sheet_version", (json_int_t)version, "sheet_digest", hex,
-		"sheet_conflicts", (json_int_t)store_conflicts(d->store),
-		"pauses", (json_int_t)d->pauses, "requests",
-		(json_int_t)d->request_count, "uptime_ms",
-		(json_int_t)(mclock_now_ms(d->clock) - d->started_ms), "members",
-		report_members(d), "endpoints", endpoints, "pools", pools);
+	query->answer = json_object();
+	programs_report_sheet(query->answer, d->store);
+	json_object_update_new(
+		query->answer,
+		json_pack("{s:s, s:s, s:s, s:s, s:s, s:b, s:I, s:I, s:I, s:o, "
+			  "s:o, s:o}",
+			  "role", "dispatch", "host", d->settings->host,
+			  "domain", d->settings->domain, "address",
+			  d->settings->advertise, "incarnation", incarnation,
+			  "leaving", d->leaving, "pauses",
+			  (json_int_t)d->pauses, "requests",
+			  (json_int_t)d->request_count, "uptime_ms",
+			  (json_int_t)(mclock_now_ms(d->clock) - d->started_ms),
+			  "members", report_members(d), "endpoints", endpoints,
+			  "pools", pools));
 }
 
-static void answer_json(httpd_call_t *call, int status, json_t *json)
+static void drain(void *user)
 {
-	char *text = json_dumps(json, JSON_COMPACT | JSON_SORT_KEYS);
+	programs_query_t *query = user;
 
-	httpd_answer(call, status, "application/json", str_from(text));
-	free(text);
-	json_decref(json);
+	dispatchd_leave(query->daemon, "operator");
+	query->answer = json_pack("{s:b}", "leaving", 1);
 }
 
 static void get_status(void *user, httpd_call_t *call, str_t body)
 {
-	query_t query = {user, NULL};
+	dispatchd_t *d = user;
 
 	(void)body;
-	loop_call(query.d->loop, build_status, &query);
-	answer_json(call, 200, query.answer);
+	programs_answer_query(call, d->loop, build_status, d);
 }
 
-static void refuse_sheet(httpd_call_t *call, int status, str_t message)
+static void post_drain(void *user, httpd_call_t *call, str_t body)
 {
-	httpd_error_t error = {
-		.status = status,
-		.outcome = "not-run",
-		.step = "check sheet",
-		.peer = "operator",
-		.message = message,
-	};
+	dispatchd_t *d = user;
 
-	httpd_answer_error(call, &error);
+	(void)body;
+	programs_answer_query(call, d->loop, drain, d);
 }
 
 static void post_sheet(void *user, httpd_call_t *call, str_t body)
 {
 	dispatchd_t *d = user;
-	buf_t report = BUF_INIT;
-	sheet_t *sheet = sheetcheck_parse(body, "sheet", &report);
-	uint64_t version = 0;
-	err_code_t code;
-	err_t err = {0};
-
-	if (!sheet) {
-		refuse_sheet(call, 422, buf_view(&report));
-		buf_release(&report);
-		return;
-	}
-	buf_release(&report);
-	version = sheet->version;
-	store_register_thread();
-	code = confsync_offer(d->confsync, sheet, "operator", &err);
-	store_unregister_thread();
-	if (code) {
-		refuse_sheet(call, 409, str_from(err.message));
-		return;
-	}
-	answer_json(call, 200,
-		    json_pack("{s:I}", "sheet_version", (json_int_t)version));
-}
 
-static void drain(void *user)
-{
-	query_t *query = user;
-
-	dispatchd_leave(query->d, "operator");
-	query->answer = json_pack("{s:b}", "leaving", 1);
-}
-
-static void post_drain(void *user, httpd_call_t *call, str_t body)
-{
-	query_t query = {user, NULL};
-
-	(void)body;
-	loop_call(query.d->loop, drain, &query);
-	answer_json(call, 200, query.answer);
+	programs_take_sheet(call, d->confsync, body);
 }
 
 err_code_t report_start(dispatchd_t *d, err_t *err)
 {
-	admin_options_t options = {
-		.listen = d->settings->admin,
-		.threads = ADMIN_THREADS,
-		.max_body_bytes = SHEETCHECK_MAX_BYTES,
+	static const programs_route_t routes[] = {
+		{"GET", "/v1/status", get_status},
+		{"POST", "/v1/sheet", post_sheet},
+		{"POST", "/v1/drain", post_drain},
+		{0},
 	};
 
-	memcpy(options.key_digest, d->settings->operator_digest,
-	       sizeof(options.key_digest));
-	d->admin = admin_create(&options);
-	if (!d->admin)
-		return err_set(err, ERR_IO, "start admin", options.listen,
-			       "no memory");
-	admin_route(d->admin, "GET", "/v1/status", get_status, d);
-	admin_route(d->admin, "POST", "/v1/sheet", post_sheet, d);
-	admin_route(d->admin, "POST", "/v1/drain", post_drain, d);
-	return admin_start(d->admin, err);
+	d->admin = programs_start_admin(d->settings, routes, d, err);
+	return d->admin ? ERR_OK : err->code;
 }
