--- a/tests/session/test_standins.sh
+++ b/tests/session/test_standins.sh
@@ -60,6 +60,35 @@
 	expect_equal "not valid" 400 "$(chat engine '"max_tokens":-1')"
 }
 
+# takes_ms WHAT MS COMMAND...: checks that the command takes at least MS.
+takes_ms()
+{
+	local what=$1 least=$2 start
+	shift 2
+	start=$(date +%s%3N)
+	"$@" >"$work/status"
+	pass_or_fail "$what" test $(($(date +%s%3N) - start)) -ge "$least"
+}
+
+# Guards the modelled times; only lower bounds hold on a busy machine.
+check_engine_times()
+{
+	local five='"x_output_tokens":5'
+	set_switch engine 'prefill_ms=0&token_us=25000'
+	takes_ms "time between tokens" 100 chat engine "$five"
+	set_switch engine slow_percent=200
+	takes_ms "slow_percent" 200 chat engine "$five"
+	set_switch engine 'slow_percent=100&token_us=2500&cold=600000'
+	takes_ms "cold is slower" 100 chat engine "$five"
+	set_switch engine 'cold=0&token_us=0&prefill_ms=100&cached_percent=100'
+	takes_ms "prefill" 100 chat engine "$five"
+	set_switch engine 'prefill_ms=5&delay_ms=100'
+	takes_ms "delay_ms" 100 chat engine "$five"
+	set_switch engine 'delay_ms=0&cached_percent=20'
+	expect_equal "no violation when alone" 0 \
+		"$(get_stat engine cold_violations)"
+}
+
 # Guards the refusals by which the dispatchers learn the engine's limits.
 check_engine_batching()
 {
@@ -190,7 +219,11 @@
 	expect_equal "down" 000 "$(http_status "http://${address[engine]}/v1/load")"
 	set_switch engine down=0
 	expect_equal "unknown key" 22 "$(set_switch engine nosuch=1; echo $?)"
+	start_chat engine open '"x_output_tokens":90000,"stream":true'
+	expect_until "stream open" stat_is engine running 1
 	pass_or_fail "engine ends with 0" stop_program engine
+	wait "${pid[curl-open]}"
+	unset "pid[curl-open]"
 }
 
 # Guards the count of runs, the evidence for P6 and P7.
@@ -260,6 +293,15 @@
 	set_switch platform outage=2
 	expect_equal "closed" 000 "$(http_status "$url/sheet/root")"
 	set_switch platform outage=0
+	curl -s -o "$work/watch" -w '%{http_code}' \
+		"$url/sheet/root?after=2&wait_ms=20000" >"$work/watch.status" &
+	pid[curl-outage]=$!
+	expect_until "waits" stat_is platform waiting 1
+	set_switch platform outage=1
+	wait "${pid[curl-outage]}"
+	unset "pid[curl-outage]"
+	expect_equal "outage ends a watch" 503 "$(cat "$work/watch.status")"
+	set_switch platform outage=0
 	head -c 1048576 /dev/zero >"$work/large"
 	put_value large "@$work/large"
 	expect_equal "1 MiB" 200 "$(http_status "$url/large")"
@@ -293,6 +335,11 @@
 	wait "${pid[curl-hole]}"
 	unset "pid[curl-hole]"
 	expect_equal "delivered afterwards" three "$(cat "$work/watch")"
+	set_switch relay blackhole_up=1
+	start=$(get_stat platform received)
+	expect_equal "nothing forwarded" 000 "$(http_status -m 0.2 "$url")"
+	expect_equal "nothing arrived" "$start" "$(get_stat platform received)"
+	set_switch relay blackhole_up=0
 	curl -s "$url?after=9999&wait_ms=20000" >"$work/watch" &
 	pid[curl-drop]=$!
 	expect_until "second watch" stat_is platform waiting 1
@@ -310,6 +357,7 @@
 }
 
 check_engine_answers
+check_engine_times
 check_engine_batching
 check_engine_streams
 check_engine_cold
