--- a/tests/session/lib.sh
+++ b/tests/session/lib.sh
@@ -13,6 +13,7 @@
 {
 	local name=$1 word
 	shift
+	: >"$work/$name.out"
 	"$@" >"$work/$name.out" 2>"$work/$name.err" &
 	pid[$name]=$!
 	if ! wait_until 10 grep -q '^ready ' "$work/$name.out"
