Make tests notice more faults

Cause: with five rules broken by hand, one at a time, all tests still passed: the age bound of load reports, the order of owed classes, the name of a customer whose first entry has left, the clearing of a reused bit, and the mixing of rendezvous weights.

Change: a test or an assertion for each.

Result: each of the five now fails its test.

--- a/tests/unit/test_coldshare.c
+++ b/tests/unit/test_coldshare.c
@@ -43,6 +43,8 @@
 	CU_ASSERT_NOT_EQUAL(
 		rendezvous_weight(purpose, STR_LIT("ab"), STR_LIT("c")),
 		rendezvous_weight(purpose, STR_LIT("a"), STR_LIT("bc")));
+	CU_ASSERT_NOT_EQUAL(rendezvous_weight(purpose, all[0], all[1]),
+			    rendezvous_weight(purpose, all[1], all[0]));
 	for (int i = 0; i < 200; i++) {
 		str_t key = {(const char *)&i, sizeof(i)};
 		int pick = rendezvous_pick(purpose, key, all, 4);
--- a/tests/unit/test_queue.c
+++ b/tests/unit/test_queue.c
@@ -130,6 +130,40 @@
 	queue_free(queue);
 }
 
+/* Guards P2 with the most classes: those owed a send longest go first, or two
+ * classes with large floors would keep the others waiting beyond the bound. */
+static void test_aging_with_most_classes(void)
+{
+	static char names[SHEET_MAX_CLASSES][8];
+	sheet_class_t many[SHEET_MAX_CLASSES] = {0};
+	const sheet_t wide = {.classes = many,
+			      .class_count = SHEET_MAX_CLASSES};
+	unsigned last[SHEET_MAX_CLASSES] = {0};
+	queue_t *queue;
+
+	for (int i = 0; i < SHEET_MAX_CLASSES; i++) {
+		snprintf(names[i], sizeof(names[i]), "c%d", i);
+		many[i].name = str_from(names[i]);
+		many[i].tier = i < 2 ? 0 : 4;
+		many[i].floor_percent = i < 2 ? 25 : 0;
+		many[i].max_queue = 10;
+	}
+	used = 0;
+	queue = queue_create(&wide);
+	for (unsigned i = 0; i < SHEET_MAX_CLASSES; i++)
+		add(queue, i, "a", 1);
+	for (unsigned n = 1; n <= 2000; n++) {
+		queue_entry_t *entry = queue_pop(queue, 0);
+		queue_entry_t *displaced;
+
+		CU_ASSERT(n - last[entry->class_index] <=
+			  100 + SHEET_MAX_CLASSES);
+		last[entry->class_index] = n;
+		push(queue, entry, &displaced);
+	}
+	queue_free(queue);
+}
+
 /* Guards against sends that did not take place using up or earning floors. */
 static void test_push_back_is_no_send(void)
 {
@@ -189,11 +223,19 @@
 {
 	queue_t *queue = new_queue();
 	queue_entry_t *displaced;
-	unsigned count = 0;
+	char name[] = "a";
+	unsigned count = 1;
 
+	add(queue, 2, name, 1);
 	while (push(queue, make(2, "a", 1), &displaced) == QUEUE_ACCEPTED)
 		count++;
 	CU_ASSERT_EQUAL(count, 80);
+	/* The customer stays known when its first entry and the name end. */
+	CU_ASSERT_PTR_EQUAL(queue_pop(queue, 0)->customer.ptr, name);
+	name[0] = '\0';
+	CU_ASSERT_EQUAL(push(queue, make(2, "a", 1), &displaced),
+			QUEUE_ACCEPTED);
+	CU_ASSERT_EQUAL(push(queue, make(2, "a", 1), &displaced), QUEUE_FULL);
 	CU_ASSERT_EQUAL(push(queue, make(2, "b", 1), &displaced),
 			QUEUE_ACCEPTED);
 	CU_ASSERT_EQUAL(push(queue, make(3, "a", 1), &displaced),
@@ -313,8 +355,9 @@
  * same or a higher tier is ever displaced. */
 static void test_random_orders(void)
 {
-	static const char *const customers[] = {"a", "b", "c", "d", "e", "f"};
 	static bool queued[POOL];
+	/* Cleared with the entry, as its owner would free it. */
+	static char names[POOL][2];
 	queue_t *queue = new_queue();
 	size_t count = 0;
 	size_t displacements = 0;
@@ -332,7 +375,8 @@
 			out = entry;
 		} else if (!queued[i]) {
 			used = i;
-			make((unsigned)rand() % CLASSES, customers[rand() % 6],
+			names[i][0] = (char)('a' + rand() % 6);
+			make((unsigned)rand() % CLASSES, names[i],
 			     (uint64_t)rand() % 3000);
 			entry->deadline_ms = now + 1 + rand() % (20 * ROUNDS);
 			entry->target_ms = now + rand() % 1000;
@@ -356,11 +400,13 @@
 		if (out) {
 			CU_ASSERT_TRUE(queued[out - entries]);
 			queued[out - entries] = false;
+			names[out - entries][0] = '\0';
 			count--;
 		}
 		while ((out = queue_pop_expired(queue, now))) {
 			CU_ASSERT_TRUE(queued[out - entries]);
 			queued[out - entries] = false;
+			names[out - entries][0] = '\0';
 			count--;
 		}
 		CU_ASSERT_EQUAL(queue_length(queue), count);
@@ -378,6 +424,7 @@
 		{"tiers, then earliest target",
 		 test_tiers_then_earliest_target},
 		{"floors and aging", test_floors_and_aging},
+		{"aging with most classes", test_aging_with_most_classes},
 		{"push back is no send", test_push_back_is_no_send},
 		{"customers share by tokens", test_customers_share_by_tokens},
 		{"bursts leave room", test_bursts_leave_room},
--- a/tests/unit/test_ticket.c
+++ b/tests/unit/test_ticket.c
@@ -275,6 +275,15 @@
 	CU_ASSERT_EQUAL(spend(table, &spent, &serial), TICKET_FORGOTTEN);
 	CU_ASSERT_EQUAL(spend(table, &unspent, &serial), TICKET_FORGOTTEN);
 	CU_ASSERT_EQUAL(spend(table, &text, &serial), TICKET_RUN);
+	/* Every serial from 4,097 on uses the bit of an earlier one. */
+	for (int i = 0; i < 4096; i++) {
+		issue(table, &text);
+		spend(table, &text, &serial);
+		finish(table, serial);
+	}
+	issue(table, &text);
+	mclock_manual_advance(&manual, TICKET_LIFE_MS);
+	CU_ASSERT_EQUAL(spend(table, &text, &serial), TICKET_EXPIRED);
 	buf_release(&spent);
 	buf_release(&unspent);
 	buf_release(&text);
--- a/tests/unit/test_window.c
+++ b/tests/unit/test_window.c
@@ -151,10 +151,16 @@
 	window_on_report(&window, 3000, &report);
 	window_on_first_token(&window, 3500, 100);
 	CU_ASSERT_FALSE(window_is_warm(&window, 3500));
+	/* Nor does a report that is too old to prove anything. */
 	report.state = WINDOW_REPORT_WARM;
-	window_on_report(&window, 3100, &report);
-	window_on_first_token(&window, 3600, 100);
-	CU_ASSERT_TRUE(window_is_warm(&window, 3600));
+	report.age_ms = WINDOW_REPORT_MAX_MS + 1;
+	window_on_report(&window, 7050 + 1, &report);
+	window_on_first_token(&window, 7100, 10);
+	CU_ASSERT_FALSE(window_is_warm(&window, 7100));
+	report.age_ms = 1000;
+	window_on_report(&window, 7200, &report);
+	window_on_first_token(&window, 7300, 100);
+	CU_ASSERT_TRUE(window_is_warm(&window, 7300 + WINDOW_PROOF_MS - 1));
 }
 
 /* Guards against a lagging report that proves warmth of long ago, and against
