Serve requests from caller to endpoint as separate processes

Cause: the parts existed alone; a request has to go the whole way.

Change: peridot-entryd and peridot-dispatchd over the library, heartbeats and links between daemons, sheets from file, platform, peers and operators, tickets for bookings, streams that resume.

Found on the way: store_version() dereferenced a NULL digest, which ended the daemons at start; it is allowed now. The code name ERR_STATE clashed with a type of OpenSSL and is ERR_BAD_STATE.

Ruled out: passing the caller's stream flag to engines. Without a stream the first token is not seen and a broken answer can't be resumed.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 PACKAGES := liburcu msgpack log4c jansson libxxhash libcurl libcrypto \
 	tomlplusplus
 WARN := -Wall -Wextra -Werror -Wshadow -Wvla
-COMMON := -D_GNU_SOURCE -Ilib -O2 -g -fno-omit-frame-pointer -pthread \
+COMMON := -D_GNU_SOURCE -Ilib -Iprograms -O2 -g -fno-omit-frame-pointer -pthread \
 	$(WARN) $(if $(SAN),-fsanitize=$(SAN) -Wno-format-truncation)
 CFLAGS += -std=c11 -Wstrict-prototypes -Wmissing-prototypes $(COMMON)
 CXXFLAGS += -std=c++17 $(COMMON)
@@ -57,12 +57,14 @@
 	rm -f $@
 	ar rcs $@ $^
 
-# Objects of programs/NAME/ belong to the program peridot-NAME or peridotNAME.
-.SECONDEXPANSION:
-$(PROGRAMS): $(BUILD)/%: $(BUILD)/programs/%.o \
-	$$(patsubst programs/$$(*:peridot-%=%)/%.c,$(BUILD)/programs/$$(*:peridot-%=%)/%.o,$$(wildcard programs/$$(*:peridot-%=%)/*.c)) \
+# The parts in programs/NAME/ belong to the program peridot-NAME.
+define PROGRAM_RULE
+$(BUILD)/$(1): $(BUILD)/programs/$(1).o \
+	$(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/$(patsubst peridot-%,%,$(1))/*.c)) \
 	$(PROGRAM_COMMON:%.c=$(BUILD)/%.o) $(LIB)
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+	$(CC) $(LDFLAGS) -o $$@ $$^ $(LDLIBS)
+endef
+$(foreach name,$(PROGRAM_C:programs/%.c=%),$(eval $(call PROGRAM_RULE,$(name))))
 
 $(BUILD)/standins/%: $(BUILD)/tests/standins/%.o \
 	$(STANDIN_PARTS:%.c=$(BUILD)/%.o) $(LIB)
--- a/lib/base/err.c
+++ b/lib/base/err.c
@@ -33,7 +33,7 @@
 		[ERR_TIMEOUT] = "timeout",
 		[ERR_REFUSED] = "refused",
 		[ERR_IO] = "io",
-		[ERR_STATE] = "state",
+		[ERR_BAD_STATE] = "state",
 	};
 
 	return names[code];
--- a/lib/base/err.h
+++ b/lib/base/err.h
@@ -17,11 +17,11 @@
 	ERR_CONFLICT,  /* same version, other content */
 	ERR_AUTH,      /* missing or wrong credentials */
 	ERR_NOT_FOUND,
-	ERR_FULL,    /* a bounded queue or table is full */
-	ERR_TIMEOUT, /* no answer within the time limit */
-	ERR_REFUSED, /* the peer refused before doing anything */
-	ERR_IO,	     /* connection or system call failed */
-	ERR_STATE    /* not allowed in the present state */
+	ERR_FULL,     /* a bounded queue or table is full */
+	ERR_TIMEOUT,  /* no answer within the time limit */
+	ERR_REFUSED,  /* the peer refused before doing anything */
+	ERR_IO,	      /* connection or system call failed */
+	ERR_BAD_STATE /* not allowed in the present state */
 } err_code_t;
 
 #define ERR_STEP_BYTES 32
--- a/lib/base/trace.c
+++ b/lib/base/trace.c
@@ -403,7 +403,7 @@
 	bool to_stderr = !strcmp(options->path, "-");
 
 	if (atomic_load(&exporter.running))
-		return err_set(err, ERR_STATE, "trace", options->path,
+		return err_set(err, ERR_BAD_STATE, "trace", options->path,
 			       "the exporter runs already");
 	exporter.file = to_stderr ? stderr : fopen(options->path, "ae");
 	if (!exporter.file)
--- a/lib/base/trace.h
+++ b/lib/base/trace.h
@@ -97,7 +97,7 @@
  * Opens the file and starts the export thread.
  *
  * ERRORS: ERR_IO when the file can't be opened or the thread not started,
- * ERR_STATE when already started.
+ * ERR_BAD_STATE when already started.
  */
 err_code_t trace_start(const trace_options_t *options, err_t *err);
 
--- a/lib/coordination/confsync.c
+++ b/lib/coordination/confsync.c
@@ -18,7 +18,8 @@
 /* Nodes asked from a peer at once. */
 #define FETCH_BATCH 64
 #define FETCH_TIMEOUT_MS 2000
-/* A peer that answers with nodes of other digests must not be asked for ever. */
+/* A peer that answers with nodes of other digests must not be asked for ever.
+ */
 #define FETCH_MAX_ROUNDS 64
 
 /* A fetch of one version from one peer. */
--- a/lib/coordination/peers.c
+++ b/lib/coordination/peers.c
@@ -374,7 +374,7 @@
 
 	(void)peers;
 	if (!peer)
-		return ERR_STATE;
+		return ERR_BAD_STATE;
 	return peers_send_on(peer->link, msg);
 }
 
--- a/lib/coordination/peers.h
+++ b/lib/coordination/peers.h
@@ -59,7 +59,7 @@
 member_table_t *peers_table(peers_t *peers);
 const peers_self_t *peers_self(const peers_t *peers);
 
-/* ERRORS: ERR_STATE when there is no link, ERR_FULL. */
+/* ERRORS: ERR_BAD_STATE when there is no link, ERR_FULL. */
 err_code_t peers_send(peers_t *peers, member_t *member, const msg_t *msg);
 
 /* True when a message can be sent to the member now. */
--- a/lib/coordination/ticket.c
+++ b/lib/coordination/ticket.c
@@ -1,14 +1,11 @@
 #include "coordination/ticket.h"
 
 #include <assert.h>
-/* OpenSSL declares a type of the same name as a code of base/err.h. */
-#define ERR_STATE OPENSSL_ERR_STATE
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 #include <openssl/rand.h>
 #include <openssl/sha.h>
-#undef ERR_STATE
 #include <stdlib.h>
 
 #define KEY_BYTES 32
--- a/lib/protocol/completion.c
+++ b/lib/protocol/completion.c
@@ -38,9 +38,8 @@
 void completion_format(const completion_t *completion, const char *id,
 		       buf_t *out)
 {
-	const char *reason = *completion->finish_reason ?
-				     completion->finish_reason :
-				     "stop";
+	const char *reason =
+		*completion->finish_reason ? completion->finish_reason : "stop";
 
 	buf_printf(out, "{\"id\":\"%s\",\"object\":\"chat.completion\",", id);
 	buf_append_str(out, STR_LIT("\"model\":"));
--- a/lib/protocol/enginep.c
+++ b/lib/protocol/enginep.c
@@ -56,12 +56,13 @@
 		return ERR_OK;
 	}
 	if (sse->done)
-		return fail_stream(sse, ERR_STATE, err, "event after [DONE]");
+		return fail_stream(sse, ERR_BAD_STATE, err,
+				   "event after [DONE]");
 	event.data.len--; /* the last line feed */
 	event.done = str_equals(event.data, STR_LIT("[DONE]"));
 	sse->done = event.done;
 	if (on_event(user, &event))
-		return fail_stream(sse, ERR_STATE, err,
+		return fail_stream(sse, ERR_BAD_STATE, err,
 				   "the receiver ended the stream");
 	clear_event(sse);
 	return ERR_OK;
@@ -379,6 +380,9 @@
 	json_object_set_new(root, "priority", json_integer(request->priority));
 	json_object_set_new(root, "timeout_ms",
 			    json_integer(request->timeout_ms));
+	/* A stream shows the first token and can be resumed, so engines are
+	 * asked for one whatever the caller wants. */
+	json_object_set_new(root, "stream", json_true());
 	if (json_object_set_new(root, "request_id",
 				json_stringn(request->request_id.ptr,
 					     request->request_id.len)))
--- a/lib/protocol/enginep.h
+++ b/lib/protocol/enginep.h
@@ -32,7 +32,7 @@
 	bool done;  /* data is [DONE] */
 } enginep_event_t;
 
-/* A non-zero return ends the parse with ERR_STATE. */
+/* A non-zero return ends the parse with ERR_BAD_STATE. */
 typedef int (*enginep_on_event_t)(void *user, const enginep_event_t *event);
 
 /*
@@ -58,8 +58,8 @@
  * Parses the next bytes, which may be cut anywhere, and reports each event.
  *
  * ERRORS: ERR_TOO_LARGE for an event above ENGINEP_MAX_EVENT_BYTES; ERR_INVALID
- * for an id that is not a decimal number; ERR_STATE when the callback ended the
- * parse, or for an event after [DONE].
+ * for an id that is not a decimal number; ERR_BAD_STATE when the callback ended
+ * the parse, or for an event after [DONE].
  */
 err_code_t enginep_sse_feed(enginep_sse_t *sse, str_t bytes,
 			    enginep_on_event_t on_event, void *user,
@@ -102,7 +102,8 @@
 
 /*
  * Appends the engine's JSON: the caller's body with request_id, priority,
- * max_tokens (the lower of the caller's and the class's) and timeout_ms set. A
+ * max_tokens (the lower of the caller's and the class's), timeout_ms and
+ * stream = true set. A
  * max_completion_tokens is lowered likewise. Values of the caller for the other
  * three are replaced; all other fields are kept.
  *
--- a/lib/protocol/msg.h
+++ b/lib/protocol/msg.h
@@ -103,6 +103,7 @@
 	str_t pool;
 	str_t class_name;
 	str_t customer;
+	unsigned customer_weight;
 	str_t call;		 /* service call; empty for a model */
 	str_t ticket;		 /* empty when repeatable */
 	uint64_t timeout_ms;	 /* remaining until the request is given up */
--- a/lib/state/node.c
+++ b/lib/state/node.c
@@ -929,7 +929,7 @@
 
 	u.sheet = sheet_create();
 	if (!u.sheet) {
-		err_set(err, ERR_STATE, STEP, "", "no memory");
+		err_set(err, ERR_BAD_STATE, STEP, "", "no memory");
 		return NULL;
 	}
 	if (!read_root(root, &u.sheet->version, &base, indexes)) {
--- a/lib/state/store.c
+++ b/lib/state/store.c
@@ -259,13 +259,14 @@
 	const sheet_t *sheet;
 	uint64_t version = 0;
 
+	if (digest)
+		memset(digest, 0, SHEET_DIGEST_BYTES);
 	store_read_lock();
 	sheet = store_sheet(store);
 	if (sheet) {
 		version = sheet->version;
-		memcpy(digest, sheet->digest, SHEET_DIGEST_BYTES);
-	} else {
-		memset(digest, 0, SHEET_DIGEST_BYTES);
+		if (digest)
+			memcpy(digest, sheet->digest, SHEET_DIGEST_BYTES);
 	}
 	store_read_unlock();
 	return version;
--- a/lib/state/store.h
+++ b/lib/state/store.h
@@ -45,7 +45,8 @@
 /* Monotonic time of the last confirmation, in ms. */
 int64_t store_confirmed_ms(const store_t *store);
 
-/* Version and digest in force; version 0 before the first sheet. */
+/* Version and digest in force; version 0 before the first sheet. `digest` may
+ * be NULL. */
 uint64_t store_version(const store_t *store,
 		       uint8_t digest[SHEET_DIGEST_BYTES]);
 
--- a/lib/transport/admin.c
+++ b/lib/transport/admin.c
@@ -1,8 +1,5 @@
-/* OpenSSL 3 declares a type of the name of base/err.h's ERR_STATE. */
-#define ERR_STATE openssl_err_state_t
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
-#undef ERR_STATE
 
 #include "transport/admin.h"
 
--- a/lib/transport/fetch.c
+++ b/lib/transport/fetch.c
@@ -158,7 +158,7 @@
 		return ERR_OK;
 	if (code == CURLE_OPERATION_TIMEDOUT)
 		return ERR_TIMEOUT;
-	return code == CURLE_WRITE_ERROR ? ERR_STATE : ERR_IO;
+	return code == CURLE_WRITE_ERROR ? ERR_BAD_STATE : ERR_IO;
 }
 
 static void finish(fetch_t *fetch, CURLcode code)
--- a/lib/transport/fetch.h
+++ b/lib/transport/fetch.h
@@ -33,7 +33,8 @@
 typedef struct fetch_ops {
 	/* The status line and headers arrived. */
 	void (*on_head)(void *user, const fetch_head_t *head);
-	/* Bytes of the answer; non-zero ends the transfer with ERR_STATE. */
+	/* Bytes of the answer; non-zero ends the transfer with ERR_BAD_STATE.
+	 */
 	int (*on_data)(void *user, str_t bytes);
 	void (*on_done)(void *user, const fetch_result_t *result);
 } fetch_ops_t;
--- a/lib/transport/link.c
+++ b/lib/transport/link.c
@@ -381,7 +381,7 @@
 	bool idle;
 
 	if (link->state != LINK_UP)
-		return ERR_STATE;
+		return ERR_BAD_STATE;
 	if (link->out.len - link->out_sent + frame.len > LINK_MAX_OUTPUT_BYTES)
 		return ERR_FULL;
 	idle = link->out.len == link->out_sent;
--- a/lib/transport/link.h
+++ b/lib/transport/link.h
@@ -55,8 +55,9 @@
 /*
  * Queues one frame.
  *
- * RETURN VALUE: ERR_OK; ERR_STATE when not connected; ERR_FULL when the output
- * buffer is over its limit, in which case the link is to be closed or left.
+ * RETURN VALUE: ERR_OK; ERR_BAD_STATE when not connected; ERR_FULL when the
+ * output buffer is over its limit, in which case the link is to be closed or
+ * left.
  */
 err_code_t link_send(link_t *link, str_t frame);
 
--- a/lib/transport/loop.h
+++ b/lib/transport/loop.h
@@ -9,8 +9,8 @@
 /*
  * loop - one-threaded event loop over epoll
  *
- * All functions but loop_post(), loop_call() and loop_stop() are called from the loop's own
- * thread, or before loop_run().
+ * All functions but loop_post(), loop_call() and loop_stop() are called from
+ * the loop's own thread, or before loop_run().
  */
 typedef struct loop loop_t;
 
--- a/programs/dispatchd/call.c
+++ b/programs/dispatchd/call.c
@@ -47,9 +47,9 @@
 	    recorded->outcome != MSG_FAILED)
 		return;
 	msg.kind = MSG_START;
-	msg.u.start = (msg_start_t){r->id, recorded->peer,
-				    recorded->http_status,
-				    recorded->content_type};
+	msg.u.start =
+		(msg_start_t){r->id, recorded->peer, recorded->http_status,
+			      recorded->content_type};
 	client_send(r->client, &msg);
 	msg.kind = MSG_CHUNK;
 	msg.u.chunk = (msg_chunk_t){r->id, 0, recorded->body};
@@ -119,11 +119,10 @@
 	uint64_t serial = 0;
 	ticket_verdict_t verdict;
 
-	verdict = ticket_spend(r->d->tickets, str_from(r->ticket),
-			       str_from(r->customer), service,
-			       str_from(r->call),
-			       (str_t){r->body, r->body_len}, &serial,
-			       &recorded);
+	verdict =
+		ticket_spend(r->d->tickets, str_from(r->ticket),
+			     str_from(r->customer), service, str_from(r->call),
+			     (str_t){r->body, r->body_len}, &serial, &recorded);
 	switch (verdict) {
 	case TICKET_RUN:
 		r->has_ticket = true;
--- a/programs/dispatchd/client.c
+++ b/programs/dispatchd/client.c
@@ -32,8 +32,9 @@
 	if (code != ERR_FULL)
 		return;
 	/* The peer does not read; its answers would be incomplete. */
-	plog_write(PLOG_LINK_DOWN, "peer=%s step=\"write\" message=\"output "
-				   "buffer full\"",
+	plog_write(PLOG_LINK_DOWN,
+		   "peer=%s step=\"write\" message=\"output "
+		   "buffer full\"",
 		   link_peer(client->link));
 	link_close(client->link);
 	client->link = NULL; /* clients_sweep() drops the rest */
@@ -50,8 +51,8 @@
 		limit = endpoint_limit(e);
 		if (!limit && !e->window.in_flight)
 			continue;
-		row->warm += window_is_warm(&e->window,
-					    mclock_now_ms(d->clock));
+		row->warm +=
+			window_is_warm(&e->window, mclock_now_ms(d->clock));
 		row->window += limit;
 		row->in_flight += e->window.in_flight;
 	}
@@ -162,7 +163,8 @@
 		metrics_add(METRIC_INVALID_INPUT, STR_LIT("peers"), 1);
 		plog_write(PLOG_MESSAGE_INVALID,
 			   "peer=%s step=\"%s\" message=\"%s\"",
-			   link_peer(link), err.code ? err.step : "read message",
+			   link_peer(link),
+			   err.code ? err.step : "read message",
 			   err.code ? err.message : "unexpected kind");
 	}
 	return result;
@@ -222,11 +224,12 @@
 
 void clients_free(dispatchd_t *d)
 {
+	client_t *next;
+
 	link_listener_close(d->listener);
 	d->listener = NULL;
-	while (d->clients) {
-		client_t *client = d->clients;
-
+	for (client_t *client = d->clients; client; client = next) {
+		next = client->next;
 		link_close(client->link);
 		drop_client(client);
 	}
--- a/programs/dispatchd/dispatchd.h
+++ b/programs/dispatchd/dispatchd.h
@@ -42,6 +42,9 @@
  * timeout, so that the caller can still ask for the result. */
 #define CALL_LINGER_FACTOR 2
 #define HOST_RETRY_AFTER_MS 1000
+/* Sends a request on to another dispatcher without using the retry budget,
+ * because this host leaves and is not overloaded. */
+#define RETRY_NOW 0
 
 typedef struct dispatchd dispatchd_t;
 typedef struct pool pool_t;
@@ -132,7 +135,7 @@
 	fetch_head_t head;
 	trace_span_t *span;
 	struct request *prev, *next; /* in the daemon's list */
-	struct request *waiters; /* requests that wait for this one */
+	struct request *waiters;     /* requests that wait for this one */
 	struct request *next_waiter;
 } request_t;
 
--- a/programs/dispatchd/endpoint.c
+++ b/programs/dispatchd/endpoint.c
@@ -108,8 +108,8 @@
 {
 	int index = sheet_find_endpoint(sheet, str_from(e->name));
 
-	if (index < 0 || !str_equals(sheet->endpoints[index].address,
-				     str_from(e->address)))
+	if (index < 0 ||
+	    !str_equals(sheet->endpoints[index].address, str_from(e->address)))
 		return NULL;
 	return &sheet->endpoints[index];
 }
@@ -191,9 +191,9 @@
 	store_read_lock();
 	sheet = store_sheet(d->store);
 	row = sheet ? find_row(e, sheet) : NULL;
-	if (row && sheet_endpoint_state(sheet, row,
-					mclock_wall_ms(d->clock) / 1000) ==
-			   SHEET_STATE_UP) {
+	if (row &&
+	    sheet_endpoint_state(sheet, row, mclock_wall_ms(d->clock) / 1000) ==
+		    SHEET_STATE_UP) {
 		e->usable_units = usable_units(e, sheet, row);
 		if (e->owned || !window_is_warm(&e->window, now_ms(d)))
 			limit = window_limit(&e->window, now_ms(d),
@@ -310,9 +310,8 @@
 {
 	static const fetch_ops_t ops = {NULL, take_poll_data, finish_poll};
 	char url[SHEET_NAME_BYTES + 32];
-	fetch_request_t request = {.method = "GET",
-				   .url = url,
-				   .timeout_ms = LOAD_TIMEOUT_MS};
+	fetch_request_t request = {
+		.method = "GET", .url = url, .timeout_ms = LOAD_TIMEOUT_MS};
 
 	snprintf(url, sizeof(url), "http://%s/v1/load", e->address);
 	e->poll_started_ms = now_ms(e->d);
--- a/programs/dispatchd/report.c
+++ b/programs/dispatchd/report.c
@@ -44,13 +44,12 @@
 		const member_t *m = member_at(table, i);
 
 		json_array_append_new(
-			rows,
-			json_pack("{s:s, s:s, s:s, s:b, s:b, s:I}", "host",
-				  m->host, "domain", m->domain, "address",
-				  m->address, "live", member_is_live(table, m),
-				  "leaving", member_is_leaving(m),
-				  "sheet_version",
-				  (json_int_t)m->sheet_version));
+			rows, json_pack("{s:s, s:s, s:s, s:b, s:b, s:I}",
+					"host", m->host, "domain", m->domain,
+					"address", m->address, "live",
+					member_is_live(table, m), "leaving",
+					member_is_leaving(m), "sheet_version",
+					(json_int_t)m->sheet_version));
 	}
 	return rows;
 }
--- a/programs/dispatchd/request.c
+++ b/programs/dispatchd/request.c
@@ -101,6 +101,12 @@
 	free_request(r);
 }
 
+/* At least a second, so that a refused caller does not come back at once. */
+static int64_t overload_retry_ms(int64_t wait_ms)
+{
+	return wait_ms > MIN_RETRY_AFTER_MS ? wait_ms : MIN_RETRY_AFTER_MS;
+}
+
 void request_end_not_run(request_t *r, const char *step, const char *message,
 			 int64_t retry_after_ms)
 {
@@ -110,9 +116,7 @@
 		.peer = r->d->settings->host,
 		.http_status = 503,
 		.message = message,
-		.retry_after_ms = retry_after_ms > MIN_RETRY_AFTER_MS ?
-					  retry_after_ms :
-					  MIN_RETRY_AFTER_MS,
+		.retry_after_ms = retry_after_ms,
 		.retry_elsewhere = true,
 	};
 
@@ -181,8 +185,8 @@
 	r->body_len = submit->body.len;
 	r->next_offset = submit->resume_offset;
 	enginep_sse_init(&r->sse);
-	r->span = trace_begin("dispatch", TRACE_KIND_SERVER,
-			      submit->traceparent);
+	r->span =
+		trace_begin("dispatch", TRACE_KIND_SERVER, submit->traceparent);
 	trace_set(r->span, "peridot.class", submit->class_name);
 	r->next = d->requests;
 	if (d->requests)
@@ -282,8 +286,9 @@
 	request_t *r = (request_t *)displaced;
 
 	r->state = REQUEST_NEW;
-	request_end_not_run(r, "queue", "displaced by a higher tier",
-			    pool_wait_ms(r->d, r->pool, r->tier));
+	request_end_not_run(
+		r, "queue", "displaced by a higher tier",
+		overload_retry_ms(pool_wait_ms(r->d, r->pool, r->tier)));
 }
 
 static void enqueue(request_t *r)
@@ -298,12 +303,13 @@
 		r->state = REQUEST_QUEUED;
 		break;
 	case QUEUE_FULL:
-		request_end_not_run(r, "queue", "the queue is full", wait);
+		request_end_not_run(r, "queue", "the queue is full",
+				    overload_retry_ms(wait));
 		break;
 	case QUEUE_TOO_LATE:
 		request_end_not_run(r, "queue",
 				    "the expected wait is above the timeout",
-				    wait);
+				    overload_retry_ms(wait));
 		break;
 	}
 	if (displaced)
@@ -341,17 +347,17 @@
 		return;
 	if (d->leaving) {
 		request_end_not_run(r, "admit", "the host is leaving",
-				    HOST_RETRY_AFTER_MS);
+				    RETRY_NOW);
+		return;
+	}
+	if (info && r->pool && submit->resume_endpoint.len) {
+		resume(r, submit);
 		return;
 	}
 	if (!info || !r->pool || !has_usable_endpoint(d, r->pool)) {
 		request_end_not_run(r, "admit",
 				    "no usable endpoint at this host",
-				    HOST_RETRY_AFTER_MS);
-		return;
-	}
-	if (submit->resume_endpoint.len) {
-		resume(r, submit);
+				    RETRY_NOW);
 		return;
 	}
 	enqueue(r);
@@ -431,8 +437,9 @@
 static void expire(request_t *r)
 {
 	r->state = REQUEST_NEW;
-	request_end_not_run(r, "queue", "not started before the timeout",
-			    pool_wait_ms(r->d, r->pool, r->tier));
+	request_end_not_run(
+		r, "queue", "not started before the timeout",
+		overload_retry_ms(pool_wait_ms(r->d, r->pool, r->tier)));
 }
 
 /* Sends one queued request. False when nothing can be sent now. */
@@ -463,7 +470,8 @@
 	}
 	if (!transfer_start(r, found[choice])) {
 		r->state = REQUEST_NEW;
-		request_end_not_run(r, "send", "the request could not be set up",
+		request_end_not_run(r, "send",
+				    "the request could not be set up",
 				    HOST_RETRY_AFTER_MS);
 	}
 	return true;
@@ -537,7 +545,7 @@
 			continue;
 		queue_remove(r->pool->queue, &r->entry);
 		r->state = REQUEST_NEW;
-		request_end_not_run(r, "queue", reason, HOST_RETRY_AFTER_MS);
+		request_end_not_run(r, "queue", reason, RETRY_NOW);
 	}
 }
 
@@ -588,15 +596,16 @@
 		r->state = REQUEST_NEW;
 		request_end_not_run(r, "queue",
 				    "the endpoints of this host are leaving",
-				    HOST_RETRY_AFTER_MS);
+				    RETRY_NOW);
 	}
 }
 
 void requests_free(dispatchd_t *d)
 {
-	while (d->requests) {
-		request_t *r = d->requests;
+	request_t *next;
 
+	for (request_t *r = d->requests; r; r = next) {
+		next = r->next;
 		r->client = NULL;
 		if (r->state == REQUEST_QUEUED)
 			queue_remove(r->pool->queue, &r->entry);
--- a/programs/dispatchd/transfer.c
+++ b/programs/dispatchd/transfer.c
@@ -198,7 +198,7 @@
 		.outcome = outcome,
 		.step = step,
 		.peer = peer,
-		.http_status = outcome == MSG_NOT_RUN  ? 503 :
+		.http_status = outcome == MSG_NOT_RUN ? 503 :
 			       outcome == MSG_UNKNOWN ? 504 :
 							502,
 		.message = message,
@@ -261,7 +261,8 @@
 /* The answer of a model ended without [DONE]. */
 static void model_broke_off(request_t *r, const fetch_result_t *result)
 {
-	bool answered = result->code == ERR_OK && result->head.http_status >= 400;
+	bool answered =
+		result->code == ERR_OK && result->head.http_status >= 400;
 
 	if (!result->may_have_left) {
 		mark_broken(r);
@@ -274,7 +275,7 @@
 		     "the engine reported an error", !r->tokens);
 		return;
 	}
-	if (result->code != ERR_STATE)
+	if (result->code != ERR_BAD_STATE)
 		mark_broken(r);
 	if (try_resume(r))
 		return;
@@ -368,7 +369,6 @@
 		.priority = (int)r->tier,
 		.max_tokens = r->max_tokens,
 		.timeout_ms = left_ms(r),
-		.stream = true,
 	};
 	fetch_request_t request = {.method = "POST",
 				   .url = url,
@@ -415,8 +415,8 @@
 
 bool transfer_start(request_t *r, endpoint_t *e)
 {
-	bool started = r->kind == MSG_MODEL ? start_model(r, e) :
-					      start_call(r, e);
+	bool started =
+		r->kind == MSG_MODEL ? start_model(r, e) : start_call(r, e);
 
 	if (started)
 		take_slot(r, e);
@@ -426,9 +426,8 @@
 bool transfer_resume(request_t *r, endpoint_t *e)
 {
 	char url[URL_BYTES];
-	fetch_request_t request = {.method = "GET",
-				   .url = url,
-				   .timeout_ms = left_ms(r)};
+	fetch_request_t request = {
+		.method = "GET", .url = url, .timeout_ms = left_ms(r)};
 
 	enginep_sse_release(&r->sse);
 	enginep_sse_init(&r->sse);
--- a/programs/entryd/caller.c
+++ b/programs/entryd/caller.c
@@ -340,8 +340,8 @@
 			httpd_stream_begin(call, 200, "text/event-stream");
 			*streaming = true;
 		}
-		if (!ended && httpd_stream_write(call,
-						 buf_view(&event->bytes))) {
+		if (!ended &&
+		    httpd_stream_write(call, buf_view(&event->bytes))) {
 			event_free(event);
 			return false;
 		}
@@ -395,8 +395,7 @@
 		goto done;
 	}
 	x->stream = chat.stream;
-	x->affinity =
-		placement_affinity((str_t){chat.prefix, chat.prefix_len});
+	x->affinity = placement_affinity((str_t){chat.prefix, chat.prefix_len});
 	store_read_lock();
 	refusal = resolve_model(x, store_sheet(d->store), caller,
 				httpd_header(call, "X-Peridot-Class"), &chat);
--- a/programs/entryd/entryd.h
+++ b/programs/entryd/entryd.h
@@ -54,7 +54,7 @@
 	char message[ERR_MESSAGE_BYTES];
 	int64_t retry_after_ms;
 	char content_type[64];
-	buf_t answer; /* whole answer without streaming */
+	buf_t answer;	  /* whole answer without streaming */
 	char ticket[512]; /* fresh ticket of a call that came without one */
 } ending_t;
 
@@ -84,7 +84,7 @@
 
 	/* Loop thread only. */
 	msg_id_t id;
-	member_t *member; /* that has the request now; NULL: none */
+	member_t *member;  /* that has the request now; NULL: none */
 	bool wants_ticket; /* a TICKET_GET is out */
 	bool may_have_run;
 	unsigned attempts;
--- a/programs/entryd/route.c
+++ b/programs/entryd/route.c
@@ -1,5 +1,6 @@
 #include "entryd.h"
 
+#include <assert.h>
 #include <stdlib.h>
 
 #include "base/metrics.h"
@@ -19,7 +20,6 @@
 	return x->started_ms + x->timeout_ms - now_ms(x->d);
 }
 
-
 static void unlink_exchange(exchange_t *x)
 {
 	entryd_t *d = x->d;
@@ -172,6 +172,7 @@
 		member_t *member = member_at(table, i);
 		const msg_pool_t *pool = find_pool(member, x->pool);
 
+		assert(member);
 		if (!pool || !is_candidate(x->d, member))
 			continue;
 		fill_row(x, member, pool, sheet, &rows[count]);
@@ -184,6 +185,42 @@
 	return choice < 0 ? NULL : members[choice];
 }
 
+/* Domain of the endpoint that streams the answer; empty when unknown. */
+static void copy_endpoint_domain(const exchange_t *x,
+				 char domain[SHEET_NAME_BYTES])
+{
+	const sheet_t *sheet;
+	int index;
+
+	domain[0] = '\0';
+	store_read_lock();
+	sheet = store_sheet(x->d->store);
+	index = sheet ? sheet_find_endpoint(sheet, str_from(x->endpoint)) : -1;
+	if (index >= 0)
+		str_copy(domain, SHEET_NAME_BYTES,
+			 sheet->domains[sheet->endpoints[index].domain_index]
+				 .name);
+	store_read_unlock();
+}
+
+/* A dispatcher of the endpoint's domain, which can ask it to resume; it need
+ * not own the endpoint, since nothing new begins to run. */
+static member_t *choose_for_resume(const exchange_t *x)
+{
+	const member_table_t *table = peers_table(x->d->peers);
+	char domain[SHEET_NAME_BYTES];
+
+	copy_endpoint_domain(x, domain);
+	for (size_t i = 0; i < member_count(table); i++) {
+		member_t *member = member_at(table, i);
+
+		if (!strcmp(member->domain, domain) &&
+		    is_candidate(x->d, member) && !was_tried(x, member))
+			return member;
+	}
+	return NULL;
+}
+
 static msg_t make_submit(const exchange_t *x)
 {
 	int64_t waited = now_ms(x->d) - x->started_ms;
@@ -200,15 +237,15 @@
 		.call = str_from(x->call),
 		.ticket = x->ticket,
 		.timeout_ms = left > 0 ? (uint64_t)left : 0,
-		.first_token_ms = waited < x->first_token_ms ?
-					  (uint64_t)(x->first_token_ms -
-						     waited) :
-					  0,
+		.first_token_ms =
+			waited < x->first_token_ms ?
+				(uint64_t)(x->first_token_ms - waited) :
+				0,
 		.cost_tokens = x->cost_tokens,
 		.affinity = x->affinity,
 		.traceparent = str_from(x->traceparent),
-		.resume_endpoint = x->next_offset ? str_from(x->endpoint) :
-						    STR_LIT(""),
+		.resume_endpoint =
+			x->next_offset ? str_from(x->endpoint) : STR_LIT(""),
 		.resume_offset = x->next_offset,
 		.stream = x->stream,
 		.body = x->body,
@@ -239,9 +276,9 @@
 	msg_t msg = {.kind = MSG_TICKET_GET};
 
 	x->id = msg_id_random();
-	msg.u.ticket_get = (msg_ticket_get_t){x->id, str_from(x->customer),
-					      str_from(x->service),
-					      str_from(x->call)};
+	msg.u.ticket_get =
+		(msg_ticket_get_t){x->id, str_from(x->customer),
+				   str_from(x->service), str_from(x->call)};
 	mark_tried(x, member);
 	if (peers_send(x->d->peers, member, &msg))
 		return false;
@@ -257,17 +294,27 @@
 
 	x->member = NULL;
 	if (left_ms(x) <= 0) {
-		finish_not_run(x, 503, "route", "not started before the timeout",
+		finish_not_run(x, 503, "route",
+			       "not started before the timeout",
 			       DEFAULT_RETRY_AFTER_MS);
 		return;
 	}
-	while (x->tried_count < MAX_TRIED && (member = choose_member(x))) {
-		bool needs_ticket = x->kind == MSG_CALL && !x->repeatable &&
-				    !x->ticket.len;
-
+	while (x->tried_count < MAX_TRIED) {
+		bool needs_ticket =
+			x->kind == MSG_CALL && !x->repeatable && !x->ticket.len;
+
+		member = x->next_offset ? choose_for_resume(x) :
+					  choose_member(x);
+		if (!member)
+			break;
 		if (needs_ticket ? ask_ticket(x, member) : submit_to(x, member))
 			return;
 	}
+	if (x->next_offset) {
+		finish_unknown(x, "resume stream", str_from(x->endpoint),
+			       "no dispatcher can resume the stream");
+		return;
+	}
 	finish_not_run(x, 503, "route",
 		       x->tried_count ? "every dispatcher refused the request" :
 					"no dispatcher serves this pool",
@@ -334,8 +381,8 @@
 	if (d->exchanges)
 		d->exchanges->prev = x;
 	d->exchanges = x;
-	loop_timer_set(d->loop, &x->deadline,
-		       left_ms(x) + DEADLINE_MARGIN_MS, on_deadline, x);
+	loop_timer_set(d->loop, &x->deadline, left_ms(x) + DEADLINE_MARGIN_MS,
+		       on_deadline, x);
 	if (count_of_customer(d, x) > x->customer_limit) {
 		finish_not_run(x, 429, "admit",
 			       "too many requests of this customer in flight",
@@ -426,8 +473,8 @@
 /* Whether another attempt is allowed and makes sense. */
 static bool may_retry(exchange_t *x, const verdict_t *verdict, bool elsewhere)
 {
-	bool moved = verdict->outcome == MSG_NOT_RUN &&
-		     verdict->retry_after_ms == 0;
+	bool moved =
+		verdict->outcome == MSG_NOT_RUN && verdict->retry_after_ms == 0;
 
 	if (!elsewhere || x->ticket.len || left_ms(x) <= 0)
 		return false;
@@ -464,7 +511,10 @@
 		.retry_after_ms = (int64_t)end->retry_after_ms,
 	};
 
-	/* Its dispatcher has tried to resume a broken stream already. */
+	/* Its dispatcher has tried to resume a broken stream already. A
+	 * resumption that did not run leaves the stream as broken as before. */
+	if (x->next_offset && end->outcome == MSG_NOT_RUN)
+		verdict.outcome = MSG_FAILED;
 	if (end->outcome == MSG_COMPLETED || x->next_offset)
 		finish(x, &verdict);
 	else
--- a/programs/entryd/status.c
+++ b/programs/entryd/status.c
@@ -10,13 +10,13 @@
 		const msg_pool_t *pool = &member->pools[i];
 
 		json_array_append_new(
-			rows, json_pack("{s:s%, s:i, s:i, s:i, s:i, s:I}",
-					"name", pool->name.ptr, pool->name.len,
-					"warm", (int)pool->warm, "window",
-					(int)pool->window, "in_flight",
-					(int)pool->in_flight, "queued",
-					(int)pool->queued, "wait_ms",
-					(json_int_t)pool->wait_ms));
+			rows,
+			json_pack("{s:s%, s:i, s:i, s:i, s:i, s:I}", "name",
+				  pool->name.ptr, pool->name.len, "warm",
+				  (int)pool->warm, "window", (int)pool->window,
+				  "in_flight", (int)pool->in_flight, "queued",
+				  (int)pool->queued, "wait_ms",
+				  (json_int_t)pool->wait_ms));
 	}
 	return rows;
 }
@@ -31,13 +31,12 @@
 
 		json_array_append_new(
 			rows,
-			json_pack("{s:s, s:s, s:s, s:b, s:b, s:I, s:o}",
-				  "host", m->host, "domain", m->domain,
-				  "address", m->address, "live",
-				  member_is_live(table, m), "leaving",
-				  member_is_leaving(m), "sheet_version",
-				  (json_int_t)m->sheet_version, "pools",
-				  report_pools(m)));
+			json_pack("{s:s, s:s, s:s, s:b, s:b, s:I, s:o}", "host",
+				  m->host, "domain", m->domain, "address",
+				  m->address, "live", member_is_live(table, m),
+				  "leaving", member_is_leaving(m),
+				  "sheet_version", (json_int_t)m->sheet_version,
+				  "pools", report_pools(m)));
 	}
 	return rows;
 }
--- a/programs/operators.c
+++ b/programs/operators.c
@@ -15,11 +15,11 @@
 
 	for (size_t i = 0; i < SHEET_DIGEST_BYTES; i++)
 		snprintf(hex + 2 * i, 3, "%02x", digest[i]);
-	json_object_update_new(
-		status, json_pack("{s:I, s:s, s:I}", "sheet_version",
-				  (json_int_t)version, "sheet_digest", hex,
-				  "sheet_conflicts",
-				  (json_int_t)store_conflicts(store)));
+	json_object_update_new(status,
+			       json_pack("{s:I, s:s, s:I}", "sheet_version",
+					 (json_int_t)version, "sheet_digest",
+					 hex, "sheet_conflicts",
+					 (json_int_t)store_conflicts(store)));
 }
 
 static void answer_json(httpd_call_t *call, json_t *json)
--- a/programs/peridot-dispatchd.c
+++ b/programs/peridot-dispatchd.c
@@ -192,8 +192,8 @@
 		return err_set(err, ERR_IO, "start", d->settings->host,
 			       "could not set up the process");
 	d->peers = peers_create(d->loop, d->store, &self, &peers_ops, d);
-	d->confsync = confsync_create(d->loop, d->store, d->peers,
-				      &confsync_ops, d);
+	d->confsync =
+		confsync_create(d->loop, d->store, d->peers, &confsync_ops, d);
 	for (size_t i = 0; i < d->settings->seed_count; i++)
 		peers_add_seed(d->peers, d->settings->seeds[i]);
 	begin_hold(d);
@@ -271,6 +271,7 @@
 	plog_write(PLOG_STARTED, "host=%s domain=%s listen=%s admin=%s",
 		   settings->host, settings->domain, settings->listen,
 		   admin_address(d.admin));
+	programs_print_ready(settings->listen, admin_address(d.admin));
 	loop_run(d.loop);
 	plog_write(PLOG_STOPPED, "reason=done requests=%zu", d.request_count);
 done:
--- a/programs/peridot-entryd.c
+++ b/programs/peridot-entryd.c
@@ -112,8 +112,8 @@
 		return err_set(err, ERR_IO, "start", settings->host,
 			       "could not set up the process");
 	d->peers = peers_create(d->loop, d->store, &self, &peers_ops, d);
-	d->confsync = confsync_create(d->loop, d->store, d->peers,
-				      &confsync_ops, d);
+	d->confsync =
+		confsync_create(d->loop, d->store, d->peers, &confsync_ops, d);
 	if (settings->local_dispatch)
 		peers_add_seed(d->peers, settings->local_dispatch);
 	for (size_t i = 0; i < settings->seed_count; i++)
@@ -201,6 +201,7 @@
 	plog_write(PLOG_STARTED, "host=%s domain=%s listen=%s admin=%s",
 		   settings->host, settings->domain, httpd_address(d.httpd),
 		   admin_address(d.admin));
+	programs_print_ready(httpd_address(d.httpd), admin_address(d.admin));
 	loop_run(d.loop);
 	plog_write(PLOG_STOPPED, "reason=done requests=%zu",
 		   atomic_load(&d.exchange_count));
--- a/programs/programs.c
+++ b/programs/programs.c
@@ -48,8 +48,7 @@
 				   const char *doc)
 {
 	static const struct argp_option options[] = {
-		{"check", 'c', NULL, 0, "Check the settings and exit", 0},
-		{0}};
+		{"check", 'c', NULL, 0, "Check the settings and exit", 0}, {0}};
 	struct argp argp = {.options = options,
 			    .parser = parse_option,
 			    .args_doc = "SETTINGS.toml",
@@ -122,11 +121,16 @@
 	stop_signals(&set);
 	fd = signalfd(-1, &set, SFD_CLOEXEC | SFD_NONBLOCK);
 	if (fd < 0)
-		err_set(err, ERR_IO, "open signals", "", "%s",
-			strerror(errno));
+		err_set(err, ERR_IO, "open signals", "", "%s", strerror(errno));
 	return fd;
 }
 
+void programs_print_ready(const char *listen, const char *admin)
+{
+	printf("ready %s %s\n", listen, admin);
+	fflush(stdout);
+}
+
 static err_code_t read_file(const char *path, buf_t *out, err_t *err)
 {
 	FILE *file = fopen(path, "rb");
@@ -144,8 +148,8 @@
 	return ERR_OK;
 }
 
-err_code_t programs_load_sheet(const settings_t *settings,
-			       confsync_t *confsync, err_t *err)
+err_code_t programs_load_sheet(const settings_t *settings, confsync_t *confsync,
+			       err_t *err)
 {
 	buf_t text = BUF_INIT;
 	buf_t report = BUF_INIT;
--- a/programs/programs.h
+++ b/programs/programs.h
@@ -28,9 +28,12 @@
 /* A descriptor that becomes readable on SIGTERM and SIGINT; -1 on failure. */
 int programs_open_signals(err_t *err);
 
+/* Prints "ready LISTEN ADMIN" on standard output for whoever started it. */
+void programs_print_ready(const char *listen, const char *admin);
+
 /* Offers the sheet file of the settings, if there is one. */
-err_code_t programs_load_sheet(const settings_t *settings,
-			       confsync_t *confsync, err_t *err);
+err_code_t programs_load_sheet(const settings_t *settings, confsync_t *confsync,
+			       err_t *err);
 
 /* A question of an operator that the loop's thread answers. */
 typedef struct programs_query {
--- /dev/null
+++ b/tests/session/fleet.sh
@@ -0,0 +1,294 @@
+#!/bin/bash
+# A small fleet of real daemons and stand-ins for session scripts. Source it
+# after lib.sh. Domain names are "north" and "south"; each is its own region
+# unless "regions" says otherwise.
+
+# Each script has its own loopback network, so that several can run at once.
+net=127.$((16 + $$ / 250 % 200)).$((1 + $$ % 250))
+operator_key=test-operator
+customer_key=test-customer
+other_key=test-other
+curl_base=(curl -s --max-time 30)
+
+sha256()
+{
+	printf '%s' "$1" | sha256sum | cut -d' ' -f1
+}
+
+# start_engine NAME [OPTION...], start_service NAME, start_platform: stand-ins.
+start_engine()
+{
+	local name=$1
+	shift
+	start_program "$name" "$build/standins/fake-engine" "$@"
+}
+
+start_service()
+{
+	local name=$1
+	shift
+	start_program "$name" "$build/standins/fake-service" "$@"
+}
+
+start_platform()
+{
+	start_program platform "$build/standins/fake-platform" \
+		--listen="$net.1:8500"
+}
+
+# dispatch_address DOMAIN INDEX: the address of the domain's nth dispatcher.
+dispatch_address()
+{
+	case $1 in
+	north) echo "$net.$((10 + $2)):7100" ;;
+	south) echo "$net.$((20 + $2)):7100" ;;
+	esac
+}
+
+# Settings of the sheet that scripts change before write_sheet.
+sheet_version=1
+declare -A domain_state=([north]=up [south]=up)
+declare -A region=([north]=north [south]=south)
+declare -A endpoint_state=()
+domains=(north south)
+hosts_per_domain=2
+chat_timeout_ms=8000
+cold_limit=1
+max_in_flight=8
+cross_region=true
+declare -A endpoint_domain=()  # NAME -> domain, in the sheet
+declare -A endpoint_kind=()    # NAME -> model or service
+declare -A endpoint_address=() # NAME -> IP:PORT, default: the stand-in's
+
+sheet_domains()
+{
+	local domain i
+	for domain in "${domains[@]}"
+	do
+		printf '[[domain]]\nname = "%s"\nregion = "%s"\nstate = "%s"\n' \
+			"$domain" "${region[$domain]}" "${domain_state[$domain]}"
+		echo 'cold_hosts = ['
+		for i in $(seq "$hosts_per_domain")
+		do
+			printf '  {host = "%s-%s", address = "%s"},\n' \
+				"$domain" "$i" "$(dispatch_address "$domain" "$i")"
+		done
+		printf ']\ncold_hosts_since = 2026-01-01T00:00:00Z\n'
+	done
+}
+
+sheet_endpoints()
+{
+	local name
+	for name in $(printf '%s\n' "${!endpoint_domain[@]}" | sort)
+	do
+		printf '[[endpoint]]\nname = "%s"\ndomain = "%s"\n' \
+			"$name" "${endpoint_domain[$name]}"
+		case ${endpoint_kind[$name]} in
+		model) echo 'model = "bear"' ;;
+		service) echo 'service = "claims"' ;;
+		esac
+		printf 'address = "%s"\nstate = "%s"\ncold_limit = %s\n' \
+			"${endpoint_address[$name]:-${address[$name]}}" \
+			"${endpoint_state[$name]:-up}" "$cold_limit"
+		printf 'max_in_flight = %s\n' "$max_in_flight"
+	done
+}
+
+# write_sheet FILE: writes the sheet of the fleet.
+write_sheet()
+{
+	{
+		printf 'version = %s\n' "$sheet_version"
+		sheet_domains
+		cat <<-END
+		[[class]]
+		name = "match_report"
+		tier = 0
+		first_token_ms = 1700
+		between_tokens_ms = 44
+		timeout_ms = 20000
+		floor_percent = 20
+		expected_tokens = 50
+		max_tokens = 2000
+		cross_region = $cross_region
+		[[class]]
+		name = "chat"
+		tier = 1
+		first_token_ms = 1000
+		between_tokens_ms = 44
+		timeout_ms = $chat_timeout_ms
+		floor_percent = 10
+		expected_tokens = 20
+		max_tokens = 500
+		cross_region = $cross_region
+		[[class]]
+		name = "courier_return"
+		tier = 1
+		first_token_ms = 800
+		timeout_ms = 4000
+		floor_percent = 5
+		cross_region = $cross_region
+		[[class]]
+		name = "tag"
+		tier = 4
+		first_token_ms = 10000
+		timeout_ms = 20000
+		floor_percent = 5
+		expected_tokens = 10
+		max_tokens = 100
+		cross_region = $cross_region
+		[[model]]
+		name = "bear"
+		[[service]]
+		name = "claims"
+		call = [
+		  {name = "book_return", class = "courier_return", repeatable = false},
+		  {name = "claim_status", class = "courier_return", repeatable = true},
+		]
+		END
+		sheet_endpoints
+		cat <<-END
+		[[customer]]
+		name = "desk"
+		key_sha256 = "$(sha256 "$customer_key")"
+		weight = 4
+		max_in_flight = 200
+		classes = ["match_report", "chat", "tag", "courier_return"]
+		[[customer]]
+		name = "counter"
+		key_sha256 = "$(sha256 "$other_key")"
+		max_in_flight = 2
+		classes = ["chat"]
+		END
+	} >"$1"
+}
+
+seeds()
+{
+	local domain i separator=
+	for domain in "${domains[@]}"
+	do
+		for i in $(seq "$hosts_per_domain")
+		do
+			printf '%s"%s"' "$separator" \
+				"$(dispatch_address "$domain" "$i")"
+			separator=', '
+		done
+	done
+}
+
+# write_settings ROLE DOMAIN INDEX FILE: settings of one daemon. With
+# platform_address set it watches the platform, with sheet_file set it reads
+# the sheet at start.
+platform_address=
+sheet_file=
+write_settings()
+{
+	local role=$1 domain=$2 index=$3 ip
+	ip=$(dispatch_address "$domain" "$index")
+	ip=${ip%:*}
+	{
+		printf '[process]\nhost = "%s-%s"\ndomain = "%s"\n' \
+			"$domain" "$index" "$domain"
+		printf '[listen]\n'
+		case $role in
+		dispatch)
+			printf 'peers = "%s:7100"\nadmin = "%s:7101"\n' \
+				"$ip" "$ip"
+			;;
+		entry)
+			printf 'callers = "%s:7080"\nadmin = "%s:7081"\n' \
+				"$ip" "$ip"
+			;;
+		esac
+		printf '[peers]\nseeds = [%s]\n' "$(seeds)"
+		if test -n "$platform_address$sheet_file"
+		then
+			echo '[platform]'
+		fi
+		test -z "$platform_address" ||
+			printf 'address = "%s"\n' "$platform_address"
+		test -z "$sheet_file" ||
+			printf 'sheet_file = "%s"\n' "$sheet_file"
+		printf '[operator]\nkey_sha256 = "%s"\n' "$(sha256 "$operator_key")"
+		if test -n "${trace_dir:-}"
+		then
+			printf '[trace]\nfile = "%s/%s-%s-%s.json"\n' \
+				"$trace_dir" "$role" "$domain" "$index"
+		fi
+	} >"$4"
+}
+
+# start_dispatchd DOMAIN INDEX, start_entryd DOMAIN INDEX: start one daemon
+# under the name dispatchd-DOMAIN-INDEX or entryd-DOMAIN-INDEX.
+start_dispatchd()
+{
+	write_settings dispatch "$1" "$2" "$work/dispatchd-$1-$2.toml"
+	start_program "dispatchd-$1-$2" "$build/peridot-dispatchd" \
+		"$work/dispatchd-$1-$2.toml"
+}
+
+start_entryd()
+{
+	write_settings entry "$1" "$2" "$work/entryd-$1-$2.toml"
+	start_program "entryd-$1-$2" "$build/peridot-entryd" \
+		"$work/entryd-$1-$2.toml"
+}
+
+# status_of NAME: the daemon's status as JSON.
+status_of()
+{
+	"${curl_base[@]}" -H "Authorization: Bearer $operator_key" \
+		"http://${control[$1]}/v1/status"
+}
+
+# has_sheet NAME VERSION: a condition for wait_until.
+has_sheet()
+{
+	status_of "$1" | grep -q "\"sheet_version\":$2[,}]"
+}
+
+# push_sheet NAME FILE: hands a sheet to a daemon; prints the HTTP status.
+push_sheet()
+{
+	"${curl_base[@]}" -o "$work/push.out" -w '%{http_code}' \
+		-H "Authorization: Bearer $operator_key" \
+		--data-binary "@$2" "http://${control[$1]}/v1/sheet"
+}
+
+# ask ENTRY CLASS PROMPT TOKENS STREAM [CURL_ARGUMENT...]: one chat completion;
+# body in $work/body, headers in $work/headers; prints the HTTP status.
+ask()
+{
+	local entry=$1 class=$2 prompt=$3 tokens=$4 stream=$5
+	shift 5
+	http_status --max-time 40 -H "Authorization: Bearer $customer_key" \
+		-H "X-Peridot-Class: $class" "$@" --data-binary \
+		"{\"model\":\"bear\",\"stream\":$stream,\"x_output_tokens\":$tokens,\"messages\":[{\"role\":\"user\",\"content\":\"$prompt\"}]}" \
+		"http://${address[$entry]}/v1/chat/completions"
+}
+
+# call_service ENTRY CALL BODY [CURL_ARGUMENT...]: one service call.
+call_service()
+{
+	local entry=$1 call=$2 body=$3
+	shift 3
+	http_status --max-time 40 -H "Authorization: Bearer $customer_key" "$@" \
+		--data-binary "$body" \
+		"http://${address[$entry]}/v1/services/claims/$call"
+}
+
+# header NAME: the value of a header of the last answer.
+header()
+{
+	sed -n "s/^$1: \(.*\)\r\$/\1/Ip" "$work/headers"
+}
+
+# answered_as STATUS COMMAND...: a condition: the request gets this status.
+answered_as()
+{
+	local wanted=$1
+	shift
+	test "$("$@")" = "$wanted"
+}
--- a/tests/unit/test_trace.c
+++ b/tests/unit/test_trace.c
@@ -92,7 +92,7 @@
 	CU_ASSERT_FATAL(fd >= 0);
 	close(fd);
 	CU_ASSERT_EQUAL_FATAL(trace_start(&options, NULL), ERR_OK);
-	CU_ASSERT_EQUAL(trace_start(&options, NULL), ERR_STATE);
+	CU_ASSERT_EQUAL(trace_start(&options, NULL), ERR_BAD_STATE);
 }
 
 /* Guards against spans that an OTLP collector can't read or can't connect. */
