Queue requests for endpoints that are not proven warm yet

Ruled out: opening the window without a report; the report must be measured after the change of owner.

Change: a pool is served when the sheet has one of its endpoints up and this host owns it or has a cold share; the load report is asked for right after a change of owner.

--- a/programs/dispatchd/client.c
+++ b/programs/dispatchd/client.c
@@ -60,15 +60,6 @@
 	row->wait_ms = (uint64_t)pool_wait_ms(d, pool, 0);
 }
 
-static bool is_served(const dispatchd_t *d, const pool_t *pool)
-{
-	for (endpoint_t *e = d->endpoints; e; e = e->next)
-		if (e->pool == pool && e->in_sheet &&
-		    (e->owned || e->usable_units))
-			return true;
-	return false;
-}
-
 static void fill_status(dispatchd_t *d, uint64_t sequence, msg_t *msg,
 			uint8_t digest[SHEET_DIGEST_BYTES])
 {
@@ -86,7 +77,7 @@
 	status->sheet_digest = (str_t){(char *)digest, SHEET_DIGEST_BYTES};
 	status->wall_ms = mclock_wall_ms(d->clock);
 	for (size_t i = 0; i < d->pool_count; i++)
-		if (is_served(d, d->pools[i]))
+		if (pool_is_served(d, d->pools[i]))
 			fill_pool(d, d->pools[i],
 				  &status->pools[status->pool_count++]);
 	peers_fill_members(d->peers, status);
--- a/programs/dispatchd/dispatchd.h
+++ b/programs/dispatchd/dispatchd.h
@@ -61,6 +61,7 @@
 	bool logged_warm;
 	unsigned held_units;   /* cold units held when the sheet changed */
 	unsigned usable_units; /* cold units that may be used now */
+	bool is_up;	       /* wanted by the sheet, as of the last look */
 	int64_t broken_ms;     /* last broken connection; 0: none */
 	unsigned users;	       /* requests that point here */
 	fetch_t *poll;
@@ -192,6 +193,12 @@
 endpoint_t *endpoint_find(const dispatchd_t *d, str_t name);
 pool_t *pool_find(const dispatchd_t *d, str_t name);
 
+/*
+ * True when the sheet has an endpoint of the pool up that this host owns or has
+ * a cold share of. It may be cold for now; then requests wait in the queue.
+ */
+bool pool_is_served(dispatchd_t *d, const pool_t *pool);
+
 /*
  * The right to send one more request to the endpoint, checked against the
  * sheet, the clock and the counts immediately before each send.
--- a/programs/dispatchd/endpoint.c
+++ b/programs/dispatchd/endpoint.c
@@ -191,9 +191,10 @@
 	store_read_lock();
 	sheet = store_sheet(d->store);
 	row = sheet ? find_row(e, sheet) : NULL;
-	if (row &&
-	    sheet_endpoint_state(sheet, row, mclock_wall_ms(d->clock) / 1000) ==
-		    SHEET_STATE_UP) {
+	e->is_up = row && sheet_endpoint_state(sheet, row,
+					       mclock_wall_ms(d->clock) /
+						       1000) == SHEET_STATE_UP;
+	if (e->is_up) {
 		e->usable_units = usable_units(e, sheet, row);
 		if (e->owned || !window_is_warm(&e->window, now_ms(d)))
 			limit = window_limit(&e->window, now_ms(d),
@@ -203,6 +204,19 @@
 	return limit;
 }
 
+bool pool_is_served(dispatchd_t *d, const pool_t *pool)
+{
+	for (endpoint_t *e = d->endpoints; e; e = e->next) {
+		if (e->pool != pool || !e->in_sheet)
+			continue;
+		endpoint_limit(e);
+		if (e->is_up && !e->window.leaving &&
+		    (e->owned || e->usable_units))
+			return true;
+	}
+	return false;
+}
+
 bool endpoint_may_send(endpoint_t *e)
 {
 	dispatchd_t *d = e->d;
@@ -238,9 +252,12 @@
 		return;
 	e->owned = owned;
 	plog_write(PLOG_OWNER_CHANGED, "endpoint=%s owned=%d", e->name, owned);
-	/* What an earlier owner knew is not known here. */
-	if (owned)
-		window_on_pause(&e->window, now_ms(d));
+	if (!owned)
+		return;
+	/* What an earlier owner knew is not known here. The next report proves
+	 * warmth when it was measured after this moment. */
+	window_on_pause(&e->window, now_ms(d));
+	e->next_poll_ms = now_ms(d) + TICK_MS;
 }
 
 static window_report_state_t to_window_state(enginep_state_t state)
--- a/programs/dispatchd/request.c
+++ b/programs/dispatchd/request.c
@@ -152,18 +152,6 @@
 	return (int64_t)(tokens * estimate_mean(&pool->ms_per_token) / limit);
 }
 
-/* True when some endpoint of the pool may get work from this host. */
-static bool has_usable_endpoint(dispatchd_t *d, const pool_t *pool)
-{
-	for (endpoint_t *e = d->endpoints; e; e = e->next) {
-		if (e->pool != pool || !e->in_sheet)
-			continue;
-		if (endpoint_limit(e) || e->window.in_flight)
-			return true;
-	}
-	return false;
-}
-
 static request_t *create_request(client_t *client, const msg_submit_t *submit)
 {
 	dispatchd_t *d = client->d;
@@ -354,7 +342,7 @@
 		resume(r, submit);
 		return;
 	}
-	if (!info || !r->pool || !has_usable_endpoint(d, r->pool)) {
+	if (!info || !r->pool || !pool_is_served(d, r->pool)) {
 		request_end_not_run(r, "admit",
 				    "no usable endpoint at this host",
 				    RETRY_NOW);
@@ -589,8 +577,7 @@
 	}
 	for (request_t *r = d->requests; r; r = next) {
 		next = r->next;
-		if (r->state != REQUEST_QUEUED ||
-		    has_usable_endpoint(d, r->pool))
+		if (r->state != REQUEST_QUEUED || pool_is_served(d, r->pool))
 			continue;
 		queue_remove(r->pool->queue, &r->entry);
 		r->state = REQUEST_NEW;
