Count requests sent since the last load report when choosing a dispatcher

Cause: an entry daemon chose by the STATUS of up to a second ago, so every request of a burst with one prompt went to the dispatcher that the prefix prefers.

Ruled out: STATUS messages at each change; they would go over the control budget at 350 daemons.

Change: requests sent to a member after its last STATUS add to its reported load.

--- a/programs/entryd/entryd.h
+++ b/programs/entryd/entryd.h
@@ -85,6 +85,7 @@
 	/* Loop thread only. */
 	msg_id_t id;
 	member_t *member;  /* that has the request now; NULL: none */
+	int64_t sent_ms;   /* when the member got it */
 	bool wants_ticket; /* a TICKET_GET is out */
 	bool may_have_run;
 	unsigned attempts;
--- a/programs/entryd/route.c
+++ b/programs/entryd/route.c
@@ -135,6 +135,20 @@
 	       peers_is_linked(member) && !member_is_leaving(member);
 }
 
+/* Requests that this process sent to the member's pool after the member last
+ * reported its load. Without them, every request between two reports would go
+ * to the same dispatcher. */
+static unsigned count_unreported(const exchange_t *x, const member_t *member)
+{
+	unsigned count = 0;
+
+	for (const exchange_t *o = x->d->exchanges; o; o = o->next)
+		if (o->member == member && o->sent_ms > member->heard_ms &&
+		    !strcmp(o->pool, x->pool))
+			count++;
+	return count;
+}
+
 static void fill_row(const exchange_t *x, const member_t *member,
 		     const msg_pool_t *pool, const sheet_t *sheet,
 		     placement_dispatcher_t *row)
@@ -149,7 +163,7 @@
 					  region_of(sheet, own)),
 		.warm = pool->warm,
 		.window = pool->window,
-		.in_flight = pool->in_flight,
+		.in_flight = pool->in_flight + count_unreported(x, member),
 		.queued = pool->queued,
 		.wait_ms = (int64_t)pool->wait_ms,
 		.tried = was_tried(x, member),
@@ -267,6 +281,7 @@
 	if (peers_send(x->d->peers, member, &msg))
 		return false;
 	x->member = member;
+	x->sent_ms = now_ms(x->d);
 	x->attempts++;
 	return true;
 }
