Add peridotctl, the operators' command line

Operators had to check, pack and push sheets and to read each daemon's status by hand. peridotctl does so for files (check, check-settings, diff, pack, edit) and for all daemons named, in parallel and with a time limit (push, status, endpoints, classes, domains, metrics, drain). Exit statuses: 0, 1 when a daemon refused or could not be reached, 2 for usage and faulty files.

The status of the daemons now has the domains with their states and whether the sheet has an endpoint up, which "domains" shows. A drain is logged as E4004, which was defined and never written.

--- a/Makefile
+++ b/Makefile
@@ -57,10 +57,11 @@
 	rm -f $@
 	ar rcs $@ $^
 
-# The parts in programs/NAME/ belong to the program peridot-NAME.
+# The parts in programs/NAME/ belong to the program peridot-NAME or peridotNAME.
+program_parts = $(wildcard programs/$(patsubst peridot%,%,$(patsubst peridot-%,%,$(1)))/*.c)
 define PROGRAM_RULE
 $(BUILD)/$(1): $(BUILD)/programs/$(1).o \
-	$(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/$(patsubst peridot-%,%,$(1))/*.c)) \
+	$(patsubst %.c,$(BUILD)/%.o,$(call program_parts,$(1))) \
 	$(PROGRAM_COMMON:%.c=$(BUILD)/%.o) $(LIB)
 	$(CC) $(LDFLAGS) -o $$@ $$^ $(LDLIBS)
 endef
--- a/programs/dispatchd/report.c
+++ b/programs/dispatchd/report.c
@@ -1,5 +1,6 @@
 #include "dispatchd.h"
 
+#include "base/plog.h"
 #include "programs.h"
 
 static json_t *report_endpoint(endpoint_t *e)
@@ -7,13 +8,13 @@
 	int64_t now = mclock_now_ms(e->d->clock);
 	unsigned limit = endpoint_limit(e);
 
-	return json_pack("{s:s, s:s, s:s, s:b, s:b, s:i, s:i, s:i, s:f}",
+	return json_pack("{s:s, s:s, s:s, s:b, s:b, s:b, s:i, s:i, s:i, s:f}",
 			 "name", e->name, "address", e->address, "pool",
-			 e->pool ? e->pool->name : "", "owned", e->owned,
-			 "warm", window_is_warm(&e->window, now), "limit",
-			 (int)limit, "in_flight", (int)e->window.in_flight,
-			 "cold_units", (int)e->usable_units,
-			 "median_first_token_ms",
+			 e->pool ? e->pool->name : "", "up", e->is_up, "owned",
+			 e->owned, "warm", window_is_warm(&e->window, now),
+			 "limit", (int)limit, "in_flight",
+			 (int)e->window.in_flight, "cold_units",
+			 (int)e->usable_units, "median_first_token_ms",
 			 e->window.median_first_token_ms);
 }
 
@@ -89,6 +90,7 @@
 {
 	programs_query_t *query = user;
 
+	plog_write(PLOG_DRAIN, "source=operator");
 	dispatchd_leave(query->daemon, "operator");
 	query->answer = json_pack("{s:b}", "leaving", 1);
 }
--- a/programs/entryd/status.c
+++ b/programs/entryd/status.c
@@ -1,5 +1,6 @@
 #include "entryd.h"
 
+#include "base/plog.h"
 #include "programs.h"
 
 static json_t *report_pools(const member_t *member)
@@ -81,6 +82,7 @@
 {
 	programs_query_t *query = user;
 
+	plog_write(PLOG_DRAIN, "source=operator");
 	entryd_leave(query->daemon, "operator");
 	query->answer = json_pack("{s:b}", "leaving", 1);
 }
--- a/programs/operators.c
+++ b/programs/operators.c
@@ -2,11 +2,35 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <time.h>
 
 #include "state/sheetcheck.h"
 
 #define ADMIN_THREADS 4
 
+/* Domains of the sheet in force with their states, plans included. */
+static json_t *report_domains(const store_t *store)
+{
+	static const char *const states[] = {"up", "leaving", "out"};
+	json_t *rows = json_array();
+	const sheet_t *sheet;
+
+	store_read_lock();
+	sheet = store_sheet(store);
+	for (size_t i = 0; sheet && i < sheet->domain_count; i++) {
+		const sheet_domain_t *row = &sheet->domains[i];
+		sheet_state_t state = sheet_domain_state(row, time(NULL));
+
+		json_array_append_new(
+			rows,
+			json_pack("{s:s%, s:s%, s:s}", "name", row->name.ptr,
+				  row->name.len, "region", row->region.ptr,
+				  row->region.len, "state", states[state]));
+	}
+	store_read_unlock();
+	return rows;
+}
+
 void programs_report_sheet(json_t *status, const store_t *store)
 {
 	uint8_t digest[SHEET_DIGEST_BYTES];
@@ -16,10 +40,11 @@
 	for (size_t i = 0; i < SHEET_DIGEST_BYTES; i++)
 		snprintf(hex + 2 * i, 3, "%02x", digest[i]);
 	json_object_update_new(status,
-			       json_pack("{s:I, s:s, s:I}", "sheet_version",
-					 (json_int_t)version, "sheet_digest",
-					 hex, "sheet_conflicts",
-					 (json_int_t)store_conflicts(store)));
+			       json_pack("{s:I, s:s, s:I, s:o}",
+					 "sheet_version", (json_int_t)version,
+					 "sheet_digest", hex, "sheet_conflicts",
+					 (json_int_t)store_conflicts(store),
+					 "domains", report_domains(store)));
 }
 
 static void answer_json(httpd_call_t *call, json_t *json)
--- /dev/null
+++ b/programs/peridotctl.c
@@ -0,0 +1,384 @@
+/*
+ * peridotctl - the operators' command line
+ *
+ * EXIT STATUS: 0 when all went well, 1 when a daemon refused or could not be
+ * reached, 2 for wrong arguments or a faulty file.
+ */
+#include "ctl/ctl.h"
+
+#include <argp.h>
+#include <curl/curl.h>
+#include <errno.h>
+#include <limits.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define MAX_FLEET_BYTES (1024UL * 1024)
+#define MAX_OPTIONS 12
+#define COMMAND_BYTES 64
+
+/* Groups of options; a command takes some of them. */
+#define TAKES_DAEMONS 1U
+#define TAKES_FLEET 2U
+#define TAKES_JSON 4U
+#define TAKES_WAIT 8U
+#define TAKES_ROLE 16U
+#define TAKES_OUT 32U
+#define TAKES_EDIT 64U
+#define TAKES_ANY_DAEMONS (TAKES_DAEMONS | TAKES_FLEET)
+
+enum option_key {
+	OPTION_DAEMON = 'd',
+	OPTION_FLEET = 'f',
+	OPTION_KEY_FILE = 'k',
+	OPTION_JSON = 'j',
+	OPTION_OUT = 'o',
+	OPTION_LIMIT = 256,
+	OPTION_WAIT_VERSION,
+	OPTION_TIMEOUT,
+	OPTION_ROLE,
+	OPTION_DOMAIN,
+	OPTION_ENDPOINT,
+	OPTION_STATE
+};
+
+typedef struct command {
+	const char *name;
+	const char *args_doc;
+	const char *doc;
+	unsigned takes;
+	size_t file_count;
+	int (*run)(const ctl_args_t *args);
+} command_t;
+
+typedef struct grouped_option {
+	unsigned group;
+	struct argp_option row;
+} grouped_option_t;
+
+typedef struct parse {
+	const command_t *command;
+	ctl_args_t *args;
+} parse_t;
+
+static const grouped_option_t options[] = {
+	{TAKES_DAEMONS,
+	 {"daemon", OPTION_DAEMON, "IP:PORT", 0,
+	  "Admin address of a daemon; may be given several times", 0}},
+	{TAKES_FLEET,
+	 {"fleet", OPTION_FLEET, "FILE", 0,
+	  "Admin addresses, one a line; # begins a comment", 0}},
+	{TAKES_DAEMONS,
+	 {"key-file", OPTION_KEY_FILE, "FILE", 0,
+	  "File whose first line is the operator key; default: the "
+	  "environment variable PERIDOT_OPERATOR_KEY",
+	  0}},
+	{TAKES_DAEMONS,
+	 {"limit", OPTION_LIMIT, "MS", 0,
+	  "Time limit for the answer of a daemon, 1 to 600000 ms; default "
+	  "3000",
+	  0}},
+	{TAKES_JSON, {"json", OPTION_JSON, NULL, 0, "Print JSON", 0}},
+	{TAKES_WAIT,
+	 {"wait-version", OPTION_WAIT_VERSION, "N", 0,
+	  "Wait until all daemons have version N or a later one", 0}},
+	{TAKES_WAIT,
+	 {"timeout", OPTION_TIMEOUT, "S", 0,
+	  "Time limit for --wait-version, 1 to 86400 s; default 30", 0}},
+	{TAKES_ROLE, {"role", OPTION_ROLE, "ROLE", 0, "entry or dispatch", 0}},
+	{TAKES_OUT, {"out", OPTION_OUT, "PATH", 0, "Where to write", 0}},
+	{TAKES_EDIT,
+	 {"domain", OPTION_DOMAIN, "NAME", 0, "Change this domain", 0}},
+	{TAKES_EDIT,
+	 {"endpoint", OPTION_ENDPOINT, "NAME", 0, "Change this endpoint", 0}},
+	{TAKES_EDIT,
+	 {"state", OPTION_STATE, "STATE", 0, "up, leaving or out", 0}},
+};
+
+static const command_t commands[] = {
+	{"check", "SHEET", "Report every fault of a sheet.", 0, 1,
+	 ctl_run_check},
+	{"check-settings", "FILE", "Report every fault of a settings file.",
+	 TAKES_ROLE, 1, ctl_run_check_settings},
+	{"diff", "OLD NEW", "Show what a new sheet changes.", 0, 2,
+	 ctl_run_diff},
+	{"pack", "SHEET", "Write the values for the platform, by key.",
+	 TAKES_OUT, 1, ctl_run_pack},
+	{"edit", "SHEET", "Change one state and raise the version.",
+	 TAKES_OUT | TAKES_EDIT, 1, ctl_run_edit},
+	{"push", "SHEET", "Hand a sheet to every daemon named.",
+	 TAKES_ANY_DAEMONS, 1, ctl_run_push},
+	{"status", "", "Show all daemons.",
+	 TAKES_ANY_DAEMONS | TAKES_JSON | TAKES_WAIT, 0, ctl_run_status},
+	{"endpoints", "", "Show the endpoints as each dispatcher sees them.",
+	 TAKES_ANY_DAEMONS | TAKES_JSON, 0, ctl_run_endpoints},
+	{"classes", "", "Show queue lengths by class and pool.",
+	 TAKES_ANY_DAEMONS | TAKES_JSON, 0, ctl_run_classes},
+	{"domains", "", "Show hosts, endpoints and load by domain.",
+	 TAKES_ANY_DAEMONS | TAKES_JSON, 0, ctl_run_domains},
+	{"metrics", "", "Print the metrics of each daemon.", TAKES_ANY_DAEMONS,
+	 0, ctl_run_metrics},
+	{"drain", "", "Let the daemons named refuse new work until they end.",
+	 TAKES_DAEMONS, 0, ctl_run_drain},
+};
+
+#define COMMAND_COUNT (sizeof(commands) / sizeof(*commands))
+#define OPTION_COUNT (sizeof(options) / sizeof(*options))
+
+static void add_daemon(struct argp_state *state, ctl_args_t *args, str_t text)
+{
+	if (!sheet_is_address(text))
+		argp_error(state, "%.*s is not an IP:PORT", STR_ARG(text));
+	if (args->daemon_count == CTL_MAX_DAEMONS)
+		argp_error(state, "more than %d daemons", CTL_MAX_DAEMONS);
+	for (size_t i = 0; i < args->daemon_count; i++)
+		if (str_equals(str_from(args->daemons[i]), text))
+			return;
+	args->daemons[args->daemon_count] = str_dup(text);
+	if (!args->daemons[args->daemon_count])
+		abort();
+	args->daemon_count++;
+}
+
+static bool is_blank(char c)
+{
+	return c == ' ' || c == '\t' || c == '\r';
+}
+
+static void read_fleet(struct argp_state *state, ctl_args_t *args,
+		       const char *path)
+{
+	buf_t text = BUF_INIT;
+	unsigned number = 0;
+	size_t at = 0;
+
+	if (!ctl_read_file(path, MAX_FLEET_BYTES, &text))
+		exit(CTL_EXIT_USAGE);
+	while (at < text.len) {
+		str_t line = {text.ptr + at, 0};
+
+		number++;
+		while (at < text.len && text.ptr[at] != '\n')
+			at++;
+		line.len = (size_t)(text.ptr + at - line.ptr);
+		at++;
+		for (size_t i = 0; i < line.len; i++)
+			if (line.ptr[i] == '#')
+				line.len = i;
+		while (line.len && is_blank(line.ptr[line.len - 1]))
+			line.len--;
+		while (line.len && is_blank(*line.ptr)) {
+			line.ptr++;
+			line.len--;
+		}
+		if (line.len && !sheet_is_address(line)) {
+			fprintf(stderr,
+				"%s:%u: daemon: expected IP:PORT, found "
+				"\"%" STR_FMT "\"\n",
+				path, number, STR_ARG(line));
+			exit(CTL_EXIT_USAGE);
+		}
+		if (line.len)
+			add_daemon(state, args, line);
+	}
+	buf_release(&text);
+}
+
+static int64_t parse_number(struct argp_state *state, const char *option,
+			    const char *text, int64_t max)
+{
+	char *end;
+	long long value;
+
+	errno = 0;
+	value = strtoll(text, &end, 10);
+	if (errno || end == text || *end || value < 1 || value > max)
+		argp_error(state, "--%s needs a number from 1 to %lld", option,
+			   (long long)max);
+	return value;
+}
+
+static void parse_role(struct argp_state *state, ctl_args_t *args,
+		       const char *value)
+{
+	args->has_role = true;
+	if (!strcmp(value, "entry"))
+		args->role = SETTINGS_ENTRY;
+	else if (!strcmp(value, "dispatch"))
+		args->role = SETTINGS_DISPATCH;
+	else
+		argp_error(state, "--role needs entry or dispatch");
+}
+
+static void parse_state(struct argp_state *state, ctl_args_t *args,
+			const char *value)
+{
+	args->state = value;
+	if (strcmp(value, "up") != 0 && strcmp(value, "leaving") != 0 &&
+	    strcmp(value, "out") != 0)
+		argp_error(state, "--state needs up, leaving or out");
+}
+
+static void check_complete(struct argp_state *state, const command_t *command,
+			   const ctl_args_t *args)
+{
+	if (args->file_count != command->file_count)
+		argp_error(state, "expected %s",
+			   *command->args_doc ? command->args_doc :
+						"no arguments");
+	if ((command->takes & TAKES_DAEMONS) && !args->daemon_count)
+		argp_error(state, "no daemon is named: use --daemon%s",
+			   command->takes & TAKES_FLEET ? " or --fleet" : "");
+	if ((command->takes & TAKES_ROLE) && !args->has_role)
+		argp_error(state, "--role is needed");
+	if ((command->takes & TAKES_OUT) && !args->out)
+		argp_error(state, "--out is needed");
+	if (!(command->takes & TAKES_EDIT))
+		return;
+	if (!args->domain == !args->endpoint)
+		argp_error(state, "one of --domain and --endpoint is needed");
+	if (!args->state)
+		argp_error(state, "--state is needed");
+}
+
+static error_t parse_option(int key, char *value, struct argp_state *state)
+{
+	parse_t *parse = state->input;
+	ctl_args_t *args = parse->args;
+
+	switch (key) {
+	case OPTION_DAEMON:
+		add_daemon(state, args, str_from(value));
+		return 0;
+	case OPTION_FLEET:
+		read_fleet(state, args, value);
+		return 0;
+	case OPTION_KEY_FILE:
+		args->key_file = value;
+		return 0;
+	case OPTION_LIMIT:
+		args->limit_ms = parse_number(state, "limit", value, 600000);
+		return 0;
+	case OPTION_JSON:
+		args->json = true;
+		return 0;
+	case OPTION_WAIT_VERSION:
+		args->wait_version =
+			parse_number(state, "wait-version", value, INT64_MAX);
+		return 0;
+	case OPTION_TIMEOUT:
+		args->wait_s = parse_number(state, "timeout", value, 86400);
+		return 0;
+	case OPTION_ROLE:
+		parse_role(state, args, value);
+		return 0;
+	case OPTION_OUT:
+		args->out = value;
+		return 0;
+	case OPTION_DOMAIN:
+		args->domain = value;
+		return 0;
+	case OPTION_ENDPOINT:
+		args->endpoint = value;
+		return 0;
+	case OPTION_STATE:
+		parse_state(state, args, value);
+		return 0;
+	case ARGP_KEY_ARG:
+		if (args->file_count == parse->command->file_count)
+			argp_error(state, "unexpected argument %s", value);
+		else
+			args->files[args->file_count++] = value;
+		return 0;
+	case ARGP_KEY_END:
+		check_complete(state, parse->command, args);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static int run_command(const command_t *command, int argc, char **argv)
+{
+	static ctl_args_t args = {.limit_ms = CTL_DEFAULT_LIMIT_MS,
+				  .wait_s = CTL_DEFAULT_WAIT_S};
+	struct argp_option rows[MAX_OPTIONS + 1] = {{0}};
+	parse_t parse = {command, &args};
+	struct argp argp = {.options = rows,
+			    .parser = parse_option,
+			    .args_doc = command->args_doc,
+			    .doc = command->doc};
+	char name[COMMAND_BYTES];
+	size_t count = 0;
+	int status;
+
+	for (size_t i = 0; i < OPTION_COUNT; i++)
+		if (options[i].group & command->takes)
+			rows[count++] = options[i].row;
+	snprintf(name, sizeof(name), "peridotctl %s", command->name);
+	argv[0] = name;
+	argp_parse(&argp, argc, argv, 0, NULL, &parse);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	status = command->run(&args);
+	curl_global_cleanup();
+	for (size_t i = 0; i < args.daemon_count; i++)
+		free(args.daemons[i]);
+	/* A full disk or a closed pipe must not look like success. */
+	if (fflush(stdout) || ferror(stdout)) {
+		fprintf(stderr, "peridotctl: cannot write the output\n");
+		status = CTL_EXIT_USAGE;
+	}
+	return status;
+}
+
+static error_t parse_command(int key, char *value, struct argp_state *state)
+{
+	int *first = state->input;
+
+	switch (key) {
+	case ARGP_KEY_ARG:
+		for (size_t i = 0; i < COMMAND_COUNT; i++) {
+			if (strcmp(commands[i].name, value) != 0)
+				continue;
+			*first = state->next - 1;
+			state->next = state->argc;
+			return 0;
+		}
+		argp_error(state, "unknown command %s", value);
+		return 0;
+	case ARGP_KEY_NO_ARGS:
+		argp_error(state, "a command is needed");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+int main(int argc, char **argv)
+{
+	buf_t doc = BUF_INIT;
+	struct argp argp = {.parser = parse_command,
+			    .args_doc = "COMMAND [OPTION...]"};
+	const command_t *command = commands;
+	int first = 1;
+
+	signal(SIGPIPE, SIG_IGN);
+	buf_printf(&doc, "Checks sheets and runs a fleet of peridotpin daemons."
+			 "\vCommands:\n");
+	for (size_t i = 0; i < COMMAND_COUNT; i++)
+		buf_printf(&doc, "  %-15s %s\n", commands[i].name,
+			   commands[i].doc);
+	buf_printf(&doc, "\nEach command has its own --help.\n\n"
+			 "Exit status: 0 when all went well, 1 when a daemon "
+			 "refused or could not be reached, 2 for wrong "
+			 "arguments or a faulty file.\n");
+	buf_append(&doc, "", 1);
+	argp.doc = doc.ptr;
+	argp_err_exit_status = CTL_EXIT_USAGE;
+	argp_parse(&argp, argc, argv, ARGP_IN_ORDER, NULL, &first);
+	buf_release(&doc);
+	while (strcmp(command->name, argv[first]) != 0)
+		command++;
+	return run_command(command, argc - first, argv + first);
+}
--- a/programs/programs.h
+++ b/programs/programs.h
@@ -60,7 +60,8 @@
 /* Checks a sheet in TOML and puts it in force: 200, 409 or 422. */
 void programs_take_sheet(httpd_call_t *call, confsync_t *confsync, str_t body);
 
-/* Adds sheet_version, sheet_digest and sheet_conflicts. */
+/* Adds sheet_version, sheet_digest, sheet_conflicts and the domains with their
+ * states. Call on a thread that is registered with the store. */
 void programs_report_sheet(json_t *status, const store_t *store);
 
 #endif
--- /dev/null
+++ b/tests/session/test_ctl.sh
@@ -0,0 +1,249 @@
+#!/bin/bash
+# peridotctl on files and on a small fleet, against golden output. Guards
+# against wrong exit statuses, against an edit that touches more than one state,
+# and against a table that hides a daemon which lags, conflicts or is silent.
+build=$1
+golden=$(cd "$(dirname "$0")" && pwd)/golden
+. "$(dirname "$0")/lib.sh"
+. "$(dirname "$0")/fleet.sh"
+unset PERIDOT_OPERATOR_KEY
+export LC_ALL=C
+
+# show ARGUMENT...: runs peridotctl and prints the command, its output and its
+# exit status without what differs from run to run.
+show()
+{
+	local status
+	echo "\$ peridotctl $*" | normalize
+	(cd "$work" && "$ctl" "$@") >"$work/show.out" 2>&1
+	status=$?
+	normalize <"$work/show.out"
+	echo "exit status $status"
+	echo
+}
+
+# Replaces the loopback network, digests and uptimes, and the blanks that follow
+# from their widths.
+normalize()
+{
+	sed -E "s/$net\./NET./g
+		s/^(.* (dispatch|entry) .* [0-9]+ +)[0-9a-f]{8} /\1DIGEST /
+		s/^(.* (dispatch|entry) .* (yes|no) +[0-9]+ +)[0-9]+ /\1UPTIME /
+		s/ +/ /g; s/ \$//"
+}
+
+status_is()
+{
+	local wanted=$1
+	shift
+	(cd "$work" && "$ctl" "$@") >"$work/status.out" 2>&1
+	test $? -eq "$wanted"
+}
+
+ctl=$(cd "$build" && pwd)/peridotctl
+endpoint_domain=([engine-1]=north [engine-2]=south [service-1]=north)
+endpoint_kind=([engine-1]=model [engine-2]=model [service-1]=service)
+endpoint_address=([engine-1]=127.0.0.1:9 [engine-2]=127.0.0.2:9
+	[service-1]=127.0.0.3:9)
+hosts_per_domain=1
+write_sheet "$work/sheet.toml"
+
+# Files: every fault is shown, with its line.
+sed 's/^tier = 4/tier = 9/; s/domain = "south"/domain = "east"/
+	s/^weight = 4/wait = 4/' "$work/sheet.toml" >"$work/faulty.toml"
+echo 'version = ' >"$work/broken.toml"
+write_settings entry north 1 "$work/entry.toml"
+write_settings dispatch north 1 "$work/dispatch.toml"
+
+# A second sheet with a change in each kind of entry.
+sed 's/^version = 1/version = 5/; s/timeout_ms = 8000/timeout_ms = 9000/
+	s/"127.0.0.2:9"/"127.0.0.4:9"/; s/name = "counter"/name = "till"/
+	s/max_in_flight = 200/max_in_flight = 300/' "$work/sheet.toml" \
+	>"$work/changed.toml"
+sed 's/^version = 5/version = 1/' "$work/changed.toml" >"$work/same.toml"
+sed 's/^version = 1/version = 2/; s/{host = "north-1"/{host = "north-9"/' \
+	"$work/sheet.toml" >"$work/cold.toml"
+sed 's/^cold_hosts_since = 2026-01/cold_hosts_since = 2026-02/' \
+	"$work/cold.toml" >"$work/cold-later.toml"
+
+# Sheets in which the place of the state is not plain.
+sed '/^state = /d' "$work/sheet.toml" >"$work/stateless.toml"
+sed 's/^version = 1/"version" = 1/' "$work/sheet.toml" >"$work/quoted.toml"
+sed 's/^version = 1/version = 0x1/' "$work/sheet.toml" >"$work/hex.toml"
+sed "s/^state = \"up\"/state = 'up'/" "$work/sheet.toml" >"$work/literal.toml"
+{
+	echo 'version = 7 # raised by hand'
+	echo 'domain = [{name = "north", region = "r", state = "up"}]'
+	printf '[[class]]\nname = "c"\ntier = 0\n'
+	printf 'first_token_ms = 1\ntimeout_ms = 1\n'
+} >"$work/inline.toml"
+{
+	printf 'version = 7 # state = "up"\r\n'
+	printf '[[domain]] # state = "up"\r\nregion = "r"\r\n'
+	printf '  name = "north" # the first\r\n'
+	printf '[[domain]]\r\nname="south"\r\nstate="leaving"# note\r\n'
+	printf 'region="r"\r\n[[class]]\r\nname = "c"\r\ntier = 0\r\n'
+	printf 'first_token_ms = 1\r\ntimeout_ms = 1'
+} >"$work/crlf.toml"
+
+{
+	show --version
+	show
+	show steer
+	show check
+	show check sheet.toml
+	show check faulty.toml
+	show check broken.toml
+	show check missing.toml
+	show check-settings entry.toml
+	show check-settings --role entry entry.toml
+	show check-settings --role entry dispatch.toml
+	show check-settings --role dispatch dispatch.toml
+	show diff sheet.toml sheet.toml
+	show diff sheet.toml changed.toml
+	show diff changed.toml sheet.toml
+	show diff sheet.toml same.toml
+	show diff sheet.toml cold.toml
+	show diff sheet.toml cold-later.toml
+	show diff sheet.toml faulty.toml
+	show edit sheet.toml --domain north --state out --out edited.toml
+	show edit sheet.toml --endpoint engine-2 --state leaving \
+		--out edited-endpoint.toml
+	show edit stateless.toml --domain south --state out \
+		--out edited-stateless.toml
+	show edit crlf.toml --domain north --state out --out edited-crlf.toml
+	show edit crlf.toml --domain south --state out --out edited-note.toml
+	for file in quoted hex literal inline
+	do
+		show edit $file.toml --domain north --state out \
+			--out refused.toml
+	done
+	show edit sheet.toml --domain east --state out --out refused.toml
+	show edit sheet.toml --domain north --state up --out refused.toml
+	show edit sheet.toml --domain north --endpoint engine-1 --state out \
+		--out refused.toml
+	show edit sheet.toml --domain north --state away --out refused.toml
+	show edit faulty.toml --domain north --state out --out refused.toml
+	show pack faulty.toml --out refused
+	show pack sheet.toml
+	show status
+	show status --daemon localhost:7101
+	echo "# a comment" >"$work/none.txt"
+	show status --fleet none.txt
+	printf '127.0.0.1:7101\nhost-1\n' >"$work/wrong.txt"
+	show status --fleet wrong.txt
+	show status --daemon 127.0.0.1:7101
+	show drain --fleet wrong.txt
+} >"$work/files.txt"
+compare_golden "commands on files" "$golden/ctl-files.txt" "$work/files.txt"
+
+for name in edited edited-endpoint
+do
+	diff "$work/sheet.toml" "$work/$name.toml"
+done >"$work/edits.txt"
+diff "$work/stateless.toml" "$work/edited-stateless.toml" >>"$work/edits.txt"
+for name in edited-crlf edited-note
+do
+	diff "$work/crlf.toml" "$work/$name.toml" | cat -A
+done >>"$work/edits.txt"
+compare_golden "what an edit changes" "$golden/ctl-edits.txt" \
+	"$work/edits.txt"
+pass_or_fail "a refused edit writes nothing" test ! -e "$work/refused.toml"
+pass_or_fail "a refused pack writes nothing" test ! -e "$work/refused"
+
+# The values for the platform.
+pass_or_fail "pack" status_is 0 pack sheet.toml --out first
+pass_or_fail "pack again" status_is 0 pack sheet.toml --out again
+pass_or_fail "the same sheet has the same values" \
+	diff -r "$work/first" "$work/again"
+for file in "$work"/first/sheet/node/*
+do
+	test "$(sha256sum <"$file")" = "$(basename "$file")  -" || echo "$file"
+done >"$work/misnamed"
+expect_equal "values whose key is not their digest" "" "$(cat "$work/misnamed")"
+sed 's/^version = 1/version = 2/; s/^weight = 4/weight = 5/' \
+	"$work/sheet.toml" >"$work/weight.toml"
+pass_or_fail "pack a change" status_is 0 pack weight.toml --out second
+expect_equal "new nodes after a change of one customer" 2 \
+	"$(diff -rq "$work/first/sheet/node" "$work/second/sheet/node" |
+		grep -c "^Only in $work/second")"
+
+# A fleet: north with two daemons, and one in south that knows none of them.
+domains=(north)
+start_dispatchd north 1
+start_entryd north 1
+domains=(south)
+start_dispatchd south 1
+domains=(north south)
+north=${control[dispatchd-north-1]}
+entry=${control[entryd-north-1]}
+south=${control[dispatchd-south-1]}
+silent=$net.99:7101
+printf '%s # dispatcher\n\n  # entry\n%s\n%s\n%s\n' "$north" "$entry" "$south" \
+	"$north" >"$work/fleet.txt"
+echo "$operator_key" >"$work/key"
+echo "wrong" >"$work/wrong-key"
+sed 's/^version = 1/version = 2/' "$work/sheet.toml" >"$work/two.toml"
+sed 's/max_in_flight = 200/max_in_flight = 300/' "$work/two.toml" \
+	>"$work/two-other.toml"
+fleet=(--fleet fleet.txt --key-file key)
+{
+	show status "${fleet[@]}"
+	show push sheet.toml "${fleet[@]}"
+	show push sheet.toml "${fleet[@]}"
+	show status "${fleet[@]}" --wait-version 1
+	show domains "${fleet[@]}"
+	show endpoints "${fleet[@]}"
+	show classes "${fleet[@]}"
+	show status --fleet fleet.txt --key-file wrong-key
+	show push two.toml --fleet fleet.txt --key-file wrong-key
+	show status --daemon "$silent" "${fleet[@]}"
+	show push two.toml --key-file key --daemon "$silent" --daemon "$north"
+	show status --daemon "$north" --daemon "$entry" --key-file key \
+		--wait-version 2 --timeout 10
+	show status "${fleet[@]}" --wait-version 2 --timeout 1
+	show push two-other.toml "${fleet[@]}"
+	show status "${fleet[@]}"
+	show push sheet.toml --daemon "$north" --key-file key
+	show push faulty.toml --daemon "$north" --key-file key
+	sed 's/^version = 2/version = 3/' "$work/cold.toml" >"$work/three.toml"
+	show push three.toml --daemon "$north" --key-file key
+	show drain --daemon "$south" --key-file key
+	show status --daemon "$south" --key-file key
+} >"$work/fleet.out"
+compare_golden "commands on a fleet" "$golden/ctl-fleet.txt" "$work/fleet.out"
+
+# A paused daemon holds nothing up but itself.
+kill -STOP "${pid[dispatchd-south-1]}"
+began=$(date +%s%N)
+show status "${fleet[@]}" --limit 500 >"$work/paused.out"
+took=$((($(date +%s%N) - began) / 1000000))
+kill -CONT "${pid[dispatchd-south-1]}"
+pass_or_fail "a paused daemon is shown with the reason" \
+	grep -q "^$(echo "$south" | normalize) .* unreachable: no answer within 500 ms" \
+	"$work/paused.out"
+pass_or_fail "the others are shown" grep -q 'NET.11:7081 north-1 entry' \
+	"$work/paused.out"
+pass_or_fail "exit status with a paused daemon" \
+	grep -q '^exit status 1' "$work/paused.out"
+pass_or_fail "the table came within 3 s ($took ms)" test $took -lt 3000
+
+export PERIDOT_OPERATOR_KEY=$operator_key
+pass_or_fail "the key comes from the environment" \
+	status_is 0 status --daemon "$north"
+pass_or_fail "status as JSON" status_is 0 status --json --daemon "$north"
+pass_or_fail "JSON holds the daemon's status" \
+	grep -q '"sheet_version": 2' "$work/status.out"
+pass_or_fail "domains as JSON" status_is 0 domains --json --daemon "$north"
+pass_or_fail "JSON holds the domain" \
+	grep -q '"domain": "north"' "$work/status.out"
+pass_or_fail "metrics" status_is 0 metrics --daemon "$north"
+pass_or_fail "metrics count the conflict" \
+	grep -q '^peridot_sheet_conflicts_total 1$' "$work/status.out"
+
+for name in entryd-north-1 dispatchd-north-1 dispatchd-south-1
+do
+	stop_program "$name"
+	expect_equal "exit status of $name" 0 $?
+done
+finish
