State a time to retry when a drained dispatcher refuses a ticketed call

Cause: a leaving dispatcher refuses with a retry time of 0, which tells the entry daemon to try elsewhere at once. A ticketed call can't go elsewhere, so its caller got 503 "not run" without Retry-After; section 6.4 of the design promises at least 1 s.

Change: the entry daemon raises the time of a final 429 or 503 to 1 s. test_drain.sh drains both daemons with peridotctl and checks the answers.

--- a/programs/entryd/route.c
+++ b/programs/entryd/route.c
@@ -57,6 +57,11 @@
 		ending->outcome = MSG_UNKNOWN;
 		ending->http_status = 504;
 	}
+	/* A dispatcher that leaves states no time, and a ticketed call can't be
+	 * tried elsewhere; its caller needs a time to retry nevertheless. */
+	if ((ending->http_status == 429 || ending->http_status == 503) &&
+	    ending->retry_after_ms < DEFAULT_RETRY_AFTER_MS)
+		ending->retry_after_ms = DEFAULT_RETRY_AFTER_MS;
 	str_copy(ending->step, sizeof(ending->step), verdict->step);
 	str_copy(ending->peer, sizeof(ending->peer), verdict->peer);
 	str_copy(ending->message, sizeof(ending->message), verdict->message);
