Check a plan's note and swapped servers in the ctl session

Two answers of peridotctl had no test: the note that a plan overrides the state that "edit" sets, and the warning of "diff" for servers that swap names, which the daemons refuse without a later cold_hosts_since.

--- a/tests/session/test_ctl.sh
+++ b/tests/session/test_ctl.sh
@@ -74,6 +74,12 @@
 sed 's/^cold_hosts_since = 2026-01/cold_hosts_since = 2026-02/' \
 	"$work/cold.toml" >"$work/cold-later.toml"
 
+# A sheet whose plan overrides the state, and one whose servers swap names.
+sed '/^name = "north"/a plan = [{state = "out", from = 2020-01-01T00:00:00Z, until = 2099-01-01T00:00:00Z}]' \
+	"$work/sheet.toml" >"$work/planned.toml"
+sed 's/^version = 1/version = 2/; s/"engine-1"/"engine-9"/
+	s/"engine-2"/"engine-1"/; s/"engine-9"/"engine-2"/' "$work/sheet.toml" >"$work/moved.toml"
+
 # Sheets in which the place of the state is not plain.
 sed '/^state = /d' "$work/sheet.toml" >"$work/stateless.toml"
 sed 's/^version = 1/"version" = 1/' "$work/sheet.toml" >"$work/quoted.toml"
@@ -113,6 +119,7 @@
 	show diff sheet.toml same.toml
 	show diff sheet.toml cold.toml
 	show diff sheet.toml cold-later.toml
+	show diff sheet.toml moved.toml
 	show diff sheet.toml faulty.toml
 	show edit sheet.toml --domain north --state out --out edited.toml
 	show edit sheet.toml --endpoint engine-2 --state leaving \
@@ -121,6 +128,8 @@
 		--out edited-stateless.toml
 	show edit crlf.toml --domain north --state out --out edited-crlf.toml
 	show edit crlf.toml --domain south --state out --out edited-note.toml
+	show edit planned.toml --domain north --state leaving \
+		--out edited-planned.toml
 	for file in quoted hex literal inline
 	do
 		show edit $file.toml --domain north --state out \
