--- a/lib/coordination/peers.c
+++ b/lib/coordination/peers.c
@@ -46,6 +46,12 @@
 	return code;
 }
 
+void peers_count_invalid(const err_t *err)
+{
+	if (err->code == ERR_INVALID || err->code == ERR_TOO_LARGE)
+		metrics_add(METRIC_INVALID_INPUT, STR_LIT("peers"), 1);
+}
+
 static void send_hello(peers_t *peers, link_t *link)
 {
 	msg_t msg = {.kind = MSG_HELLO};
@@ -118,7 +124,6 @@
 		plog_write(PLOG_MESSAGE_INVALID,
 			   "peer=%s step=\"%s\" message=\"%s\"",
 			   link_peer(link), err.step, err.message);
-		metrics_add(METRIC_INVALID_INPUT, STR_LIT("peers"), 1);
 		return -1;
 	}
 	if (msg.kind == MSG_STATUS) {
@@ -136,6 +141,7 @@
 {
 	peer_t *peer = link_user(link);
 
+	peers_count_invalid(err);
 	/* A member that stays away is logged when it falls silent. */
 	if (peer->was_live)
 		plog_write(PLOG_LINK_DOWN, "peer=%s step=\"%s\" message=\"%s\"",
--- a/lib/coordination/peers.h
+++ b/lib/coordination/peers.h
@@ -68,6 +68,10 @@
 /* Encodes and sends on any link; counts control bytes for small messages. */
 err_code_t peers_send_on(link_t *link, const msg_t *msg);
 
+/* Counts a link that ended because of a malformed, oversized or truncated
+ * frame; `err` is that of the link's on_down. */
+void peers_count_invalid(const err_t *err);
+
 /* Fills the member list of a STATUS, other members of the own domain first,
  * a different part of a long list each time. */
 void peers_fill_members(peers_t *peers, msg_status_t *status);
--- a/lib/transport/httpd.c
+++ b/lib/transport/httpd.c
@@ -13,6 +13,7 @@
 
 #include "base/mclock.h"
 #include "base/metrics.h"
+#include "base/plog.h"
 
 /* Connections that wait for a worker; CivetWeb's default of 20 is below one
  * burst of callers. */
@@ -254,6 +255,15 @@
 	return call.status;
 }
 
+static void report_invalid(const httpd_call_t *call, const char *step,
+			   const char *message)
+{
+	metrics_add(METRIC_INVALID_INPUT, str_from(call->httpd->interface), 1);
+	plog_write(PLOG_REQUEST_INVALID,
+		   "peer=%s interface=%s step=\"%s\" message=\"%s\"",
+		   call->peer, call->httpd->interface, step, message);
+}
+
 /* Errors that CivetWeb finds before the handler, such as a malformed head. */
 static int handle_error(struct mg_connection *conn, int status,
 			const char *message)
@@ -261,7 +271,7 @@
 	httpd_call_t call;
 
 	init_call(&call, conn);
-	metrics_add(METRIC_INVALID_INPUT, str_from(call.httpd->interface), 1);
+	report_invalid(&call, "http", message);
 	httpd_answer_error(&call,
 			   &(httpd_error_t){status, "not-run", "http",
 					    call.peer, str_from(message), 0});
@@ -335,7 +345,7 @@
 static err_code_t refuse_body(const httpd_call_t *call, err_t *err,
 			      err_code_t code, const char *message)
 {
-	metrics_add(METRIC_INVALID_INPUT, str_from(call->httpd->interface), 1);
+	report_invalid(call, "body", message);
 	return err_set(err, code, "body", call->peer, "%s", message);
 }
 
--- a/lib/transport/link.c
+++ b/lib/transport/link.c
@@ -213,6 +213,11 @@
 	got = recv(link->fd, link->in.ptr + link->in.len, LINK_READ_BYTES, 0);
 	if (got < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
+	if (!got && link->in.len) {
+		fail(link, ERR_INVALID, "read frame",
+		     "closed in the middle of a frame");
+		return;
+	}
 	if (got <= 0) {
 		fail(link, ERR_IO, "read",
 		     got ? strerror(errno) : "closed by the peer");
--- a/programs/dispatchd/client.c
+++ b/programs/dispatchd/client.c
@@ -150,14 +150,12 @@
 	if (!msg_decode(frame, &msg, &err) &&
 	    (client->greeted || msg.kind == MSG_HELLO))
 		result = take_message(client, &msg);
-	if (result) {
-		metrics_add(METRIC_INVALID_INPUT, STR_LIT("peers"), 1);
+	if (result)
 		plog_write(PLOG_MESSAGE_INVALID,
 			   "peer=%s step=\"%s\" message=\"%s\"",
 			   link_peer(link),
 			   err.code ? err.step : "read message",
 			   err.code ? err.message : "unexpected kind");
-	}
 	return result;
 }
 
@@ -165,6 +163,7 @@
 {
 	client_t *client = link_user(link);
 
+	peers_count_invalid(err);
 	plog_write(PLOG_LINK_DOWN, "peer=%s host=%s step=\"%s\" message=\"%s\"",
 		   link_peer(link), client->host, err->step, err->message);
 	drop_client(client);
@@ -205,6 +204,11 @@
 		next = client->next;
 		if (client->link && !client->greeted &&
 		    now - client->accepted_ms > GREETING_TIMEOUT_MS) {
+			metrics_add(METRIC_INVALID_INPUT, STR_LIT("peers"), 1);
+			plog_write(PLOG_MESSAGE_INVALID,
+				   "peer=%s step=\"greet\" message=\"no HELLO "
+				   "in time\"",
+				   link_peer(client->link));
 			link_close(client->link);
 			client->link = NULL;
 		}
