--- a/programs/entryd/route.c
+++ b/programs/entryd/route.c
@@ -602,8 +602,12 @@
 		route(x, 0);
 		return;
 	}
-	if (x->next_offset)
+	/* A dispatcher that refused to run the request may still resume it. */
+	if (x->next_offset) {
 		lost.outcome = MSG_FAILED;
+		x->tried_count = 0;
+		mark_tried(x, member);
+	}
 	retry_or_finish(x, &lost, x->repeatable);
 }
 
