Add open-loop load tool

Cause: attainment, goodput and wasted work by class could not be measured, and a closed loop would hide delay by sending less when the router is slow.

Ruled out: timing from the moment of the send, which leaves the tool's own delay out; it is reported beside the result instead (late99). Floats in scenarios: the TOML interface has no getter for them, so rates are per minute and the spread is in percent. gnuplot: a package and a second process for a few polylines.

Change: peridot-load reads a TOML scenario, draws all requests from fixed seeds before the run (GSL), sends them with libcurl multi to loopback only and verifies each answer whole. The link line of each program now expands LDLIBS when it links, so that only peridot-load links GSL.

Before: no load tool.

--- a/Makefile
+++ b/Makefile
@@ -62,10 +62,12 @@
 $(BUILD)/$(1): $(BUILD)/programs/$(1).o \
 	$(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/$(patsubst peridot-%,%,$(1))/*.c)) \
 	$(PROGRAM_COMMON:%.c=$(BUILD)/%.o) $(LIB)
-	$(CC) $(LDFLAGS) -o $$@ $$^ $(LDLIBS)
+	$(CC) $(LDFLAGS) -o $$@ $$^ $$(LDLIBS)
 endef
 $(foreach name,$(PROGRAM_C:programs/%.c=%),$(eval $(call PROGRAM_RULE,$(name))))
 
+$(BUILD)/peridot-load: LDLIBS += -lgsl -lgslcblas
+
 $(BUILD)/standins/%: $(BUILD)/tests/standins/%.o \
 	$(STANDIN_PARTS:%.c=$(BUILD)/%.o) $(LIB)
 	@mkdir -p $(@D)
