Measure the cost of daemons with real processes

Cause: the figures of the design page for control messages, memory and decisions were estimates.

Ruled out: reading counters of a single daemon, whose load depends on how many peers chose it; figures are means over all daemons of a role.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 UNIT_C := $(wildcard tests/unit/test_*.c)
 UNITS := $(UNIT_C:tests/unit/%.c=$(BUILD)/unit/%)
 BENCH_C := $(wildcard tests/bench/bench_*.c)
+BENCH_TOOLS := $(BUILD)/bench/publish_sheet
 BENCHES := $(BENCH_C:tests/bench/%.c=$(BUILD)/bench/%)
 UNIT_PARTS := $(filter-out $(UNIT_C),$(wildcard tests/unit/*.c))
 
@@ -41,7 +42,7 @@
 
 .PHONY: all check bench demo format format-check lint clean deps programs
 
-all: programs $(STANDINS) $(UNITS) $(BENCHES)
+all: programs $(STANDINS) $(UNITS) $(BENCHES) $(BENCH_TOOLS)
 
 programs: $(PROGRAMS)
 
--- /dev/null
+++ b/scripts/measure-capacity.sh
@@ -0,0 +1,356 @@
+#!/bin/bash
+# Usage: measure-capacity.sh BUILD_DIR idle DAEMONS... | memory CUSTOMERS... |
+#	change HOSTS CUSTOMERS | path SEEDS... | tokens PER_SECOND...
+# Measures the cost of daemons for docs/CAPACITY.md with real processes on
+# loopback, and prints one line for each point.
+set -u
+build=$1
+what=$2
+shift 2
+root=$(cd "$(dirname "$0")/.." && pwd)
+# shellcheck source=/dev/null
+. "$root/scripts/fleet-lib.sh"
+ticks_per_s=$(getconf CLK_TCK)
+domain_count=${DOMAINS:-2}
+window_s=${WINDOW_S:-10}
+settle_s=${SETTLE_S:-6}
+
+# write_sheet FILE VERSION CUSTOMERS WEIGHT: WEIGHT is that of one customer.
+write_sheet()
+{
+	local d
+	{
+		echo "version = $2"
+		for d in $(seq "$domain_count")
+		do
+			printf '[[domain]]\nname = "d%s"\nregion = "r%s"\n' \
+				"$d" $((d % 2))
+		done
+		cat <<-END
+		[[class]]
+		name = "chat"
+		tier = 1
+		first_token_ms = 1000
+		between_tokens_ms = 44
+		timeout_ms = 30000
+		expected_tokens = 20
+		max_tokens = 4096
+		max_queue = 10000
+		[[model]]
+		name = "bear"
+		END
+		for d in $(seq "$domain_count")
+		do
+			printf '[[endpoint]]\nname = "engine-%s"\n' "$d"
+			printf 'domain = "d%s"\nmodel = "bear"\n' "$d"
+			printf 'address = "%s"\n' "${address[engine-$d]}"
+			printf 'cold_limit = 1\nmax_in_flight = %s\n' \
+				"${max_in_flight:-64}"
+		done
+		awk -v n="$3" -v w="$4" 'BEGIN { for (i = 1; i <= n; i++)
+			printf "[[customer]]\nname = \"customer-%06d\"\n" \
+				"key_sha256 = \"%064x\"\nweight = %d\n" \
+				"max_in_flight = 64\nclasses = [\"chat\"]\n",
+				i, i, i == 1 ? w : 1 }'
+		printf '[[customer]]\nname = "desk"\nkey_sha256 = "%s"\n' \
+			"$(key_digest test-customer)"
+		echo 'max_in_flight = 10000'
+		echo 'classes = ["chat"]'
+	} >"$1"
+}
+
+start_engines()
+{
+	local d
+	for d in $(seq "$domain_count")
+	do
+		start_program "engine-$d" "$build/standins/fake-engine" "$@"
+	done
+}
+
+# start_hosts COUNT: hosts spread evenly over the domains; sets "hosts".
+start_hosts()
+{
+	local i d seeds=
+	hosts=()
+	for d in $(seq "$domain_count")
+	do
+		seeds+="${seeds:+, }\"$net.$d:7100\""
+	done
+	for i in $(seq "$1")
+	do
+		d=$(((i - 1) % domain_count + 1))
+		start_host "h$i" "d$d" "$net.$i" "$seeds" || return 1
+		hosts+=("h$i")
+	done
+}
+
+stop_fleet()
+{
+	local name
+	for name in "${!pid[@]}"
+	do
+		kill -KILL "${pid[$name]}"
+	done 2>"$work/kill.err"
+	wait 2>"$work/wait.err"
+	pid=()
+}
+
+# sum_over ROLE COMMAND...: the sum of a figure over the daemons of a role.
+sum_over()
+{
+	local role=$1 host sum=0 value
+	shift
+	for host in "${hosts[@]}"
+	do
+		value=$("$1" "$role-$host" "${@:2}")
+		sum=$((sum + value))
+	done
+	echo "$sum"
+}
+
+measure_idle()
+{
+	local daemons=$1 role start end
+	declare -A before_cpu before_sent before_received
+	start_engines
+	write_sheet "$work/sheet.toml" 1 10 1
+	sheet_file=$work/sheet.toml
+	start_hosts $((daemons / 2)) || return 1
+	sleep "$settle_s"
+	for role in dispatchd entryd
+	do
+		before_sent[$role]=$(sum_over $role metric \
+			peridot_control_bytes_sent_total)
+		before_received[$role]=$(sum_over $role metric \
+			peridot_control_bytes_received_total)
+		before_cpu[$role]=$(sum_over $role cpu_ticks)
+	done
+	start=$EPOCHREALTIME
+	sleep "$window_s"
+	end=$EPOCHREALTIME
+	for role in dispatchd entryd
+	do
+		printf '%s\n' "$role ${#hosts[@]} ${before_cpu[$role]} \
+$(sum_over $role cpu_ticks) ${before_sent[$role]} \
+$(sum_over $role metric peridot_control_bytes_sent_total) \
+${before_received[$role]} \
+$(sum_over $role metric peridot_control_bytes_received_total) \
+$(sum_over $role memory_kib) $start $end"
+	done | awk -v hz="$ticks_per_s" -v n="$daemons" '{
+		s = $11 - $10
+		printf "idle N=%d %s: cpu %.3f%% of a core, sent %.0f B/s, " \
+			"received %.0f B/s, memory %.1f MiB\n", n, $1,
+			($4 - $3) / hz / s / $2 * 100, ($6 - $5) / s / $2,
+			($8 - $7) / s / $2, $9 / $2 / 1024 }'
+	stop_fleet
+}
+
+measure_memory()
+{
+	start_engines
+	write_sheet "$work/sheet.toml" 1 "$1" 1
+	sheet_file=$work/sheet.toml
+	start_hosts 1 || return 1
+	sleep 2
+	for role in dispatchd entryd
+	do
+		echo "memory customers=$1 $role: $(memory_kib $role-h1) KiB"
+	done
+	stop_fleet
+}
+
+all_have_version()
+{
+	local host
+	for host in "${hosts[@]}"
+	do
+		has_version "dispatchd-$host" "$1" || return 1
+		has_version "entryd-$host" "$1" || return 1
+	done
+}
+
+report_change()
+{
+	local role
+	for role in dispatchd entryd
+	do
+		echo "$role $(sum_over $role metric \
+			peridot_platform_reads_total) $(sum_over $role metric \
+			peridot_platform_bytes_total) $(sum_over $role cpu_ticks)"
+	done
+}
+
+measure_change()
+{
+	local count=$1 customers=$2 start end publish
+	publish=$build/bench/publish_sheet
+	start_engines
+	start_program platform "$build/standins/fake-platform" --threads=512
+	platform=${address[platform]}
+	write_sheet "$work/one.toml" 1 "$customers" 1
+	write_sheet "$work/two.toml" 2 "$customers" 2
+	"$publish" "${control[platform]}" "$work/one.toml" || return 1
+	start_hosts "$count" || return 1
+	wait_until 60 all_have_version 1 || return 1
+	sleep 3
+	report_change >"$work/before"
+	start=$EPOCHREALTIME
+	sleep "$window_s"
+	report_change >"$work/idle"
+	end=$EPOCHREALTIME
+	paste -d' ' "$work/before" "$work/idle" |
+		awk -v s="$(echo "$end - $start" | bc -l)" -v n="$count" '{
+		printf "waiting: %s %.2f reads/s each\n", $1, ($6 - $2) / s / n }'
+	start=$EPOCHREALTIME
+	"$publish" "${control[platform]}" "$work/two.toml" "$work/one.toml"
+	end=$EPOCHREALTIME
+	echo "publish took $(echo "$end - $start" | bc -l) s"
+	wait_until 60 all_have_version 2 || return 1
+	echo "in force on $((2 * count)) daemons within" \
+		"$(echo "$EPOCHREALTIME - $end" | bc -l) s after publishing"
+	sleep 2
+	report_change >"$work/after"
+	paste -d' ' "$work/idle" "$work/after" |
+		awk -v n="$count" -v hz="$ticks_per_s" '{
+		printf "change: %s %.1f reads, %.0f bytes, %.0f ms CPU each\n",
+			$1, ($6 - $2) / n, ($7 - $3) / n,
+			($8 - $4) / hz / n * 1000 }'
+	echo "memory after the change: dispatchd $(memory_kib dispatchd-h1)" \
+		"KiB, entryd $(memory_kib entryd-h1) KiB"
+	stop_fleet
+}
+
+# write_scenario FILE REQUESTS_PER_MIN TOKENS SECONDS: one class of fixed
+# output length.
+write_scenario()
+{
+	cat >"$1" <<-END
+	seed = 1
+	duration_s = $4
+	max_requests = 100000
+	max_in_flight = 4000
+	model = "bear"
+	[[customer]]
+	name = "desk"
+	key = "test-customer"
+	[[class]]
+	name = "chat"
+	customers = ["desk"]
+	rate = [{at_percent = 0, per_min = $2}]
+	median_tokens = $3
+	max_tokens = $3
+	first_token_ms = 1000
+	between_tokens_ms = 44
+	deadline_ms = 30000
+	END
+}
+
+# warm_up SCENARIO ADDRESS: fills the windows, which start with one request.
+warm_up()
+{
+	timeout 60 "$build/peridot-load" "$1" --entry="$2" --duration=5 \
+		--seed=1000 >"$work/warm.out"
+}
+
+# figures NAME SECONDS: the latencies of the last run.
+figures()
+{
+	grep '"name":"chat"' "$work/load.json" | sed "s|^|$1: |;
+		s/\"name\":\"chat\",//; s/\"good\":[0-9]*,//"
+}
+
+measure_path()
+{
+	local seed entry
+	start_engines --growth-us=0 --cached-percent=100 --max-running=64 \
+		--prefill-ms=20 --token-us=10000 --threads=256
+	write_sheet "$work/sheet.toml" 1 10 1
+	sheet_file=$work/sheet.toml threads=256
+	start_hosts 2 || return 1
+	write_scenario "$work/load.toml" 1200 30 10
+	wait_until 10 answers "${address[entryd-h1]}" || return 1
+	warm_up "$work/load.toml" "${address[entryd-h1]}"
+	for seed in "$@"
+	do
+		timeout 60 "$build/peridot-load" "$work/load.toml" \
+			--entry="${address[engine-1]}" \
+			--entry="${address[engine-2]}" --seed="$seed" \
+			--json="$work/load.json" >"$work/load.out"
+		figures "direct seed $seed"
+		timeout 60 "$build/peridot-load" "$work/load.toml" \
+			--entry="${address[entryd-h1]}" \
+			--entry="${address[entryd-h2]}" --seed="$seed" \
+			--json="$work/load.json" >"$work/load.out"
+		figures "routed seed $seed"
+	done
+	stop_fleet
+}
+
+# answers ENTRY: a condition: a request is served.
+answers()
+{
+	curl -s --max-time 5 -o "$work/answer" -w '%{http_code}' \
+		-H 'Authorization: Bearer test-customer' \
+		-H 'X-Peridot-Class: chat' --data-binary \
+		'{"model":"bear","messages":[{"role":"user","content":"x"}]}' \
+		"http://$1/v1/chat/completions" | grep -q 200
+}
+
+# Tokens per second through one entry and one dispatch daemon, from streams of
+# 50 tokens/s.
+measure_tokens()
+{
+	local rate role
+	domain_count=1
+	max_in_flight=2000
+	start_engines --growth-us=0 --cached-percent=100 --max-running=1000 \
+		--max-waiting=1000 --prefill-ms=20 --token-us=20000 --threads=1024
+	write_sheet "$work/sheet.toml" 1 10 1
+	sheet_file=$work/sheet.toml threads=1024
+	start_hosts 1 || return 1
+	wait_until 10 answers "${address[entryd-h1]}" || return 1
+	for rate in "$@"
+	do
+		write_scenario "$work/load.toml" $((rate * 60 / 100)) 100 10
+		warm_up "$work/load.toml" "${address[entryd-h1]}"
+		for role in dispatchd entryd
+		do
+			cpu_ticks "$role-h1"
+		done >"$work/cpu"
+		timeout 60 "$build/peridot-load" "$work/load.toml" \
+			--entry="${address[entryd-h1]}" \
+			--json="$work/load.json" >"$work/load.out"
+		for role in dispatchd entryd
+		do
+			cpu_ticks "$role-h1"
+		done >>"$work/cpu"
+		figures "tokens $rate/s wanted"
+		paste -sd' ' "$work/cpu" | awk -v hz="$ticks_per_s" -v n="$(
+			grep -o '"delivered_tokens":[0-9]*' "$work/load.json" |
+				cut -d: -f2)" '{
+			d = ($3 - $1) / hz; e = ($4 - $2) / hz
+			printf "  %d tokens; dispatchd %.2f s CPU, %.0f tokens/s a core; " \
+				"entryd %.2f s CPU, %.0f tokens/s a core\n",
+				n, d, d ? n / d : 0, e, e ? n / e : 0 }'
+	done
+	stop_fleet
+}
+
+echo "load average before: $(load_now)"
+case $what in
+idle | memory)
+	for point in "$@"
+	do
+		"measure_$what" "$point" || exit 1
+	done
+	;;
+change | path | tokens)
+	"measure_$what" "$@" || exit 1
+	;;
+*)
+	echo "unknown measurement $what" >&2
+	exit 2
+	;;
+esac
+echo "load average after: $(load_now)"
