Check queue lengths in the ctl session

The table of "peridotctl classes" was tested empty only. The session now queues a chat for an engine without a listener and compares the table.

--- a/tests/session/test_ctl.sh
+++ b/tests/session/test_ctl.sh
@@ -48,6 +48,18 @@
 		grep -q "service/claims .*yes *yes *yes" "$work/status.out"
 }
 
+is_queued()
+{
+	status_is 0 classes "${fleet[@]}" &&
+		grep -q 'chat *model/bear *1' "$work/status.out"
+}
+
+is_idle()
+{
+	status_is 0 classes "${fleet[@]}" &&
+		test "$(wc -l <"$work/status.out")" -eq 1
+}
+
 ctl=$(cd "$build" && pwd)/peridotctl
 endpoint_domain=([engine-1]=north [engine-2]=south [service-1]=north)
 endpoint_kind=([engine-1]=model [engine-2]=model [service-1]=service)
@@ -213,6 +225,14 @@
 	show domains "${fleet[@]}"
 	show endpoints "${fleet[@]}"
 	show classes "${fleet[@]}"
+	# The engine has no listener, so a chat stays queued. It is retried for
+	# the first second, in which the entry daemon has no report of the pool.
+	ask entryd-north-1 chat "a queued chat" 5 false -m 6 --retry 4 \
+		>"$work/queued" &
+	wait_until 5 is_queued
+	show classes "${fleet[@]}"
+	wait $!
+	wait_until 10 is_idle
 	show status --fleet fleet.txt --key-file wrong-key
 	show push two.toml --fleet fleet.txt --key-file wrong-key
 	show status --daemon "$silent" "${fleet[@]}"
