Run the two deployments under load from one command

Cause: attainment under overload, and service while a domain leaves and returns, were not measured with the fleets of the two deployments.

Ruled out: capacity from whole answers that ended in time, which leaves out the answers in progress at the end and gave a 1x that was too low; tokens received until the last arrival are counted instead.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: all, check, bench, demo, format, format-check, lint, clean.
+# Targets: all, check, bench, bench-load, demo, format, format-check, lint, clean.
 # SAN=address,undefined or SAN=thread builds into its own directory.
 
 CC ?= gcc
@@ -40,7 +40,7 @@
 SOURCES := $(wildcard lib/*/*.[ch] programs/*.[ch] programs/*/*.[ch] \
 	tests/*/*.[ch] lib/*/*.cpp)
 
-.PHONY: all check bench demo format format-check lint clean deps programs
+.PHONY: all check bench bench-load demo format format-check lint clean deps programs
 
 all: programs $(STANDINS) $(UNITS) $(BENCHES) $(BENCH_TOOLS)
 
@@ -86,6 +86,9 @@
 bench: $(BENCHES)
 	@for bench in $(BENCHES); do $$bench || exit 1; done
 
+bench-load: all
+	scripts/bench.sh $(BUILD)
+
 deps:
 	scripts/install-deps.sh
 
--- a/programs/load/load.h
+++ b/programs/load/load.h
@@ -112,6 +112,8 @@
 	load_gaps_t gaps[LOAD_MAX_CLASSES];
 	bool engines_read;
 	int64_t engine_tokens; /* generated during the run */
+	/* Received before the last arrival: under overload, the capacity. */
+	uint64_t tokens_in_duration;
 } load_run_t;
 
 /*
--- a/programs/load/report.c
+++ b/programs/load/report.c
@@ -132,6 +132,16 @@
 	return tokens;
 }
 
+/* Tokens that the requests of the schedule ask for. */
+static uint64_t offered_tokens(const load_run_t *run)
+{
+	uint64_t tokens = 0;
+
+	for (size_t i = 0; i < run->request_count; i++)
+		tokens += run->requests[i].wanted;
+	return tokens;
+}
+
 static double wasted_percent(const load_run_t *run)
 {
 	int64_t wasted = run->engine_tokens - (int64_t)delivered_tokens(run);
@@ -169,6 +179,8 @@
 			   percent(s.gaps_in_target, s.gaps_asked),
 			   tokens_per_s, s.late_ms);
 	}
+	buf_printf(out, "offered %.0f tokens/s, ",
+		   (double)offered_tokens(run) / seconds_of(run));
 	buf_printf(out, "goodput %.0f tokens/s, delivered %.0f tokens/s",
 		   goodput, (double)delivered_tokens(run) / seconds_of(run));
 	if (run->engines_read)
@@ -211,8 +223,13 @@
 			   s.tokens, (double)s.good_tokens / seconds_of(run),
 			   s.late_ms);
 	}
-	buf_printf(out, "],\n\"delivered_tokens\":%" PRIu64,
-		   delivered_tokens(run));
+	buf_printf(out,
+		   "],\n\"delivered_tokens\":%" PRIu64
+		   ",\"offered_tokens_s\":%.1f"
+		   ",\"tokens_in_duration_s\":%.1f",
+		   delivered_tokens(run),
+		   (double)offered_tokens(run) / seconds_of(run),
+		   (double)run->tokens_in_duration / seconds_of(run));
 	if (run->engines_read)
 		buf_printf(out,
 			   ",\"generated_tokens\":%" PRId64
--- a/programs/load/send.c
+++ b/programs/load/send.c
@@ -87,6 +87,8 @@
 		return;
 	}
 	note_first_token(r, now);
+	if (now <= t->sender->run->scenario.duration_us)
+		t->sender->run->tokens_in_duration++;
 	if (r->tokens++)
 		add_gap(&t->sender->run->gaps[r->class_index],
 			now - r->last_token_us);
