Keep "not run" and broken streams true when peers are lost

- A model request could go over the kept connection of a load report. libcurl repeats it by itself when the engine dies, and the refused second attempt was answered "not run" although the first one had run.
Model requests use a connection of their own, as calls did already.
- An engine's 404 to the rest of a stream was delivered as a completed answer, with [DONE] after half of the text, and a refused resumption was queued as a new run.
Both end "failed" once an event has been delivered.
- A dispatcher that lost its entry daemon cancelled the stream at the engine, so that no other dispatcher could resume it.
It leaves the stream to the engine's own limit.
- An entry daemon did not ask a dispatcher for the rest of a stream that had refused to run the request before.
- A cancelled request counted against the cold share for 2 s only, although an engine that does not hear of it runs it until its deadline; a transfer ended by a parse error did not count at all; and an endpoint that left the sheet and came back was forgotten with what it still ran.
- Queued bodies had no bound.
They are bounded to 64 MiB; lower tiers are displaced first and never count against a higher one.
- A 503 of a dispatcher that sends requests on came without Retry-After.

Ruled out: window slots that are never released, waiters of a ticket freed while a list is walked (waiters are always newer than the runner), an END lost on a full link (the link closes and the entry daemon sees it).

--- a/lib/coordination/queue.c
+++ b/lib/coordination/queue.c
@@ -529,6 +529,15 @@
 	return QUEUE_ACCEPTED;
 }
 
+queue_entry_t *queue_displace(queue_t *queue, unsigned tier)
+{
+	queue_entry_t *entry = pick_displaced(queue, tier);
+
+	if (entry)
+		unlink_entry(queue, entry);
+	return entry;
+}
+
 queue_entry_t *queue_pop(queue_t *queue, int64_t now_ms)
 {
 	size_t best = SHEET_MAX_CLASSES;
--- a/lib/coordination/queue.h
+++ b/lib/coordination/queue.h
@@ -74,6 +74,10 @@
 queue_verdict_t queue_push(queue_t *queue, queue_entry_t *entry, int64_t now_ms,
 			   int64_t wait_ms, queue_entry_t **displaced);
 
+/* Removes and returns the entry that an arrival of this tier would displace, or
+ * NULL: for a bound that the queue does not know. */
+queue_entry_t *queue_displace(queue_t *queue, unsigned tier);
+
 /* Next entry to send, or NULL. Never one whose deadline has passed. */
 queue_entry_t *queue_pop(queue_t *queue, int64_t now_ms);
 
--- a/programs/dispatchd/call.c
+++ b/programs/dispatchd/call.c
@@ -92,6 +92,9 @@
 		if (!run->has_ticket || run->serial != serial)
 			continue;
 		r->state = REQUEST_WAITING;
+		free(r->body);
+		r->body = NULL;
+		r->body_len = 0;
 		r->next_waiter = run->waiters;
 		run->waiters = r;
 		return;
--- a/programs/dispatchd/dispatchd.h
+++ b/programs/dispatchd/dispatchd.h
@@ -42,6 +42,9 @@
  * timeout, so that the caller can still ask for the result. */
 #define CALL_LINGER_FACTOR 2
 #define HOST_RETRY_AFTER_MS 1000
+/* Bodies of queued requests: a quarter of a daemon's 256 MB, which is 64 of the
+ * largest (1 MiB) or thousands of ordinary ones. */
+#define MAX_QUEUED_BYTES ((size_t)64 * 1024 * 1024)
 /* Sends a request on to another dispatcher without using the retry budget,
  * because this host leaves and is not overloaded. */
 #define RETRY_NOW 0
@@ -115,6 +118,7 @@
 	uint64_t affinity;
 	char *body;
 	size_t body_len;
+	size_t queued_bytes; /* of the body, as counted while queued */
 	request_state_t state;
 	bool has_ticket;
 	uint64_t serial; /* of the ticket */
@@ -177,6 +181,7 @@
 	client_t *clients;
 	request_t *requests;
 	size_t request_count;
+	size_t queued_bytes[SHEET_TIERS];	 /* bodies by tier */
 	class_info_t classes[SHEET_MAX_CLASSES]; /* as the queues know them */
 	size_t class_count;
 	uint64_t pauses;
@@ -237,6 +242,8 @@
 void request_end(request_t *request, const request_result_t *result);
 void request_end_not_run(request_t *request, const char *step,
 			 const char *message, int64_t retry_after_ms);
+/* Counts the body towards the bound while the request is queued. */
+void request_count_body(request_t *request, bool is_queued);
 /* Expected wait in ms of a new request of this tier. */
 int64_t pool_wait_ms(dispatchd_t *d, const pool_t *pool, unsigned tier);
 class_info_t *class_find(dispatchd_t *d, str_t name);
@@ -249,6 +256,10 @@
 bool transfer_resume(request_t *request, endpoint_t *endpoint);
 /* Stops the transfer and tells the engine to cancel. */
 void transfer_cancel(request_t *request);
+/* Stops the transfer since the entry daemon is lost. A stream with delivered
+ * events stays at the engine, which another dispatcher may ask for the rest;
+ * the engine cancels what nobody reads. */
+void transfer_abandon(request_t *request);
 
 /* call.c: tickets */
 
--- a/programs/dispatchd/endpoint.c
+++ b/programs/dispatchd/endpoint.c
@@ -164,7 +164,8 @@
 	d->pool_count = 0;
 }
 
-/* Frees endpoints that left the sheet once they have nothing in flight. */
+/* Frees endpoints that left the sheet once nothing can run there any more,
+ * since the sheet may bring them back. */
 static void sweep(dispatchd_t *d)
 {
 	endpoint_t **at = &d->endpoints;
@@ -172,7 +173,8 @@
 	while (*at) {
 		endpoint_t *e = *at;
 
-		if (e->in_sheet || e->window.in_flight || e->users) {
+		if (e->in_sheet || e->window.in_flight || e->users ||
+		    now_ms(d) < e->window.lost_until_ms) {
 			at = &e->next;
 			continue;
 		}
--- a/programs/dispatchd/request.c
+++ b/programs/dispatchd/request.c
@@ -44,8 +44,18 @@
 	d->request_count--;
 }
 
+void request_count_body(request_t *r, bool is_queued)
+{
+	size_t bytes = is_queued ? r->body_len : 0;
+
+	r->d->queued_bytes[r->tier] -= r->queued_bytes;
+	r->d->queued_bytes[r->tier] += bytes;
+	r->queued_bytes = bytes;
+}
+
 static void free_request(request_t *r)
 {
+	request_count_body(r, false);
 	unlink_request(r);
 	trace_end(r->span);
 	enginep_sse_release(&r->sse);
@@ -279,16 +289,49 @@
 		overload_retry_ms(pool_wait_ms(r->d, r->pool, r->tier)));
 }
 
+/* Bytes of the bodies queued at this tier and above it. */
+static size_t bytes_ahead(const dispatchd_t *d, unsigned tier)
+{
+	size_t bytes = 0;
+
+	for (unsigned i = 0; i <= tier; i++)
+		bytes += d->queued_bytes[i];
+	return bytes;
+}
+
+/* Displaces lower tiers of all pools until the body fits, if need be. The last
+ * entry of a class stays, so the bound may be exceeded by one body a class. */
+static void make_room(dispatchd_t *d, unsigned tier, size_t bytes)
+{
+	for (size_t i = 0; i < d->pool_count; i++) {
+		queue_entry_t *entry;
+
+		while (bytes_ahead(d, SHEET_TIERS - 1) + bytes >
+			       MAX_QUEUED_BYTES &&
+		       (entry = queue_displace(d->pools[i]->queue, tier)))
+			refuse_displaced(entry);
+	}
+}
+
 static void enqueue(request_t *r)
 {
 	dispatchd_t *d = r->d;
 	queue_entry_t *displaced = NULL;
 	int64_t wait = pool_wait_ms(d, r->pool, r->tier);
 
+	/* What lower tiers hold is no reason to refuse. */
+	if (bytes_ahead(d, r->tier) + r->body_len > MAX_QUEUED_BYTES) {
+		request_end_not_run(r, "queue",
+				    "the queued bodies are too large",
+				    overload_retry_ms(wait));
+		return;
+	}
+	make_room(d, r->tier, r->body_len);
 	switch (queue_push(r->pool->queue, &r->entry, now_ms(d), wait,
 			   &displaced)) {
 	case QUEUE_ACCEPTED:
 		r->state = REQUEST_QUEUED;
+		request_count_body(r, true);
 		break;
 	case QUEUE_FULL:
 		request_end_not_run(r, "queue", "the queue is full",
@@ -352,7 +395,7 @@
 	requests_dispatch(d);
 }
 
-static void abandon(request_t *r)
+static void abandon(request_t *r, bool link_is_down)
 {
 	switch (r->state) {
 	case REQUEST_QUEUED:
@@ -366,7 +409,10 @@
 		/* A call can't be undone; its result stays with the ticket. */
 		if (r->has_ticket)
 			break;
-		transfer_cancel(r);
+		if (link_is_down)
+			transfer_abandon(r);
+		else
+			transfer_cancel(r);
 		metrics_add(METRIC_TOKENS_WASTED, str_from(r->class_name),
 			    r->tokens);
 		free_request(r);
@@ -383,7 +429,7 @@
 	request_t *r = find_request(client->d, client, id);
 
 	if (r)
-		abandon(r);
+		abandon(r, false);
 	requests_dispatch(client->d);
 }
 
@@ -395,7 +441,7 @@
 	for (request_t *r = d->requests; r; r = next) {
 		next = r->next;
 		if (r->client == client)
-			abandon(r);
+			abandon(r, true);
 	}
 }
 
--- a/programs/dispatchd/transfer.c
+++ b/programs/dispatchd/transfer.c
@@ -7,8 +7,8 @@
 #include "base/plog.h"
 #include "protocol/completion.h"
 
-/* A cancelled request counts against a cold share for this long, since the
- * engine may still be running it. */
+/* A request that was left at an endpoint counts against a cold share until its
+ * deadline and this long: for the way there and the engine's clock. */
 #define CANCEL_SETTLE_MS 2000
 #define CANCEL_TIMEOUT_MS 1000
 #define URL_BYTES 256
@@ -49,6 +49,7 @@
 static void take_slot(request_t *r, endpoint_t *e)
 {
 	r->state = REQUEST_SENT;
+	request_count_body(r, false);
 	r->endpoint = e;
 	r->sent_ms = now_ms(r);
 	r->first_token_seen = false;
@@ -234,6 +235,7 @@
 	release_slot(r);
 	buf_reset(&r->answer);
 	r->state = REQUEST_QUEUED;
+	request_count_body(r, true);
 	queue_push_back(pool->queue, &r->entry);
 }
 
@@ -266,20 +268,22 @@
 
 	if (!result->may_have_left) {
 		mark_broken(r);
-		fail(r, r->tokens ? MSG_FAILED : MSG_NOT_RUN, "connect",
+		fail(r, r->next_offset ? MSG_FAILED : MSG_NOT_RUN, "connect",
 		     result->message, true);
 		return;
 	}
 	if (answered) {
-		fail(r, MSG_FAILED, r->resumes ? "resume stream" : "answer",
-		     "the engine reported an error", !r->tokens);
+		fail(r, MSG_FAILED, r->next_offset ? "resume stream" : "answer",
+		     "the engine reported an error", !r->next_offset);
 		return;
 	}
 	if (result->code != ERR_BAD_STATE)
 		mark_broken(r);
+	/* The engine does not stop because its answer is not read. */
+	r->may_run_on = true;
 	if (try_resume(r))
 		return;
-	if (r->tokens)
+	if (r->next_offset)
 		fail(r, MSG_FAILED, "answer", "the stream broke off", true);
 	else
 		fail(r, MSG_UNKNOWN, "answer", result->message, true);
@@ -293,12 +297,15 @@
 		complete_model(r);
 		return;
 	}
-	if (result->has_head && result->head.refused && status == 503) {
+	/* Only a request without delivered events may run again or end with
+	 * the engine's own error: the rest of a stream is not another run. */
+	if (result->has_head && result->head.refused && status == 503 &&
+	    !r->next_offset) {
 		refused(r);
 		return;
 	}
 	if (result->code == ERR_OK && status >= 400 && status < 500 &&
-	    !r->tokens) {
+	    !r->next_offset) {
 		complete(r, (unsigned)status, result->head.content_type,
 			 buf_view(&r->answer));
 		return;
@@ -385,6 +392,9 @@
 	snprintf(url, sizeof(url), "http://%s/v1/chat/completions", e->address);
 	format_traceparent(r, traceparent, sizeof(traceparent));
 	request.body = buf_view(&body);
+	/* On a kept connection libcurl repeats the request by itself when the
+	 * engine dies, and reports only how the second attempt ended. */
+	request.fresh = true;
 	r->fetch = fetch_start(r->d->fetcher, &request, &transfer_ops, r);
 	buf_release(&body);
 	return r->fetch != NULL;
@@ -461,11 +471,29 @@
 	fetch_start(r->d->fetcher, &request, &ops, NULL);
 }
 
+/* The engine may not hear of the end; its own time limit is the deadline. */
+static void leave_engine(request_t *r)
+{
+	int64_t end_ms = r->entry.deadline_ms > now_ms(r) ?
+				 r->entry.deadline_ms :
+				 now_ms(r);
+
+	fetch_cancel(r->fetch);
+	r->fetch = NULL;
+	lose_slot(r, end_ms + CANCEL_SETTLE_MS);
+}
+
 void transfer_cancel(request_t *r)
 {
 	if (r->kind == MSG_MODEL)
 		tell_engine(r);
-	fetch_cancel(r->fetch);
-	r->fetch = NULL;
-	lose_slot(r, now_ms(r) + CANCEL_SETTLE_MS);
+	leave_engine(r);
+}
+
+void transfer_abandon(request_t *r)
+{
+	if (!r->next_offset)
+		transfer_cancel(r);
+	else
+		leave_engine(r);
 }
--- a/programs/entryd/route.c
+++ b/programs/entryd/route.c
@@ -57,6 +57,10 @@
 		ending->outcome = MSG_UNKNOWN;
 		ending->http_status = 504;
 	}
+	/* A dispatcher that sends a request on names no time. */
+	if ((ending->http_status == 503 || ending->http_status == 429) &&
+	    ending->retry_after_ms < DEFAULT_RETRY_AFTER_MS)
+		ending->retry_after_ms = DEFAULT_RETRY_AFTER_MS;
 	str_copy(ending->step, sizeof(ending->step), verdict->step);
 	str_copy(ending->peer, sizeof(ending->peer), verdict->peer);
 	str_copy(ending->message, sizeof(ending->message), verdict->message);
@@ -582,8 +586,12 @@
 		route(x, 0);
 		return;
 	}
-	if (x->next_offset)
+	/* A dispatcher that refused to run the request may still resume it. */
+	if (x->next_offset) {
 		lost.outcome = MSG_FAILED;
+		x->tried_count = 0;
+		mark_tried(x, member);
+	}
 	retry_or_finish(x, &lost, x->repeatable);
 }
 
--- a/tests/session/fleet.sh
+++ b/tests/session/fleet.sh
@@ -36,8 +36,8 @@
 		--listen="$net.1:8500"
 }
 
-# dispatch_address DOMAIN INDEX: the address of the domain's nth dispatcher.
-dispatch_address()
+# listen_address DOMAIN INDEX: where the domain's nth dispatcher listens.
+listen_address()
 {
 	case $1 in
 	north) echo "$net.$((10 + $2)):7100" ;;
@@ -45,6 +45,22 @@
 	esac
 }
 
+# dispatch_address DOMAIN INDEX: where others connect to it: a relay's address
+# in relayed[DOMAIN-INDEX], or the address that it listens on.
+declare -A relayed=()
+dispatch_address()
+{
+	echo "${relayed[$1-$2]:-$(listen_address "$1" "$2")}"
+}
+
+# start_relay NAME TO [OPTION...]: a relay to the address.
+start_relay()
+{
+	local name=$1 to=$2
+	shift 2
+	start_program "$name" "$build/standins/tcp-relay" --to="$to" "$@"
+}
+
 # Settings of the sheet that scripts change before write_sheet.
 sheet_version=1
 declare -A domain_state=([north]=up [south]=up)
@@ -53,6 +69,9 @@
 domains=(north south)
 hosts_per_domain=2
 chat_timeout_ms=8000
+report_timeout_ms=20000
+courier_timeout_ms=4000
+tag_timeout_ms=20000
 cold_limit=1
 max_in_flight=8
 cross_region=true
@@ -107,7 +126,7 @@
 		tier = 0
 		first_token_ms = 1700
 		between_tokens_ms = 44
-		timeout_ms = 20000
+		timeout_ms = $report_timeout_ms
 		floor_percent = 20
 		expected_tokens = 50
 		max_tokens = 2000
@@ -126,14 +145,14 @@
 		name = "courier_return"
 		tier = 1
 		first_token_ms = 800
-		timeout_ms = 4000
+		timeout_ms = $courier_timeout_ms
 		floor_percent = 5
 		cross_region = $cross_region
 		[[class]]
 		name = "tag"
 		tier = 4
-		first_token_ms = 10000
-		timeout_ms = 20000
+		first_token_ms = $((tag_timeout_ms / 2))
+		timeout_ms = $tag_timeout_ms
 		floor_percent = 5
 		expected_tokens = 10
 		max_tokens = 100
@@ -159,7 +178,7 @@
 		name = "counter"
 		key_sha256 = "$(sha256 "$other_key")"
 		max_in_flight = 2
-		classes = ["chat"]
+		classes = ["chat", "courier_return"]
 		END
 	} >"$1"
 }
@@ -186,7 +205,7 @@
 write_settings()
 {
 	local role=$1 domain=$2 index=$3 ip
-	ip=$(dispatch_address "$domain" "$index")
+	ip=$(listen_address "$domain" "$index")
 	ip=${ip%:*}
 	{
 		printf '[process]\nhost = "%s-%s"\ndomain = "%s"\n' \
@@ -196,6 +215,8 @@
 		dispatch)
 			printf 'peers = "%s:7100"\nadmin = "%s:7101"\n' \
 				"$ip" "$ip"
+			printf 'advertise = "%s"\n' \
+				"$(dispatch_address "$domain" "$index")"
 			;;
 		entry)
 			printf 'callers = "%s:7080"\nadmin = "%s:7081"\n' \
