--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
-# Targets: all, check, bench, bench-load, demo, format, format-check, lint, clean.
+# Targets: all, check, soak, bench, bench-load, demo, format, format-check,
+# lint, clean.
 # SAN=address,undefined or SAN=thread builds into its own directory.
 
 CC ?= gcc
@@ -40,7 +41,8 @@
 SOURCES := $(wildcard lib/*/*.[ch] programs/*.[ch] programs/*/*.[ch] \
 	tests/*/*.[ch] lib/*/*.cpp)
 
-.PHONY: all check bench bench-load demo format format-check lint clean deps programs
+.PHONY: all check soak bench bench-load demo format format-check lint clean \
+	deps programs
 
 all: programs $(STANDINS) $(UNITS) $(BENCHES) $(BENCH_TOOLS)
 
@@ -97,6 +99,13 @@
 	$(MAKE) all
 	scripts/run-tests.sh $(BUILD)
 
+# One run of random faults; a breach is repeated with its seed.
+SEED ?= 1
+DURATION ?= 60
+soak: deps
+	$(MAKE) all
+	bash tests/soak/soak.sh $(BUILD) $(SEED) $(DURATION)
+
 demo: deps
 	$(MAKE) all
 	scripts/demo.sh $(BUILD)
