--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 PROGRAMS := $(PROGRAM_C:programs/%.c=$(BUILD)/%)
 PROGRAM_COMMON := $(filter-out $(PROGRAM_C),$(wildcard programs/*.c))
 STANDIN_C := $(wildcard tests/standins/fake-*.c) \
-	$(wildcard tests/standins/tcp-*.c)
+	$(wildcard tests/standins/tcp-*.c tests/standins/sheet-*.c)
 STANDINS := $(STANDIN_C:tests/standins/%.c=$(BUILD)/standins/%)
 STANDIN_PARTS := $(filter-out $(STANDIN_C),$(wildcard tests/standins/*.c))
 UNIT_C := $(wildcard tests/unit/test_*.c)
--- a/lib/coordination/confsync.c
+++ b/lib/coordination/confsync.c
@@ -359,6 +359,7 @@
 		return;
 	memcpy(confsync->conflict_digest, member->sheet_digest,
 	       SHEET_DIGEST_BYTES);
+	store_note_conflict(confsync->store);
 	metrics_inc(METRIC_SHEET_CONFLICTS);
 	plog_write(PLOG_SHEET_CONFLICT, "version=%llu source=%s",
 		   (unsigned long long)member->sheet_version, member->address);
--- a/lib/state/store.c
+++ b/lib/state/store.c
@@ -272,6 +272,11 @@
 	return version;
 }
 
+void store_note_conflict(store_t *store)
+{
+	atomic_fetch_add(&store->conflicts, 1);
+}
+
 uint64_t store_conflicts(const store_t *store)
 {
 	return atomic_load(&store->conflicts);
--- a/lib/state/store.h
+++ b/lib/state/store.h
@@ -50,7 +50,10 @@
 uint64_t store_version(const store_t *store,
 		       uint8_t digest[SHEET_DIGEST_BYTES]);
 
-/* Sheets refused because of an equal version with other content. */
+/* Notes that a peer has the version in force with other content. */
+void store_note_conflict(store_t *store);
+
+/* Conflicts seen: equal versions with other content, offered or at a peer. */
 uint64_t store_conflicts(const store_t *store);
 
 #endif
