Return through slow start and send stranded requests on

Cause: an endpoint that the sheet took out and brought back kept its former window. A host that has a cold share of a warm endpoint owned by another host accepted requests and held them until their timeout, since it may not send; so did a host that lost the ownership with requests queued.

Ruled out: sending to a warm endpoint without owning it, which would break the exact count of requests in flight.

Change: a change of the wanted state resets the window. A pool is served by a host that owns an endpoint of it or may use a cold share now; queued requests go back to the entry daemon when their pool is not served any more. test_leaving.sh takes out a domain, endpoints, an engine, hosts and daemons under load.

--- a/programs/dispatchd/endpoint.c
+++ b/programs/dispatchd/endpoint.c
@@ -187,13 +187,18 @@
 	const sheet_endpoint_t *row;
 	const sheet_t *sheet;
 	unsigned limit = 0;
+	bool was_up;
 
 	store_read_lock();
 	sheet = store_sheet(d->store);
 	row = sheet ? find_row(e, sheet) : NULL;
+	was_up = e->is_up;
 	e->is_up = row && sheet_endpoint_state(sheet, row,
 					       mclock_wall_ms(d->clock) /
 						       1000) == SHEET_STATE_UP;
+	/* What was known before the absence does not hold after it. */
+	if (e->is_up != was_up)
+		window_on_pause(&e->window, now_ms(d));
 	if (e->is_up) {
 		e->usable_units = usable_units(e, sheet, row);
 		if (e->owned || !window_is_warm(&e->window, now_ms(d)))
@@ -209,9 +214,10 @@
 	for (endpoint_t *e = d->endpoints; e; e = e->next) {
 		if (e->pool != pool || !e->in_sheet)
 			continue;
-		endpoint_limit(e);
-		if (e->is_up && !e->window.leaving &&
-		    (e->owned || e->usable_units))
+		/* A cold share is of use to a host that does not own the
+		 * endpoint only while it does not know it as warm. */
+		if (endpoint_limit(e) ||
+		    (e->is_up && e->owned && !e->window.leaving))
 			return true;
 	}
 	return false;
--- a/programs/dispatchd/request.c
+++ b/programs/dispatchd/request.c
@@ -503,6 +503,32 @@
 	request_end(r, &result);
 }
 
+static void send_queued_on(dispatchd_t *d, const pool_t *pool)
+{
+	request_t *next;
+
+	for (request_t *r = d->requests; r; r = next) {
+		next = r->next;
+		if (r->state != REQUEST_QUEUED || r->pool != pool)
+			continue;
+		queue_remove(r->pool->queue, &r->entry);
+		r->state = REQUEST_NEW;
+		request_end_not_run(r, "queue",
+				    "this host has no endpoint for it any more",
+				    RETRY_NOW);
+	}
+}
+
+/* Sends queued requests on when the last endpoint that could take them left
+ * this host, by the sheet or to another owner. */
+static void refuse_unserved(dispatchd_t *d)
+{
+	for (size_t i = 0; i < d->pool_count; i++)
+		if (queue_length(d->pools[i]->queue) &&
+		    !pool_is_served(d, d->pools[i]))
+			send_queued_on(d, d->pools[i]);
+}
+
 void requests_tick(dispatchd_t *d)
 {
 	request_t *next;
@@ -514,6 +540,7 @@
 						  now_ms(d))))
 			expire((request_t *)entry);
 	}
+	refuse_unserved(d);
 	for (request_t *r = d->requests; r; r = next) {
 		next = r->next;
 		if ((r->state == REQUEST_SENT || r->state == REQUEST_WAITING) &&
@@ -559,8 +586,6 @@
 
 void requests_apply_sheet(dispatchd_t *d, const sheet_t *sheet)
 {
-	request_t *next;
-
 	apply_classes(d, sheet);
 	for (size_t i = 0; i < d->pool_count; i++) {
 		queue_entry_t *dropped = NULL;
@@ -575,16 +600,7 @@
 					    HOST_RETRY_AFTER_MS);
 		}
 	}
-	for (request_t *r = d->requests; r; r = next) {
-		next = r->next;
-		if (r->state != REQUEST_QUEUED || pool_is_served(d, r->pool))
-			continue;
-		queue_remove(r->pool->queue, &r->entry);
-		r->state = REQUEST_NEW;
-		request_end_not_run(r, "queue",
-				    "the endpoints of this host are leaving",
-				    RETRY_NOW);
-	}
+	refuse_unserved(d);
 }
 
 void requests_free(dispatchd_t *d)
--- /dev/null
+++ b/tests/session/test_leaving.sh
@@ -0,0 +1,269 @@
+#!/bin/bash
+# Usage: test_leaving.sh BUILD_DIR
+# Endpoints, domains, hosts and daemons leave under load. Guards P4, P8 and P9:
+# work sent to what has left, and streams cut by a planned stop.
+build=$1
+. "$(dirname "$0")/lib.sh"
+. "$(dirname "$0")/fleet.sh"
+workers=8
+prefill_ms=150
+
+now_ms()
+{
+	date +%s%3N
+}
+
+# run_load NUMBER ENTRY: one request after the other until $work/stop exists, in turn
+# streamed and whole; a line "ok" or the fault for each in $work/load-NUMBER.
+run_load()
+{
+	local n=0 stream prompt text last
+	while ! test -e "$work/stop"
+	do
+		n=$((n + 1))
+		prompt="load $1 $n"
+		test $((n % 2)) = 0 && stream=true || stream=false
+		curl -sN -m 30 -o "$work/answer-$1" -w '%{http_code}' \
+			-H "Authorization: Bearer $customer_key" \
+			-H "X-Peridot-Class: chat" -d \
+			"{\"model\":\"bear\",\"stream\":$stream,\"x_output_tokens\":20,\"messages\":[{\"role\":\"user\",\"content\":\"$prompt\"}]}" \
+			"http://${address[$2]}/v1/chat/completions" \
+			>"$work/code-$1"
+		text=$(stream_text "$work/answer-$1")
+		last=$(grep . "$work/answer-$1" | tail -1)
+		if test "$text" = "$(expected_answer "$prompt" 20)" &&
+			{ test $stream = false || test "$last" = "data: [DONE]"; }
+		then
+			echo ok
+		else
+			echo "$prompt: $(cat "$work/code-$1") $(tail -c 300 "$work/answer-$1" | tr '\n' ' ')"
+		fi >>"$work/load-$1"
+	done
+}
+
+answered()
+{
+	cat "$work"/load-* | wc -l
+}
+
+answered_above()
+{
+	test "$(answered)" -gt "$1"
+}
+
+# arrivals ENGINE SINCE_MS: wall times of the requests that the engine lists.
+arrivals()
+{
+	curl -s "http://${control[$1]}/control/stats" | grep -o \
+		'"wall_ms":[0-9]*,"note":"[a-z]*","key":"[^"]*","path":"/v1/chat/completions"' |
+		sed 's/"wall_ms":\([0-9]*\),.*/\1/' |
+		awk -v since="$2" '$1 > since'
+}
+
+has_arrivals()
+{
+	test "$(arrivals "$1" "$2" | wc -l)" -ge "$3"
+}
+
+is_past()
+{
+	test "$(now_ms)" -gt "$1"
+}
+
+# expect_left WHAT ORDERED_MS ENGINE...: checks that from 3 s after the order on
+# nothing arrives at the engines while the load is served elsewhere.
+expect_left()
+{
+	local what=$1 limit=$(($2 + 3000)) count name
+	shift 2
+	wait_until 10 is_past $limit
+	count=$(answered)
+	expect_until "$what: requests are served elsewhere" \
+		answered_above $((count + workers))
+	for name in "$@"
+	do
+		expect_equal "$what: requests at $name after 3 s" 0 \
+			"$(arrivals "$name" $limit | wc -l)"
+		expect_until "$what: work at $name ends" \
+			stat_is "$name" running 0
+	done
+}
+
+# expect_return WHAT ORDERED_MS ENGINE: checks that work comes back, and that a
+# second request waits for the first token of the first.
+expect_return()
+{
+	local first second
+	expect_until "$1: work returns to $3" has_arrivals "$3" "$2" 5
+	read -r first second < <(arrivals "$3" "$2" | head -2 | tr '\n' ' ')
+	pass_or_fail "$1: one request first ($((second - first)) ms)" \
+		test $((second - first)) -ge $((prefill_ms - 10))
+}
+
+publish()
+{
+	sheet_version=$((sheet_version + 1))
+	write_sheet "$work/sheet-$sheet_version.toml"
+	ordered=$(now_ms)
+	expect_equal "push of sheet $sheet_version" 200 "$(push_sheet \
+		dispatchd-north-1 "$work/sheet-$sheet_version.toml")"
+}
+
+check_domain()
+{
+	domain_state[south]=out
+	publish
+	expect_left "domain out" "$ordered" engine-3
+	domain_state[south]=up
+	publish
+	expect_return "domain back" "$ordered" engine-3
+}
+
+check_endpoints()
+{
+	endpoint_state[engine-1]=leaving
+	publish
+	set_switch engine-3 leaving=1
+	expect_left "endpoint out, engine leaving" "$(now_ms)" engine-1 engine-3
+	endpoint_state[engine-1]=up
+	publish
+	local back=$ordered
+	ordered=$(now_ms)
+	set_switch engine-3 leaving=0
+	expect_return "endpoint back" "$back" engine-1
+	expect_return "engine back" "$ordered" engine-3
+}
+
+list_hosts()
+{
+	printf '{"hosts":[{"host":"south-1","domain":"south","address":"%s","state":"%s"}]}' \
+		"$(dispatch_address south 1)" "$1" |
+		curl -sf --data-binary @- -o "$work/put" \
+			"http://${control[platform]}/control/put?key=hosts"
+}
+
+is_leaving()
+{
+	status_of "$1" | grep -q '"leaving":true'
+}
+
+# return_host: starts the host of the south again after it has left.
+return_host()
+{
+	stop_program dispatchd-south-1
+	expect_equal "exit status of the host that left" 0 $?
+	ordered=$(now_ms)
+	platform_address=${address[platform]}
+	start_dispatchd south 1
+	platform_address=
+	expect_return "host back" "$ordered" engine-3
+}
+
+check_host()
+{
+	ordered=$(now_ms)
+	expect_equal "drain" 200 "$("${curl_base[@]}" -X POST \
+		-o "$work/drain" -w '%{http_code}' \
+		-H "Authorization: Bearer $operator_key" \
+		"http://${control[dispatchd-south-1]}/v1/drain")"
+	expect_left "host drained" "$ordered" engine-3
+	return_host
+	ordered=$(now_ms)
+	list_hosts leaving
+	expect_until "the listed host leaves" is_leaving dispatchd-south-1
+	expect_left "host listed as leaving" "$ordered" engine-3
+	list_hosts live
+	return_host
+}
+
+# The owner of endpoints in the north goes; its neighbour takes them over.
+check_dispatcher_stop()
+{
+	expect_until "it has work" stat_above engine-1 running 0
+	stop_program dispatchd-north-1
+	expect_equal "exit status of a stopped dispatcher" 0 $?
+	ordered=$(now_ms)
+	expect_until "the other host sends to engine-1" \
+		has_arrivals engine-1 "$ordered" 3
+	expect_until "the other host sends to engine-2" \
+		has_arrivals engine-2 "$ordered" 3
+}
+
+# A stopping entry daemon answers what it has and refuses the rest.
+check_entry_stop()
+{
+	local id
+	start_entryd north 2
+	id=${pid[entryd-north-2]}
+	expect_until "the entry daemon serves" \
+		answered_as 200 ask entryd-north-2 chat "a bear" 3 false
+	curl -sN -m 30 -o "$work/last" -H "Authorization: Bearer $customer_key" \
+		-H "X-Peridot-Class: chat" -d \
+		'{"model":"bear","stream":true,"x_output_tokens":80,"messages":[{"role":"user","content":"last"}]}' \
+		"http://${address[entryd-north-2]}/v1/chat/completions" &
+	local stream=$!
+	expect_until "a stream has begun" test -s "$work/last"
+	kill -TERM "$id"
+	expect_until "a new request is refused" answered_as 503 \
+		ask entryd-north-2 chat "late" 3 false
+	expect_equal "its outcome" not-run "$(header X-Peridot-Outcome)"
+	wait $stream
+	expect_equal "the stream is whole" "$(expected_answer last 80)" \
+		"$(stream_text "$work/last")"
+	expect_equal "its last event" "data: [DONE]" \
+		"$(grep . "$work/last" | tail -1)"
+	unset "pid[entryd-north-2]"
+	wait "$id"
+	expect_equal "exit status of a stopped entry daemon" 0 $?
+}
+
+for name in engine-1 engine-2 engine-3
+do
+	start_engine $name --token-us=15000 --prefill-ms=$prefill_ms \
+		--cached-percent=100
+done
+start_platform
+endpoint_domain=([engine-1]=north [engine-2]=north [engine-3]=south)
+endpoint_kind=([engine-1]=model [engine-2]=model [engine-3]=model)
+region=([north]=west [south]=west)
+write_sheet "$work/sheet-1.toml"
+sheet_file=$work/sheet-1.toml
+start_dispatchd north 1
+start_dispatchd north 2
+platform_address=${address[platform]}
+start_dispatchd south 1
+platform_address=
+start_entryd north 1
+start_entryd south 1
+expect_until "a request is served" \
+	answered_as 200 ask entryd-north-1 chat "a bear" 5 false
+for i in $(seq $workers)
+do
+	test $((i % 2)) = 0 && name=entryd-south-1 || name=entryd-north-1
+	run_load "$i" "$name" &
+	pid[load-$i]=$!
+done
+for name in engine-1 engine-2 engine-3
+do
+	expect_until "the load reaches $name" has_arrivals $name 0 4
+done
+check_domain
+check_endpoints
+check_host
+check_dispatcher_stop
+check_entry_stop
+touch "$work/stop"
+for i in $(seq $workers)
+do
+	wait "${pid[load-$i]}"
+	unset "pid[load-$i]"
+done
+echo "$(answered) answers"
+expect_equal "requests without a whole answer" "" \
+	"$(cat "$work"/load-* | grep -v '^ok$' | head -5)"
+for name in entryd-north-1 entryd-south-1 dispatchd-north-2 dispatchd-south-1
+do
+	stop_program "$name"
+	expect_equal "exit status of $name" 0 $?
+done
+finish
