Resume streams whose dispatcher is cut off, killed or frozen

Cause: a dispatcher that lost the link to an entry daemon cancelled its streams at the engine, although the entry daemon has them resumed elsewhere under the same id. A dispatcher that had refused to run the request was not asked to resume its stream. An owner that could not reach its endpoint accepted requests and held them until their timeout.

Ruled out: a cancel after a delay; the dispatcher does not learn that another one has resumed the stream. The engine ends a stream that nobody reads.

--- a/programs/dispatchd/dispatchd.h
+++ b/programs/dispatchd/dispatchd.h
@@ -62,6 +62,7 @@
 	unsigned held_units;   /* cold units held when the sheet changed */
 	unsigned usable_units; /* cold units that may be used now */
 	bool is_up;	       /* wanted by the sheet, as of the last look */
+	bool is_unreachable;   /* the last load report could not be read */
 	int64_t broken_ms;     /* last broken connection; 0: none */
 	unsigned users;	       /* requests that point here */
 	fetch_t *poll;
@@ -249,6 +250,10 @@
 bool transfer_resume(request_t *request, endpoint_t *endpoint);
 /* Stops the transfer and tells the engine to cancel. */
 void transfer_cancel(request_t *request);
+/* Stops reading a stream without cancelling it, since the entry daemon may have
+ * another dispatcher resume it under the same id. The engine ends a stream that
+ * nobody reads. */
+void transfer_release(request_t *r);
 
 /* call.c: tickets */
 
--- a/programs/dispatchd/endpoint.c
+++ b/programs/dispatchd/endpoint.c
@@ -217,7 +217,8 @@
 		/* A cold share is of use to a host that does not own the
 		 * endpoint only while it does not know it as warm. */
 		if (endpoint_limit(e) ||
-		    (e->is_up && e->owned && !e->window.leaving))
+		    (e->is_up && e->owned && !e->window.leaving &&
+		     !e->is_unreachable))
 			return true;
 	}
 	return false;
@@ -310,6 +311,7 @@
 	err_t err;
 
 	e->poll = NULL;
+	e->is_unreachable = result->code != ERR_OK;
 	if (result->code == ERR_OK && result->head.http_status == 200) {
 		if (enginep_parse_report(buf_view(&e->poll_body), &report,
 					 &err)) {
--- a/programs/dispatchd/request.c
+++ b/programs/dispatchd/request.c
@@ -352,7 +352,8 @@
 	requests_dispatch(d);
 }
 
-static void abandon(request_t *r)
+/* `may_resume`: another dispatcher may be asked to resume the stream. */
+static void abandon(request_t *r, bool may_resume)
 {
 	switch (r->state) {
 	case REQUEST_QUEUED:
@@ -366,7 +367,10 @@
 		/* A call can't be undone; its result stays with the ticket. */
 		if (r->has_ticket)
 			break;
-		transfer_cancel(r);
+		if (may_resume)
+			transfer_release(r);
+		else
+			transfer_cancel(r);
 		metrics_add(METRIC_TOKENS_WASTED, str_from(r->class_name),
 			    r->tokens);
 		free_request(r);
@@ -383,7 +387,7 @@
 	request_t *r = find_request(client->d, client, id);
 
 	if (r)
-		abandon(r);
+		abandon(r, false);
 	requests_dispatch(client->d);
 }
 
@@ -395,7 +399,7 @@
 	for (request_t *r = d->requests; r; r = next) {
 		next = r->next;
 		if (r->client == client)
-			abandon(r);
+			abandon(r, r->stream && r->tokens);
 	}
 }
 
--- a/programs/dispatchd/transfer.c
+++ b/programs/dispatchd/transfer.c
@@ -469,3 +469,10 @@
 	r->fetch = NULL;
 	lose_slot(r, now_ms(r) + CANCEL_SETTLE_MS);
 }
+
+void transfer_release(request_t *r)
+{
+	fetch_cancel(r->fetch);
+	r->fetch = NULL;
+	lose_slot(r, r->entry.deadline_ms + CANCEL_SETTLE_MS);
+}
--- a/programs/entryd/route.c
+++ b/programs/entryd/route.c
@@ -204,7 +204,8 @@
 }
 
 /* A dispatcher of the endpoint's domain, which can ask it to resume; it need
- * not own the endpoint, since nothing new begins to run. */
+ * not own the endpoint, since nothing new begins to run. For the same reason it
+ * may be one that refused to run the request. */
 static member_t *choose_for_resume(const exchange_t *x)
 {
 	const member_table_t *table = peers_table(x->d->peers);
@@ -215,7 +216,7 @@
 		member_t *member = member_at(table, i);
 
 		if (!strcmp(member->domain, domain) &&
-		    is_candidate(x->d, member) && !was_tried(x, member))
+		    is_candidate(x->d, member))
 			return member;
 	}
 	return NULL;
--- a/tests/standins/fake-engine.c
+++ b/tests/standins/fake-engine.c
@@ -474,6 +474,18 @@
 	return valid;
 }
 
+/* Lists the run under its first token, which identifies the prompt. */
+static void log_prompt(const chat_t *chat)
+{
+	buf_t token = BUF_INIT;
+	char key[STANDIN_KEY_MAX];
+
+	append_token(&token, chat->hash, 0);
+	str_copy(key, sizeof(key), buf_view(&token));
+	standin_log(key, "run", "");
+	buf_release(&token);
+}
+
 static void handle_chat(struct mg_connection *conn, str_t body)
 {
 	long break_after;
@@ -499,6 +511,7 @@
 		return;
 	}
 	standin_count_run(chat.id);
+	log_prompt(&chat);
 	if (standin_take_failure()) {
 		end_stream(s, CANCELLED, &n.failed);
 		pthread_mutex_unlock(&lock);
