--- a/programs/dispatchd/dispatchd.h
+++ b/programs/dispatchd/dispatchd.h
@@ -65,6 +65,7 @@
 	unsigned held_units;   /* cold units held when the sheet changed */
 	unsigned usable_units; /* cold units that may be used now */
 	bool is_up;	       /* wanted by the sheet, as of the last look */
+	bool is_unreachable;   /* the last load report could not be read */
 	int64_t broken_ms;     /* last broken connection; 0: none */
 	unsigned users;	       /* requests that point here */
 	fetch_t *poll;
