Let only a load report prove warmth after a broken connection

Cause: test_cold counted 22 requests above the cold limit after an engine's restart under load. The engine's first tokens came in time on the cold share before the next report, and that proved warmth.

Change: after a broken connection or a pause, first tokens prove nothing until a report measured later says warm. A host that can't reach an engine does not offer its cold share of it. test_ctl queues its chat at a cold engine.

--- a/lib/coordination/window.c
+++ b/lib/coordination/window.c
@@ -162,7 +162,7 @@
 		return;
 	}
 	window->late_in_a_row = 0;
-	if (window->reported_cold)
+	if (window->reported_cold || window->needs_report)
 		return;
 	if (window_is_warm(window, now_ms) &&
 	    window->limit < window->max_in_flight &&
@@ -180,6 +180,7 @@
 
 void window_on_broken(window_t *window, int64_t now_ms)
 {
+	window->needs_report = window->boot_known;
 	void_proof(window, now_ms);
 }
 
@@ -216,10 +217,12 @@
 		return;
 	if (measured_ms > window->reported_cold_ms)
 		window->reported_cold = false;
+	window->needs_report = false;
 	prove(window, now_ms, measured_ms);
 }
 
 void window_on_pause(window_t *window, int64_t now_ms)
 {
+	window->needs_report = window->boot_known;
 	void_proof(window, now_ms);
 }
--- a/lib/coordination/window.h
+++ b/lib/coordination/window.h
@@ -47,7 +47,10 @@
 	double median_first_token_ms; /* 0: not learned yet */
 	unsigned median_samples;
 	unsigned reported_waiting;
-	bool reported_cold;	  /* the newest report said cold */
+	bool reported_cold; /* the newest report said cold */
+	/* The endpoint may have restarted unseen. A cold engine may answer its
+	 * few requests in time, so only a report can prove warmth. */
+	bool needs_report;
 	int64_t reported_cold_ms; /* when that was measured */
 	int64_t reported_ms;	  /* when the newest report was measured */
 	int64_t voided_ms;	  /* evidence up to this time is void */
--- a/programs/dispatchd/endpoint.c
+++ b/programs/dispatchd/endpoint.c
@@ -218,7 +218,7 @@
 			continue;
 		/* A cold share is of use to a host that does not own the
 		 * endpoint only while it does not know it as warm. */
-		if (endpoint_limit(e) ||
+		if ((!e->is_unreachable && endpoint_limit(e)) ||
 		    (e->is_up && e->owned && !e->window.leaving &&
 		     !e->is_unreachable))
 			return true;
--- a/tests/session/test_ctl.sh
+++ b/tests/session/test_ctl.sh
@@ -199,6 +199,9 @@
 
 # A fleet: north with two daemons, and one in south that knows none of them.
 domains=(north)
+# In the quarantine after a dispatcher's start, a cold engine gets nothing.
+start_engine engine-1 --listen="$net.30:8000" --cold-ms=600000
+sed -i "s/127\.0\.0\.1:9\"/$net.30:8000\"/" "$work"/*.toml
 start_dispatchd north 1
 start_entryd north 1
 domains=(south)
@@ -225,7 +228,7 @@
 	show domains "${fleet[@]}"
 	show endpoints "${fleet[@]}"
 	show classes "${fleet[@]}"
-	# The engine has no listener, so a chat stays queued. It is retried for
+	# The engine is cold, so a chat stays queued. It is retried for
 	# the first second, in which the entry daemon has no report of the pool.
 	ask entryd-north-1 chat "a queued chat" 5 false -m 6 --retry 4 \
 		>"$work/queued" &
--- a/tests/unit/test_window.c
+++ b/tests/unit/test_window.c
@@ -36,6 +36,24 @@
 	CU_ASSERT_EQUAL(window_limit(&window, 200 + WINDOW_PROOF_MS, 0), 0);
 }
 
+/* Guards P3: an engine that restarted answers its few requests in time although
+ * it is cold. Before this rule, test_cold counted 22 requests above the limit.
+ */
+static void test_broken_needs_report(void)
+{
+	window_t window = warm_window();
+	window_report_t later = warm;
+
+	window_on_broken(&window, 2000);
+	window_on_first_token(&window, 2200, 100);
+	CU_ASSERT_FALSE(window_is_warm(&window, 2200));
+	window_on_report(&window, 2300, &later);
+	CU_ASSERT_TRUE(window_is_warm(&window, 2300));
+	window_on_pause(&window, 3000);
+	window_on_first_token(&window, 3200, 100);
+	CU_ASSERT_FALSE(window_is_warm(&window, 3200));
+}
+
 /* Guards against a window that grows beyond the concurrency that the endpoint
  * has been seen to serve, and against growth by late tokens. */
 static void test_slow_start(void)
@@ -225,6 +243,7 @@
 {
 	CU_TestInfo tests[] = {
 		{"cold until proven", test_cold_until_proven},
+		{"broken connection needs a report", test_broken_needs_report},
 		{"slow start", test_slow_start},
 		{"events void the proof", test_events_void_the_proof},
 		{"cold report outweighs tokens",
