Follow a sheet that an operator handed to an entry daemon

Cause: dispatchers do not connect to entry daemons and ignored the version in their PING, so a sheet pushed to an entry daemon stayed there (test_push).

Ruled out: connections from dispatchers to entry daemons; they would double the links of the fleet.

Change: the version in a PING is followed over the connection that it came on, and entry daemons answer NODE_GET.

--- a/lib/coordination/confsync.c
+++ b/lib/coordination/confsync.c
@@ -24,7 +24,7 @@
 
 /* A fetch of one version from one peer. */
 typedef struct peer_fetch {
-	member_t *member; /* NULL: none in progress */
+	link_t *link; /* to the peer; NULL: none in progress */
 	buf_t root;
 	size_t awaited;
 	unsigned rounds;
@@ -326,7 +326,7 @@
 static void end_fetch(confsync_t *confsync)
 {
 	loop_timer_cancel(confsync->loop, &confsync->fetch.timer);
-	confsync->fetch.member = NULL;
+	confsync->fetch.link = NULL;
 	confsync->fetch.awaited = 0;
 	confsync->fetch.rounds = 0;
 	buf_reset(&confsync->fetch.root);
@@ -342,7 +342,7 @@
 	msg_t msg = {.kind = MSG_NODE_GET};
 
 	msg.u.node_get.digest = digest;
-	peers_send(confsync->peers, confsync->fetch.member, &msg);
+	peers_send_on(confsync->fetch.link, &msg);
 	confsync->fetch.awaited++;
 }
 
@@ -373,9 +373,16 @@
 	if (version && member->sheet_version == version &&
 	    memcmp(member->sheet_digest, digest, sizeof(digest)) != 0)
 		report_conflict(confsync, member);
-	if (confsync->fetch.member || member->sheet_version <= version)
+	confsync_on_announced(confsync, peers_link(member),
+			      member->sheet_version);
+}
+
+void confsync_on_announced(confsync_t *confsync, link_t *link, uint64_t version)
+{
+	if (confsync->fetch.link || !link ||
+	    version <= store_version(confsync->store, NULL))
 		return;
-	confsync->fetch.member = member;
+	confsync->fetch.link = link;
 	ask(confsync, STR_LIT(""));
 	extend_timeout(confsync);
 }
@@ -397,7 +404,7 @@
 	err_t err = {0};
 
 	str_copy(source, sizeof(source),
-		 str_from(confsync->fetch.member->address));
+		 str_from(link_peer(confsync->fetch.link)));
 	pthread_mutex_lock(&confsync->lock);
 	sheet = node_unpack(buf_view(&confsync->fetch.root), cached_node,
 			    confsync, &err);
@@ -444,12 +451,12 @@
 	continue_fetch(confsync);
 }
 
-void confsync_on_node(confsync_t *confsync, member_t *member,
+void confsync_on_node(confsync_t *confsync, const link_t *link,
 		      const msg_node_t *node)
 {
 	node_digest_t digest;
 
-	if (member != confsync->fetch.member || !confsync->fetch.awaited)
+	if (link != confsync->fetch.link || !confsync->fetch.awaited)
 		return;
 	confsync->fetch.awaited--;
 	if (!node->digest.len) {
@@ -468,9 +475,9 @@
 		continue_fetch(confsync);
 }
 
-void confsync_on_down(confsync_t *confsync, const member_t *member)
+void confsync_on_down(confsync_t *confsync, const link_t *link)
 {
-	if (confsync->fetch.member == member)
+	if (link && confsync->fetch.link == link)
 		end_fetch(confsync);
 }
 
--- a/lib/coordination/confsync.h
+++ b/lib/coordination/confsync.h
@@ -41,12 +41,16 @@
 /* Looks at the version that a peer announced; fetches a higher one. */
 void confsync_on_status(confsync_t *confsync, member_t *member);
 
+/* A peer on this link has this version; fetches a higher one over the link. */
+void confsync_on_announced(confsync_t *confsync, link_t *link,
+			   uint64_t version);
+
 /* Takes a NODE message. */
-void confsync_on_node(confsync_t *confsync, member_t *member,
+void confsync_on_node(confsync_t *confsync, const link_t *link,
 		      const msg_node_t *node);
 
-/* The link to the member broke. */
-void confsync_on_down(confsync_t *confsync, const member_t *member);
+/* The link broke or is about to be closed. NULL is allowed. */
+void confsync_on_down(confsync_t *confsync, const link_t *link);
 
 /* Answers a peer's NODE_GET. */
 void confsync_serve(confsync_t *confsync, link_t *link,
--- a/lib/coordination/peers.c
+++ b/lib/coordination/peers.c
@@ -280,8 +280,10 @@
 
 		if (!peer && needs_link(peers, member))
 			open_peer(peers, member);
-		else if (peer && !needs_link(peers, member))
+		else if (peer && !needs_link(peers, member)) {
+			peers->ops->on_down(peers->user, member);
 			drop_peer(peers, member);
+		}
 		peer = member->user;
 		if (!peer)
 			continue;
@@ -412,6 +414,13 @@
 	return &peers->self;
 }
 
+link_t *peers_link(const member_t *member)
+{
+	const peer_t *peer = member->user;
+
+	return peer ? peer->link : NULL;
+}
+
 bool peers_is_linked(const member_t *member)
 {
 	const peer_t *peer = member->user;
--- a/lib/coordination/peers.h
+++ b/lib/coordination/peers.h
@@ -62,6 +62,9 @@
 /* ERRORS: ERR_BAD_STATE when there is no link, ERR_FULL. */
 err_code_t peers_send(peers_t *peers, member_t *member, const msg_t *msg);
 
+/* The link to the member, up or not; NULL when there is none. */
+link_t *peers_link(const member_t *member);
+
 /* True when a message can be sent to the member now. */
 bool peers_is_linked(const member_t *member);
 
--- a/programs/dispatchd/client.c
+++ b/programs/dispatchd/client.c
@@ -18,6 +18,7 @@
 {
 	dispatchd_t *d = client->d;
 
+	confsync_on_down(d->confsync, client->link);
 	request_on_client_down(client);
 	if (client->prev)
 		client->prev->next = client->next;
@@ -42,6 +43,7 @@
 		   "peer=%s step=\"write\" message=\"output "
 		   "buffer full\"",
 		   link_peer(client->link));
+	confsync_on_down(client->d->confsync, client->link);
 	link_close(client->link);
 	client->link = NULL; /* clients_sweep() drops the rest */
 }
@@ -176,8 +178,14 @@
 	case MSG_HELLO:
 		return greet(client, &msg->u.hello);
 	case MSG_PING:
+		confsync_on_announced(client->d->confsync, client->link,
+				      msg->u.ping.sheet_version);
 		send_status(client, msg->u.ping.sequence);
 		return 0;
+	case MSG_NODE:
+		confsync_on_node(client->d->confsync, client->link,
+				 &msg->u.node);
+		return 0;
 	case MSG_SUBMIT:
 		request_submit(client, &msg->u.submit);
 		return 0;
@@ -267,6 +275,7 @@
 				   "peer=%s step=\"greet\" message=\"no HELLO "
 				   "in time\"",
 				   link_peer(client->link));
+			confsync_on_down(d->confsync, client->link);
 			link_close(client->link);
 			client->link = NULL;
 		}
--- a/programs/entryd/route.c
+++ b/programs/entryd/route.c
@@ -581,7 +581,12 @@
 			take_ticket(x, &msg->u.ticket);
 		break;
 	case MSG_NODE:
-		confsync_on_node(d->confsync, member, &msg->u.node);
+		confsync_on_node(d->confsync, peers_link(member), &msg->u.node);
+		break;
+	case MSG_NODE_GET:
+		/* A sheet that an operator handed to this daemon. */
+		confsync_serve(d->confsync, peers_link(member),
+			       &msg->u.node_get);
 		break;
 	default:
 		break;
@@ -617,7 +622,7 @@
 	entryd_t *d = user;
 	exchange_t *next;
 
-	confsync_on_down(d->confsync, member);
+	confsync_on_down(d->confsync, peers_link(member));
 	for (exchange_t *x = d->exchanges; x; x = next) {
 		next = x->next;
 		if (x->member == member)
--- a/programs/peridot-dispatchd.c
+++ b/programs/peridot-dispatchd.c
@@ -99,7 +99,7 @@
 	dispatchd_t *d = user;
 
 	if (msg->kind == MSG_NODE)
-		confsync_on_node(d->confsync, member, &msg->u.node);
+		confsync_on_node(d->confsync, peers_link(member), &msg->u.node);
 }
 
 static void on_status(void *user, member_t *member, bool fresh)
@@ -115,7 +115,7 @@
 {
 	dispatchd_t *d = user;
 
-	confsync_on_down(d->confsync, member);
+	confsync_on_down(d->confsync, peers_link(member));
 }
 
 static const peers_ops_t peers_ops = {on_message, on_status, on_member_down};
@@ -230,9 +230,9 @@
 {
 	if (d->admin)
 		admin_stop(d->admin);
-	confsync_free(d->confsync);
 	if (d->loop)
 		clients_free(d);
+	confsync_free(d->confsync);
 	requests_free(d);
 	endpoints_free(d);
 	peers_free(d->peers);
--- a/tests/session/test_partition.sh
+++ b/tests/session/test_partition.sh
@@ -330,8 +330,7 @@
 {
 	local file=$work/dispatchd-$1-$2.toml
 	write_settings dispatch "$1" "$2" "$file"
-	sed -i "s/^peers = .*/peers = \"$3\"\nadvertise = \"$(dispatch_address "$1" "$2")\"/" \
-		"$file"
+	sed -i "s/^peers = .*/peers = \"$3\"/" "$file"
 	start_program "dispatchd-$1-$2" "$build/peridot-dispatchd" "$file"
 }
 
