Serve nodes to dispatchers over both directions of a link; check own versions

Cause: a dispatcher that learned of a higher version by a PING asked back over the connection of that PING, where another dispatcher ignored NODE_GET. A sheet took 6 s instead of 1 s, and test_leaving saw work at a domain 3 s after it was taken out. The condition has_sheet and the soak's version check matched the versions of members in the status, so test_push passed all the same.

--- a/programs/peridot-dispatchd.c
+++ b/programs/peridot-dispatchd.c
@@ -100,6 +100,9 @@
 
 	if (msg->kind == MSG_NODE)
 		confsync_on_node(d->confsync, peers_link(member), &msg->u.node);
+	else if (msg->kind == MSG_NODE_GET)
+		confsync_serve(d->confsync, peers_link(member),
+			       &msg->u.node_get);
 }
 
 static void on_status(void *user, member_t *member, bool fresh)
--- a/scripts/fleet-lib.sh
+++ b/scripts/fleet-lib.sh
@@ -92,7 +92,7 @@
 # has_version NAME VERSION: a condition for wait_until.
 has_version()
 {
-	as_operator "$1" /v1/status | grep -q "\"sheet_version\":$2[,}]"
+	as_operator "$1" /v1/status | grep -q "\"sheet_version\":$2,\"uptime_ms\""
 }
 
 load_now()
--- a/tests/session/fleet.sh
+++ b/tests/session/fleet.sh
@@ -267,7 +267,9 @@
 # has_sheet NAME VERSION: a condition for wait_until.
 has_sheet()
 {
-	status_of "$1" | grep -q "\"sheet_version\":$2[,}]"
+	# The members in the status have versions, too; only the daemon's own
+	# is followed by its uptime.
+	status_of "$1" | grep -q "\"sheet_version\":$2,\"uptime_ms\""
 }
 
 # push_sheet NAME FILE: hands a sheet to a daemon; prints the HTTP status.
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -143,8 +143,8 @@
 		version=$("${curl_base[@]}" --max-time 1 \
 			-H "Authorization: Bearer $operator_key" \
 			"http://${control[$name]}/v1/status" |
-			grep -o '"sheet_version":[0-9]*' | head -1)
-		version=${version#*:}
+			grep -o '"sheet_version":[0-9]*,"uptime' |
+			grep -o '[0-9]*')
 		test -n "$version" || continue
 		test "$version" -ge "${version_seen[$name]:-0}" ||
 			breach "$name fell to version $version"
