Split the packed nodes into packing, decoding, assembly and cache

Cause: lib/state/node.c had grown to 1,059 lines with four jobs.

Ruled out: a public header for each part; node.h stays the interface, and node_internal.h is for the parts only.

Change: node_pack.c, node_read.c, node.c and node_cache.c; no behaviour.

--- /dev/null
+++ b/lib/state/node_internal.h
@@ -0,0 +1,40 @@
+#ifndef STATE_NODE_INTERNAL_H
+#define STATE_NODE_INTERNAL_H
+
+#include <msgpack.h>
+
+#include "state/node.h"
+
+/*
+ * node_internal - decoding of single nodes, shared by node.c and node_cache.c
+ *
+ * Functions that read return false for a malformed node.
+ */
+#define NODE_STEP "sheet-node"
+
+/* The sheet that is being built. */
+typedef struct node_reader {
+	sheet_t *sheet;
+	size_t customer_cap; /* of the customer array while it grows */
+} node_reader_t;
+
+/* True for the digest that stands for an empty index or bucket. */
+bool node_is_zero(const node_digest_t *digest);
+
+/* Unpacks one msgpack object whose headers announce no more than its bytes;
+ * `result` must be destroyed in either case. */
+bool node_unpack_object(str_t bytes, msgpack_unpacked *result);
+
+bool node_read_base(node_reader_t *reader, const msgpack_object *object);
+
+/* Appends the customers of a bucket; sheet->customers is on the heap then. */
+bool node_read_bucket(node_reader_t *reader, const msgpack_object *object,
+		      unsigned bucket);
+
+bool node_read_index(const msgpack_object *object,
+		     node_digest_t buckets[NODE_BUCKETS]);
+
+bool node_read_root(str_t bytes, uint64_t *version, node_digest_t *base,
+		    node_digest_t indexes[NODE_INDEXES]);
+
+#endif
