Cut the domain of test_partition in both directions

Cause: the relay cut only connections to the south, and the version that was pushed there reached the north over the south's own connections.

Ruled out: a looser check; it now also asks that the south has its version.

Change: the relay marks connections by a text in their first bytes and can cut those; all dispatchers of the script stand behind relays.

--- a/tests/session/test_partition.sh
+++ b/tests/session/test_partition.sh
@@ -165,10 +165,17 @@
 	set_switch "$1" "blackhole_up=$2&blackhole_down=$2"
 }
 
-# The south is cut off: its dispatcher is reached only through a relay.
+# cut_south 0|1: cuts the south's dispatcher from the north both ways.
+cut_south()
+{
+	cut_relay relay-south "$1"
+	set_switch relay-north "blackhole_marked=$1"
+	set_switch relay-north-1 "blackhole_marked=$1"
+}
+
 check_domain_cut()
 {
-	cut_relay relay-south 1
+	cut_south 1
 	expect_until "the entry notices the cut" \
 		is_silent entryd-north-1 south 1
 	start_streams cut entryd-north-1 4 20
@@ -183,7 +190,9 @@
 	expect_equal "sheet for the other side" 200 \
 		"$(push_sheet dispatchd-south-1 "$work/sheet-3.toml")"
 	expect_until "one side has its sheet" has_sheet entryd-north-1 2
-	cut_relay relay-south 0
+	expect_until "the other side has its sheet" \
+		has_sheet dispatchd-south-1 3
+	cut_south 0
 	for name in dispatchd-north-1 dispatchd-north-2 dispatchd-south-1 \
 		entryd-north-1
 	do
@@ -319,11 +328,16 @@
 endpoint_address=([engine-1]=${address[relay-engine]})
 region=([north]=west [south]=west)
 chat_timeout_ms=30000
-# Two dispatchers listen behind relays that have their addresses.
+# All dispatchers listen behind relays that have their addresses. Those of the
+# north know the south's connections, so that a cut holds in both directions.
 start_program relay-south "$build/standins/tcp-relay" \
 	--listen="$(dispatch_address south 1)" --to="$net.121:7100"
 start_program relay-north "$build/standins/tcp-relay" \
-	--listen="$(dispatch_address north 2)" --to="$net.112:7100"
+	--listen="$(dispatch_address north 2)" --to="$net.112:7100" \
+	--mark=south-1
+start_program relay-north-1 "$build/standins/tcp-relay" \
+	--listen="$(dispatch_address north 1)" --to="$net.111:7100" \
+	--mark=south-1
 
 # start_behind_relay DOMAIN INDEX ADDRESS: a dispatcher that listens elsewhere.
 start_behind_relay()
@@ -336,7 +350,7 @@
 
 write_sheet "$work/sheet-1.toml"
 sheet_file=$work/sheet-1.toml
-start_dispatchd north 1
+start_behind_relay north 1 "$net.111:7100"
 start_behind_relay north 2 "$net.112:7100"
 start_behind_relay south 1 "$net.121:7100"
 start_entryd north 1
--- a/tests/standins/standin.c
+++ b/tests/standins/standin.c
@@ -26,6 +26,7 @@
 	OPT_LISTEN = 'l',
 	OPT_CONTROL = 'c',
 	OPT_THREADS = 't',
+	OPT_MARK = 'm',
 	OPT_TO = 'o',
 	OPT_SWITCH = 512
 };
@@ -57,6 +58,7 @@
 static const standin_program_t *program;
 char standin_address[STANDIN_ADDRESS_MAX] = "127.0.0.1:0";
 char standin_to[STANDIN_ADDRESS_MAX] = "";
+char standin_mark[STANDIN_ADDRESS_MAX] = "";
 static char control_address[STANDIN_ADDRESS_MAX] = "127.0.0.1:0";
 static int threads = 64;
 static atomic_bool stopping;
@@ -479,10 +481,12 @@
 {
 	char *target = key == OPT_LISTEN  ? standin_address :
 		       key == OPT_CONTROL ? control_address :
+		       key == OPT_MARK	  ? standin_mark :
 					    standin_to;
 	long value = 0;
 
-	if (key == OPT_LISTEN || key == OPT_CONTROL || key == OPT_TO) {
+	if (key == OPT_LISTEN || key == OPT_CONTROL || key == OPT_TO ||
+	    key == OPT_MARK) {
 		if (!str_copy(target, STANDIN_ADDRESS_MAX, str_from(arg)))
 			argp_error(state, "address too long: %s", arg);
 		return 0;
@@ -506,6 +510,8 @@
 		{"listen", OPT_LISTEN, "IP:PORT", 0, "published address", 0},
 		{"control", OPT_CONTROL, "IP:PORT", 0, "control address", 0},
 		{"to", OPT_TO, "IP:PORT", 0, "where the relay forwards to", 0},
+		{"mark", OPT_MARK, "TEXT", 0,
+		 "the relay marks connections that send this text", 0},
 		{"threads", OPT_THREADS, "N", 0,
 		 "connections served at once, idle ones included (64)", 0}};
 	static char names[MAX_OPTIONS][32];
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -82,6 +82,7 @@
 #define STANDIN_ADDRESS_MAX 32
 extern char standin_address[STANDIN_ADDRESS_MAX];
 extern char standin_to[STANDIN_ADDRESS_MAX];
+extern char standin_mark[STANDIN_ADDRESS_MAX]; /* empty: marks nothing */
 
 /* Runs the stand-in; the result is main()'s. */
 int standin_main(const standin_program_t *program, int argc, char **argv);
--- a/tests/standins/tcp-relay.c
+++ b/tests/standins/tcp-relay.c
@@ -32,6 +32,7 @@
 /* fd[UP] is the connecting side, which direction UP reads from. */
 typedef struct pair {
 	bool used;
+	bool marked; /* its first bytes contain --mark */
 	int fd[DIRECTIONS];
 	queue_t queue[DIRECTIONS];
 } pair_t;
@@ -41,6 +42,7 @@
 	X(drop, 0, "1: reset all connections and refuse new ones") \
 	X(blackhole_up, 0, "1: forward nothing towards --to") \
 	X(blackhole_down, 0, "1: forward nothing back") \
+	X(blackhole_marked, 0, "1: forward nothing of marked connections") \
 	X(delay_up_ms, 0, "delay towards --to") \
 	X(delay_down_ms, 0, "delay back")
 #define COUNTERS(X) \
@@ -92,8 +94,10 @@
 	n.open++;
 }
 
-static bool is_blackholed(int d)
+static bool is_blackholed(const pair_t *pair, int d)
 {
+	if (pair->marked && set.blackhole_marked.value)
+		return true;
 	return (d == UP ? &set.blackhole_up : &set.blackhole_down)->value != 0;
 }
 
@@ -116,6 +120,10 @@
 		return true;
 	}
 	(*slot)->len = (size_t)got;
+	if (d == UP && *standin_mark &&
+	    memmem((*slot)->bytes, (size_t)got, standin_mark,
+		   strlen(standin_mark)))
+		pair->marked = true;
 	(*slot)->sent = 0;
 	(*slot)->due_us =
 		standin_now_us() +
@@ -182,7 +190,7 @@
 
 		if (!q->ended && q->count < QUEUED)
 			polls[d].events |= POLLIN;
-		if (!q->count || is_blackholed(d))
+		if (!q->count || is_blackholed(pair, d))
 			continue;
 		left = q->chunks[q->head]->due_us - standin_now_us();
 		if (left <= 0)
@@ -204,7 +212,7 @@
 
 		if (polls[d].revents && !q->ended && q->count < QUEUED)
 			alive = receive(pair, d);
-		if (alive && !is_blackholed(d))
+		if (alive && !is_blackholed(pair, d))
 			alive = forward(pair, d);
 	}
 	if (!alive)
