--- a/Makefile
+++ b/Makefile
@@ -11,15 +11,15 @@
 PACKAGES := liburcu msgpack log4c jansson libxxhash libcurl libcrypto \
 	tomlplusplus
 WARN := -Wall -Wextra -Werror -Wshadow -Wvla
-COMMON := -D_GNU_SOURCE -Ilib -Iprograms -O2 -g -fno-omit-frame-pointer -pthread \
+COMMON := -D_GNU_SOURCE -I. -Ilib -Iprograms -O2 -g -fno-omit-frame-pointer -pthread \
 	$(WARN) $(if $(SAN),-fsanitize=$(SAN) -Wno-format-truncation)
 CFLAGS += -std=c11 -Wstrict-prototypes -Wmissing-prototypes $(COMMON)
 CXXFLAGS += -std=c++17 $(COMMON)
 LDFLAGS += -pthread $(if $(SAN),-fsanitize=$(SAN))
-LDLIBS += -llog4c -lmsgpackc -lcivetweb -ljansson -lxxhash -lcurl -lcrypto \
+LDLIBS += -lhttp_parser -lb64 -llog4c -lmsgpackc -lcivetweb -ljansson -lxxhash -lcurl -lcrypto \
 	-lurcu-memb -lurcu-common -ltomlplusplus -lstdc++ -lm
 
-LIB_C := $(wildcard lib/*/*.c)
+LIB_C := $(wildcard lib/*/*.c platform/*.c)
 LIB_CXX := $(wildcard lib/*/*.cpp)
 LIB_OBJ := $(LIB_C:%.c=$(BUILD)/%.o) $(LIB_CXX:%.cpp=$(BUILD)/%.o)
 LIB := $(BUILD)/libperidot.a
@@ -38,11 +38,11 @@
 BENCHES := $(BENCH_C:tests/bench/%.c=$(BUILD)/bench/%)
 UNIT_PARTS := $(filter-out $(UNIT_C),$(wildcard tests/unit/*.c))
 
-SOURCES := $(wildcard lib/*/*.[ch] programs/*.[ch] programs/*/*.[ch] \
+SOURCES := $(wildcard lib/*/*.[ch] platform/*.[ch] programs/*.[ch] programs/*/*.[ch] \
 	tests/*/*.[ch] lib/*/*.cpp)
 
 .PHONY: all check soak bench bench-load demo format format-check lint clean \
-	deps programs
+	deps programs deploy
 
 all: programs $(STANDINS) $(UNITS) $(BENCHES) $(BENCH_TOOLS)
 
@@ -68,7 +68,25 @@
 	$(PROGRAM_COMMON:%.c=$(BUILD)/%.o) $(LIB)
 	$(CC) $(LDFLAGS) -o $$@ $$^ $$(LDLIBS)
 endef
-$(foreach name,$(PROGRAM_C:programs/%.c=%),$(eval $(call PROGRAM_RULE,$(name))))
+$(foreach name,$(filter-out peridot-hostd,$(PROGRAM_C:programs/%.c=%)),$(eval $(call PROGRAM_RULE,$(name))))
+
+# The host process has its own list of modules and links libraries in, since
+# each shared one costs memory on a small host.
+HOSTD_C := programs/peridot-hostd.c $(wildcard programs/hostd/*.c \
+	platform/*.c lib/request/*.c) \
+	$(patsubst %,lib/base/%.c,buf err mclock metrics plog str) \
+	$(patsubst %,lib/coordination/%.c,balance breaker coldgate gossip \
+	peersync prefixmap repeats) \
+	$(patsubst %,lib/state/%.c,catalog fleet replica) \
+	$(patsubst %,lib/transport/%.c,address frame http1 loop monitor tcp)
+HOSTD_LIBS := http_parser jansson b64 msgpackc xxhash
+$(BUILD)/peridot-hostd: $(HOSTD_C:%.c=$(BUILD)/%.o)
+	$(CC) $(LDFLAGS) -Wl,--as-needed -o $@ $^ \
+		$(foreach lib,$(HOSTD_LIBS),-l:lib$(lib).a) -llog4c -lm
+
+# What deploy/system.toml builds: the host process alone, under target/.
+deploy:
+	$(MAKE) BUILD=target target/peridot-hostd
 
 $(BUILD)/peridot-load: LDLIBS += -lgsl -lgslcblas
 
--- a/lib/base/plog.c
+++ b/lib/base/plog.c
@@ -1,13 +1,21 @@
 #include "base/plog.h"
 
+#include <fcntl.h>
 #include <log4c.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/time.h>
 #include <time.h>
+#include <unistd.h>
+
+#include "base/buf.h"
+#include "base/metrics.h"
 
 #define PLOG_LINE_BYTES 1024
+#define PLOG_FLUSH_BYTES 4096
+#define PLOG_BUFFER_BYTES 65536
+#define PLOG_LINES_PER_S 400
 #define US_PER_MS 1000
 
 typedef struct event_info {
@@ -51,11 +59,71 @@
 	return event->evt_msg;
 }
 
-static int append_stderr(log4c_appender_t *appender,
-			 const log4c_logging_event_t *event)
+/* Output that waits for plog_flush(); unused while lines go to stderr. */
+static struct {
+	int fd; /* -1: standard error, line by line */
+	buf_t lines;
+	time_t second;
+	unsigned second_lines;
+	unsigned long left_out; /* lines since the last one that said so */
+} output = {.fd = -1};
+
+static int append_line(log4c_appender_t *appender,
+		       const log4c_logging_event_t *event)
 {
 	(void)appender;
-	return fputs(event->evt_rendered_msg, stderr);
+	if (output.fd < 0)
+		return fputs(event->evt_rendered_msg, stderr);
+	buf_append_str(&output.lines, str_from(event->evt_rendered_msg));
+	if (output.lines.len > PLOG_FLUSH_BYTES)
+		plog_flush();
+	return 0;
+}
+
+void plog_buffer_output(int fd)
+{
+	int flags = fcntl(fd, F_GETFL);
+
+	if (flags >= 0)
+		fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+	output.fd = fd;
+}
+
+void plog_flush(void)
+{
+	ssize_t written;
+
+	if (output.fd < 0 || !output.lines.len)
+		return;
+	written = write(output.fd, output.lines.ptr, output.lines.len);
+	if (written > 0)
+		buf_consume(&output.lines, (size_t)written);
+	if (output.lines.len > PLOG_BUFFER_BYTES) {
+		/* Nobody reads: what is left is given up, never waited for. */
+		output.left_out++;
+		buf_reset(&output.lines);
+	}
+}
+
+/* Bounds the lines of one second; warnings and errors may be more. */
+static bool is_within_bound(plog_level_t level)
+{
+	time_t now;
+	unsigned bound = level >= PLOG_LEVEL_WARN ? 2 * PLOG_LINES_PER_S
+						  : PLOG_LINES_PER_S;
+
+	if (output.fd < 0)
+		return true;
+	now = time(NULL);
+	if (now != output.second) {
+		output.second = now;
+		output.second_lines = 0;
+	}
+	if (output.second_lines++ < bound)
+		return true;
+	output.left_out++;
+	metrics_inc(METRIC_LOG_LINES_LEFT_OUT);
+	return false;
 }
 
 int plog_start(const char *program, plog_level_t threshold)
@@ -63,7 +131,7 @@
 	static const log4c_layout_type_t layout_type = {"peridot-line",
 							format_line};
 	static const log4c_appender_type_t appender_type = {
-		"peridot-stderr", NULL, append_stderr, NULL};
+		"peridot-output", NULL, append_line, NULL};
 	log4c_layout_t *layout;
 	log4c_appender_t *appender;
 
@@ -83,6 +151,8 @@
 
 void plog_stop(void)
 {
+	plog_flush();
+	buf_release(&output.lines);
 	category = NULL;
 	log4c_fini();
 }
@@ -112,7 +182,8 @@
 
 	if (!category || !info ||
 	    !log4c_category_is_priority_enabled(category,
-						to_priority(info->level)))
+						to_priority(info->level)) ||
+	    !is_within_bound(info->level))
 		return;
 	len = write_prefix(line, sizeof(line), info);
 	va_start(args, format);
--- a/lib/base/plog.h
+++ b/lib/base/plog.h
@@ -33,6 +33,14 @@
 int plog_start(const char *program, plog_level_t threshold);
 void plog_stop(void);
 
+/*
+ * Sends lines to `fd`, without ever waiting for its reader. Lines are gathered
+ * until plog_flush() or a few KB; lines beyond a bound a second are left out and
+ * counted (METRIC_LOG_LINES_LEFT_OUT). For processes that log from one thread.
+ */
+void plog_buffer_output(int fd);
+void plog_flush(void);
+
 /* Writes one event; `format` gives the fields, such as "peer=%s step=%s". */
 void plog_write(plog_event_t event, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
--- /dev/null
+++ b/lib/coordination/balance.c
@@ -0,0 +1,53 @@
+#include "coordination/balance.h"
+
+/* A round trip between two regions, and between two domains of one. */
+#define REGION_TRIP_MS 60.0
+#define DOMAIN_TRIP_MS 2.0
+/* Bytes between regions are billed: a local wait up to this is preferred. */
+#define REGION_CHARGE_MS 90.0
+#define DOMAIN_CHARGE_MS 10.0
+/* Each running request makes the steps of the others a little longer. */
+#define RUNNING_CHARGE_MS 2.0
+#define LAST_RESORT_MS 1e9
+
+static double trip_ms(balance_distance_t distance)
+{
+	static const double trips[] = {0.0, DOMAIN_TRIP_MS, REGION_TRIP_MS};
+
+	return trips[distance];
+}
+
+static double charge_ms(balance_distance_t distance)
+{
+	static const double charges[] = {0.0, DOMAIN_CHARGE_MS,
+					 REGION_CHARGE_MS};
+
+	return charges[distance];
+}
+
+static double queue_ms(const balance_option_t *option)
+{
+	unsigned slots = option->slots ? option->slots : 1;
+
+	return option->service_ms * (1.0 + (double)option->in_flight / slots);
+}
+
+double balance_expected_ms(const balance_option_t *option,
+			   const balance_rates_t *rates)
+{
+	double tokens =
+		(double)(option->backlog_tokens + option->unread_tokens);
+
+	return trip_ms(option->distance) + option->excess_ms +
+	       queue_ms(option) + tokens / rates->tokens_per_ms;
+}
+
+double balance_cost(const balance_option_t *option,
+		    const balance_rates_t *rates)
+{
+	return balance_expected_ms(option, rates) +
+	       charge_ms(option->distance) +
+	       RUNNING_CHARGE_MS * option->in_flight +
+	       option->failing * rates->fail_cost_ms +
+	       (option->last_resort ? LAST_RESORT_MS : 0.0);
+}
--- /dev/null
+++ b/lib/coordination/balance.h
@@ -0,0 +1,48 @@
+#ifndef COORDINATION_BALANCE_H
+#define COORDINATION_BALANCE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * balance - which of several endpoints gets a request
+ *
+ * Each option is given its expected time to the first token or answer, plus
+ * charges for what a caller doesn't see: bytes between domains and regions, and
+ * the risk that the endpoint fails. The cheapest option wins.
+ */
+typedef enum balance_distance {
+	BALANCE_SAME_DOMAIN,
+	BALANCE_SAME_REGION,
+	BALANCE_OTHER_REGION
+} balance_distance_t;
+
+typedef struct balance_option {
+	balance_distance_t distance;
+	/* Model engines: prompt tokens sent to it and not read yet, and those
+	 * of this request that it would have to read. */
+	uint64_t backlog_tokens;
+	uint64_t unread_tokens;
+	unsigned in_flight; /* own requests at the endpoint */
+	unsigned slots;	    /* requests that it runs at once */
+	double excess_ms;   /* recent answers' time over what was expected */
+	double service_ms;  /* plain services: usual time of an answer */
+	double failing;	    /* share of recent requests that failed */
+	bool last_resort;   /* only when there is nothing else */
+} balance_option_t;
+
+typedef struct balance_rates {
+	double tokens_per_ms; /* of prompts, read by one engine */
+	double fail_cost_ms;  /* what a failed request loses */
+} balance_rates_t;
+
+/* Expected time in ms until the first token or answer. */
+double balance_expected_ms(const balance_option_t *option,
+			   const balance_rates_t *rates);
+
+/* Expected time plus charges; the option with the lowest cost is best. */
+double balance_cost(const balance_option_t *option,
+		    const balance_rates_t *rates);
+
+#endif
--- /dev/null
+++ b/lib/coordination/gossip.c
@@ -0,0 +1,355 @@
+#include "coordination/gossip.h"
+
+#include <msgpack.h>
+#include <stdlib.h>
+
+#define MESSAGE_FIELDS 8
+#define MEMBER_FIELDS 5
+#define MESSAGE_VERSION 1
+/* Ages beyond this say nothing more. */
+#define MAX_AGE_MS GOSSIP_COUNT_MS
+
+struct gossip {
+	member_t self;
+	member_t *members;
+	size_t count, cap;
+	size_t sampled; /* where the next sample begins */
+	uint64_t random;
+};
+
+gossip_t *gossip_create(const gossip_self_t *self, uint64_t random)
+{
+	gossip_t *gossip = calloc(1, sizeof(*gossip));
+
+	if (!gossip)
+		abort();
+	str_copy(gossip->self.name, GOSSIP_NAME_BYTES, str_from(self->name));
+	str_copy(gossip->self.domain, GOSSIP_NAME_BYTES,
+		 str_from(self->domain));
+	str_copy(gossip->self.ip, GOSSIP_IP_BYTES, str_from(self->ip));
+	gossip->self.incarnation = self->incarnation;
+	gossip->random = random | 1;
+	return gossip;
+}
+
+void gossip_free(gossip_t *gossip)
+{
+	if (!gossip)
+		return;
+	free(gossip->members);
+	free(gossip);
+}
+
+static uint64_t next_random(gossip_t *gossip)
+{
+	/* xorshift64 */
+	gossip->random ^= gossip->random << 13;
+	gossip->random ^= gossip->random >> 7;
+	gossip->random ^= gossip->random << 17;
+	return gossip->random;
+}
+
+static member_t *find(const gossip_t *gossip, const char *name)
+{
+	for (size_t i = 0; i < gossip->count; i++)
+		if (!strcmp(gossip->members[i].name, name))
+			return &gossip->members[i];
+	return NULL;
+}
+
+/* Forgets the host that was heard of longest ago. */
+static member_t *replace_oldest(gossip_t *gossip)
+{
+	member_t *oldest = &gossip->members[0];
+
+	for (size_t i = 1; i < gossip->count; i++)
+		if (gossip->members[i].heard_ms < oldest->heard_ms)
+			oldest = &gossip->members[i];
+	return oldest;
+}
+
+static member_t *add(gossip_t *gossip)
+{
+	if (gossip->count == GOSSIP_MAX_MEMBERS)
+		return replace_oldest(gossip);
+	if (gossip->count == gossip->cap) {
+		member_t *grown;
+
+		gossip->cap = gossip->cap ? gossip->cap * 2 : 8;
+		grown = realloc(gossip->members, gossip->cap * sizeof(*grown));
+		if (!grown)
+			abort();
+		gossip->members = grown;
+	}
+	return &gossip->members[gossip->count++];
+}
+
+/* Merges what was heard of a host. NULL for this host and old news. */
+static member_t *merge(gossip_t *gossip, const member_t *heard)
+{
+	member_t *member;
+
+	if (!heard->name[0] || !strcmp(heard->name, gossip->self.name))
+		return NULL;
+	member = find(gossip, heard->name);
+	if (member && heard->incarnation < member->incarnation)
+		return NULL;
+	if (!member) {
+		member = add(gossip);
+		*member = *heard;
+		return member;
+	}
+	if (heard->incarnation > member->incarnation) {
+		*member = *heard;
+		return member;
+	}
+	if (heard->heard_ms > member->heard_ms)
+		member->heard_ms = heard->heard_ms;
+	return member;
+}
+
+static bool read_text(const msgpack_object *object, char *out, size_t size)
+{
+	return object->type == MSGPACK_OBJECT_STR &&
+	       str_copy(out, size,
+			(str_t){object->via.str.ptr, object->via.str.size});
+}
+
+static bool read_number(const msgpack_object *object, uint64_t *out)
+{
+	*out = object->via.u64;
+	return object->type == MSGPACK_OBJECT_POSITIVE_INTEGER;
+}
+
+/* Reads [name, domain, ip, incarnation, age or revision]. */
+static bool read_member(const msgpack_object *fields, member_t *member,
+			uint64_t *number)
+{
+	memset(member, 0, sizeof(*member));
+	return read_text(&fields[0], member->name, GOSSIP_NAME_BYTES) &&
+	       read_text(&fields[1], member->domain, GOSSIP_NAME_BYTES) &&
+	       read_text(&fields[2], member->ip, GOSSIP_IP_BYTES) &&
+	       read_number(&fields[3], &member->incarnation) &&
+	       read_number(&fields[4], number) && *number < INT64_MAX;
+}
+
+static void read_sample(gossip_t *gossip, const msgpack_object_array *sample,
+			int64_t now_ms)
+{
+	for (uint32_t i = 0; i < sample->size && i < GOSSIP_SAMPLE; i++) {
+		const msgpack_object *item = &sample->ptr[i];
+		member_t member;
+		uint64_t age_ms;
+
+		if (item->type != MSGPACK_OBJECT_ARRAY ||
+		    item->via.array.size != MEMBER_FIELDS ||
+		    !read_member(item->via.array.ptr, &member, &age_ms) ||
+		    age_ms > MAX_AGE_MS)
+			continue;
+		member.heard_ms = now_ms - (int64_t)age_ms;
+		merge(gossip, &member);
+	}
+}
+
+static err_code_t read_message(gossip_t *gossip, const msgpack_object *root,
+			       int64_t now_ms, const member_t **sender,
+			       err_t *err)
+{
+	const msgpack_object *fields = root->via.array.ptr;
+	member_t heard;
+	member_t *member;
+	uint64_t version, revision;
+
+	if (root->type != MSGPACK_OBJECT_ARRAY ||
+	    root->via.array.size != MESSAGE_FIELDS ||
+	    !read_number(&fields[0], &version) || version != MESSAGE_VERSION ||
+	    !read_member(&fields[1], &heard, &revision) ||
+	    fields[6].type != MSGPACK_OBJECT_BOOLEAN ||
+	    fields[7].type != MSGPACK_OBJECT_ARRAY)
+		return err_set(err, ERR_INVALID, "read-gossip", "-",
+			       "malformed message");
+	heard.heard_ms = now_ms;
+	member = merge(gossip, &heard);
+	if (!member)
+		return err_set(err, ERR_BAD_STATE, "read-gossip", heard.name,
+			       "from this host or an earlier incarnation");
+	member->revision = (int64_t)revision;
+	member->direct_ms = now_ms;
+	member->leaving = fields[6].via.boolean;
+	read_sample(gossip, &fields[7].via.array, now_ms);
+	/* The sample may have moved the table. */
+	*sender = find(gossip, heard.name);
+	return ERR_OK;
+}
+
+err_code_t gossip_read(gossip_t *gossip, str_t message, int64_t now_ms,
+		       const member_t **sender, err_t *err)
+{
+	msgpack_unpacked unpacked;
+	err_code_t code;
+
+	*sender = NULL;
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, message.ptr, message.len, NULL) ==
+	    MSGPACK_UNPACK_SUCCESS)
+		code = read_message(gossip, &unpacked.data, now_ms, sender,
+				    err);
+	else
+		code = err_set(err, ERR_INVALID, "read-gossip", "-",
+			       "not msgpack");
+	msgpack_unpacked_destroy(&unpacked);
+	return code;
+}
+
+static int append_packed(void *user, const char *data, size_t len)
+{
+	buf_append(user, data, len);
+	return 0;
+}
+
+static void pack_text(msgpack_packer *packer, const char *text)
+{
+	msgpack_pack_str_with_body(packer, text, strlen(text));
+}
+
+static void pack_member(msgpack_packer *packer, const member_t *member,
+			uint64_t number)
+{
+	pack_text(packer, member->name);
+	pack_text(packer, member->domain);
+	pack_text(packer, member->ip);
+	msgpack_pack_uint64(packer, member->incarnation);
+	msgpack_pack_uint64(packer, number);
+}
+
+/* Hosts heard of lately, from where the last sample ended. */
+static size_t take_sample(gossip_t *gossip, int64_t now_ms,
+			  const member_t **sample)
+{
+	size_t taken = 0;
+
+	for (size_t i = 0; i < gossip->count && taken < GOSSIP_SAMPLE; i++) {
+		const member_t *member =
+			&gossip->members[gossip->sampled++ % gossip->count];
+
+		if (now_ms - member->heard_ms < GOSSIP_LIVE_MS)
+			sample[taken++] = member;
+	}
+	return taken;
+}
+
+void gossip_write(gossip_t *gossip, int64_t revision, bool leaving,
+		  int64_t now_ms, buf_t *out)
+{
+	const member_t *sample[GOSSIP_SAMPLE];
+	size_t count = take_sample(gossip, now_ms, sample);
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, out, append_packed);
+	msgpack_pack_array(&packer, MESSAGE_FIELDS);
+	msgpack_pack_uint64(&packer, MESSAGE_VERSION);
+	pack_member(&packer, &gossip->self, (uint64_t)revision);
+	if (leaving)
+		msgpack_pack_true(&packer);
+	else
+		msgpack_pack_false(&packer);
+	msgpack_pack_array(&packer, count);
+	for (size_t i = 0; i < count; i++) {
+		int64_t age_ms = now_ms - sample[i]->heard_ms;
+
+		msgpack_pack_array(&packer, MEMBER_FIELDS);
+		pack_member(&packer, sample[i],
+			    age_ms > 0 ? (uint64_t)age_ms : 0);
+	}
+}
+
+static bool is_live(const member_t *member, int64_t now_ms)
+{
+	return now_ms - member->heard_ms < GOSSIP_LIVE_MS;
+}
+
+static bool is_chosen(const member_t *const *targets, size_t count,
+		      const member_t *member)
+{
+	for (size_t i = 0; i < count; i++)
+		if (targets[i] == member)
+			return true;
+	return false;
+}
+
+/* A live host, of the own domain if asked for, from a random start. */
+static const member_t *pick(gossip_t *gossip, int64_t now_ms, bool own_domain,
+			    const member_t *const *targets, size_t count)
+{
+	size_t start = gossip->count ? next_random(gossip) % gossip->count : 0;
+
+	for (size_t i = 0; i < gossip->count; i++) {
+		const member_t *member =
+			&gossip->members[(start + i) % gossip->count];
+
+		if (is_live(member, now_ms) &&
+		    !is_chosen(targets, count, member) &&
+		    (!own_domain ||
+		     !strcmp(member->domain, gossip->self.domain)))
+			return member;
+	}
+	return NULL;
+}
+
+size_t gossip_targets(gossip_t *gossip, int64_t now_ms,
+		      const member_t **targets)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < GOSSIP_FANOUT; i++) {
+		bool own_domain = i + 1 < GOSSIP_FANOUT;
+		const member_t *member = pick(gossip, now_ms, own_domain,
+					      targets, count);
+
+		if (member)
+			targets[count++] = member;
+	}
+	return count;
+}
+
+static unsigned count_members(const gossip_t *gossip, int64_t now_ms,
+			      const char *domain)
+{
+	unsigned count = 1;
+
+	for (size_t i = 0; i < gossip->count; i++) {
+		const member_t *member = &gossip->members[i];
+
+		if (now_ms - member->heard_ms < GOSSIP_COUNT_MS &&
+		    (!domain || !strcmp(member->domain, domain)))
+			count++;
+	}
+	return count;
+}
+
+unsigned gossip_count(const gossip_t *gossip, int64_t now_ms)
+{
+	return count_members(gossip, now_ms, NULL);
+}
+
+unsigned gossip_count_domain(const gossip_t *gossip, int64_t now_ms)
+{
+	return count_members(gossip, now_ms, gossip->self.domain);
+}
+
+const member_t *gossip_newest(const gossip_t *gossip, int64_t revision,
+			      int64_t now_ms)
+{
+	const member_t *newest = NULL;
+
+	for (size_t i = 0; i < gossip->count; i++) {
+		const member_t *member = &gossip->members[i];
+
+		if (member->revision <= revision || !member->direct_ms ||
+		    now_ms - member->direct_ms > GOSSIP_LIVE_MS)
+			continue;
+		if (!newest || member->revision > newest->revision)
+			newest = member;
+	}
+	return newest;
+}
--- /dev/null
+++ b/lib/coordination/gossip.h
@@ -0,0 +1,84 @@
+#ifndef COORDINATION_GOSSIP_H
+#define COORDINATION_GOSSIP_H
+
+#include <stdint.h>
+
+#include "base/buf.h"
+#include "base/err.h"
+
+/*
+ * gossip - which hosts there are, and how new their records are
+ *
+ * Each host sends a digest to a few others in each round: itself, the revision
+ * of its replica, and a sample of the hosts it has heard of. The bytes a host
+ * sends and keeps are bounded, however many hosts there are. The module keeps
+ * the table and reads and writes messages; it does no input or output.
+ */
+#define GOSSIP_MAX_MEMBERS 1024
+#define GOSSIP_FANOUT 3
+#define GOSSIP_SAMPLE 6
+#define GOSSIP_ROUND_MS 400
+/* A host not heard of for this long is not sent to. */
+#define GOSSIP_LIVE_MS 5000
+/* A host counts for shares of a limit for this long after it was heard of: it
+ * may be cut off and go on sending to endpoints. */
+#define GOSSIP_COUNT_MS 60000
+#define GOSSIP_NAME_BYTES 64
+#define GOSSIP_IP_BYTES 16
+#define GOSSIP_MESSAGE_BYTES 1200
+
+typedef struct member {
+	char name[GOSSIP_NAME_BYTES];
+	char domain[GOSSIP_NAME_BYTES];
+	char ip[GOSSIP_IP_BYTES];
+	uint64_t incarnation; /* grows with each start of the host */
+	int64_t heard_ms;     /* of it, directly or through others */
+	int64_t revision;     /* of its replica, as it said itself */
+	int64_t direct_ms;    /* when it said so; 0: never */
+	bool leaving;
+} member_t;
+
+typedef struct gossip gossip_t;
+
+typedef struct gossip_self {
+	const char *name;
+	const char *domain;
+	const char *ip;
+	uint64_t incarnation;
+} gossip_self_t;
+
+gossip_t *gossip_create(const gossip_self_t *self, uint64_t random);
+void gossip_free(gossip_t *gossip);
+
+/*
+ * Reads a message of another host. `sender` is set to who sent it.
+ *
+ * ERRORS: ERR_INVALID for a malformed message, ERR_BAD_STATE for one of an
+ * earlier incarnation or of this host.
+ */
+err_code_t gossip_read(gossip_t *gossip, str_t message, int64_t now_ms,
+		       const member_t **sender, err_t *err);
+
+/* Appends a message about this host and a sample of the others. */
+void gossip_write(gossip_t *gossip, int64_t revision, bool leaving,
+		  int64_t now_ms, buf_t *out);
+
+/*
+ * Chooses whom to send to in this round: mostly hosts of the own domain, whose
+ * bytes cost nothing, and one of all.
+ *
+ * RETURN VALUE: how many of `targets` were set, GOSSIP_FANOUT at most.
+ */
+size_t gossip_targets(gossip_t *gossip, int64_t now_ms,
+		      const member_t **targets);
+
+/* Hosts that count for shares, this one included. */
+unsigned gossip_count(const gossip_t *gossip, int64_t now_ms);
+unsigned gossip_count_domain(const gossip_t *gossip, int64_t now_ms);
+
+/* A live host whose replica was newest; NULL if none is newer than
+ * `revision`. */
+const member_t *gossip_newest(const gossip_t *gossip, int64_t revision,
+			      int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/lib/coordination/peersync.c
@@ -0,0 +1,527 @@
+#include "coordination/peersync.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <msgpack.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/metrics.h"
+#include "base/plog.h"
+#include "transport/address.h"
+#include "transport/frame.h"
+#include "transport/tcp.h"
+
+#define MAX_SEEDS 8
+#define READ_BYTES 8192
+#define SILENCE_MS 1000
+/* Shares are divided by one host more than are known: one may just start. */
+#define SPARE_HOSTS 1
+/* Before other hosts had time to answer, at least so many are assumed. */
+#define MIN_DOMAIN_HOSTS 4
+#define MIN_ALL_HOSTS 12
+#define LEARN_MS 3000
+#define ANSWER_FIELDS 3
+#define RECORD_FIELDS 3
+
+/* A connection over which a pull is asked for or answered. */
+typedef struct pull {
+	peersync_t *peersync;
+	tcp_t tcp;
+	buf_t in;
+	bool asks;
+	bool answered;
+	char peer[ADDRESS_BYTES];
+	loop_timer_t timer;
+} pull_t;
+
+struct peersync {
+	loop_t *loop;
+	replica_t *replica;
+	gossip_t *gossip;
+	peersync_observer_t observer;
+	int udp_fd;
+	int listen_fd;
+	unsigned gossip_port;
+	unsigned pull_port;
+	char seeds[MAX_SEEDS][GOSSIP_IP_BYTES];
+	size_t seed_count;
+	bool leaving;
+	int64_t started_ms;
+	int64_t behind_since_ms; /* a peer's revision has been newer; 0: no */
+	unsigned domain_hosts, all_hosts;
+	pull_t *pulling; /* the own pull; one at a time */
+	size_t served;
+	loop_timer_t round_timer;
+};
+
+static int64_t now_of(const peersync_t *peersync)
+{
+	return mclock_now_ms(loop_clock(peersync->loop));
+}
+
+static void end_pull(pull_t *pull)
+{
+	peersync_t *peersync = pull->peersync;
+
+	loop_timer_cancel(peersync->loop, &pull->timer);
+	tcp_close(&pull->tcp);
+	buf_release(&pull->in);
+	if (pull->asks)
+		peersync->pulling = NULL;
+	else
+		peersync->served--;
+	free(pull);
+}
+
+static void on_pull_timeout(void *user)
+{
+	end_pull(user);
+}
+
+static int append_packed(void *user, const char *data, size_t len)
+{
+	buf_append(user, data, len);
+	return 0;
+}
+
+/* Records are packed into a buffer of their own, to be counted first. */
+typedef struct pack {
+	msgpack_packer packer;
+	buf_t records;
+	size_t count;
+} pack_t;
+
+static void pack_record(void *user, str_t key, str_t value, int64_t revision)
+{
+	pack_t *pack = user;
+
+	msgpack_pack_array(&pack->packer, RECORD_FIELDS);
+	msgpack_pack_str_with_body(&pack->packer, key.ptr, key.len);
+	msgpack_pack_int64(&pack->packer, revision);
+	if (value.ptr)
+		msgpack_pack_bin_with_body(&pack->packer, value.ptr, value.len);
+	else
+		msgpack_pack_nil(&pack->packer);
+	pack->count++;
+}
+
+/* Writes [revision, whether these are changes, records]. */
+static void write_answer(const peersync_t *peersync, int64_t after, buf_t *out)
+{
+	pack_t pack = {.records = BUF_INIT};
+	msgpack_packer packer;
+	bool changes;
+
+	msgpack_packer_init(&pack.packer, &pack.records, append_packed);
+	changes = replica_changes(peersync->replica, after, pack_record, &pack);
+	msgpack_packer_init(&packer, out, append_packed);
+	msgpack_pack_array(&packer, ANSWER_FIELDS);
+	msgpack_pack_int64(&packer, replica_revision(peersync->replica));
+	if (changes)
+		msgpack_pack_true(&packer);
+	else
+		msgpack_pack_false(&packer);
+	msgpack_pack_array(&packer, pack.count);
+	buf_append_str(out, buf_view(&pack.records));
+	buf_release(&pack.records);
+}
+
+static void apply_record(replica_t *replica, const msgpack_object *item)
+{
+	const msgpack_object *fields = item->via.array.ptr;
+	str_t key;
+	int64_t revision;
+
+	if (item->type != MSGPACK_OBJECT_ARRAY ||
+	    item->via.array.size != RECORD_FIELDS ||
+	    fields[0].type != MSGPACK_OBJECT_STR ||
+	    fields[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+		metrics_inc(METRIC_RECORDS_INVALID);
+		return;
+	}
+	key = (str_t){fields[0].via.str.ptr, fields[0].via.str.size};
+	revision = (int64_t)fields[1].via.u64;
+	if (fields[2].type == MSGPACK_OBJECT_BIN)
+		replica_put(replica, key,
+			    (str_t){fields[2].via.bin.ptr,
+				    fields[2].via.bin.size},
+			    revision);
+	else
+		replica_remove(replica, key, revision);
+}
+
+static bool apply_answer(pull_t *pull, const msgpack_object *root)
+{
+	peersync_t *peersync = pull->peersync;
+	const msgpack_object *fields = root->via.array.ptr;
+	int64_t before = replica_revision(peersync->replica);
+	int64_t revision;
+
+	if (root->type != MSGPACK_OBJECT_ARRAY ||
+	    root->via.array.size != ANSWER_FIELDS ||
+	    fields[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    fields[1].type != MSGPACK_OBJECT_BOOLEAN ||
+	    fields[2].type != MSGPACK_OBJECT_ARRAY)
+		return false;
+	revision = (int64_t)fields[0].via.u64;
+	if (revision <= before)
+		return true;
+	if (!fields[1].via.boolean)
+		replica_begin(peersync->replica);
+	for (uint32_t i = 0; i < fields[2].via.array.size; i++)
+		apply_record(peersync->replica, &fields[2].via.array.ptr[i]);
+	if (!fields[1].via.boolean)
+		replica_end(peersync->replica, revision);
+	replica_advance(peersync->replica, revision);
+	peersync->observer.pulled(peersync->observer.user, pull->peer,
+				  revision);
+	return true;
+}
+
+static void on_answer(pull_t *pull, str_t content)
+{
+	msgpack_unpacked unpacked;
+
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, content.ptr, content.len, NULL) !=
+		    MSGPACK_UNPACK_SUCCESS ||
+	    !apply_answer(pull, &unpacked.data))
+		plog_write(PLOG_MESSAGE_INVALID, "peer=%s step=read-pull",
+			   pull->peer);
+	msgpack_unpacked_destroy(&unpacked);
+}
+
+static void on_question(pull_t *pull, str_t content)
+{
+	msgpack_unpacked unpacked;
+	buf_t answer = BUF_INIT;
+	buf_t out = BUF_INIT;
+
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, content.ptr, content.len, NULL) ==
+		    MSGPACK_UNPACK_SUCCESS &&
+	    unpacked.data.type == MSGPACK_OBJECT_POSITIVE_INTEGER) {
+		write_answer(pull->peersync, (int64_t)unpacked.data.via.u64,
+			     &answer);
+		frame_append(&out, buf_view(&answer));
+		tcp_send(&pull->tcp, buf_view(&out));
+		pull->answered = true;
+	}
+	msgpack_unpacked_destroy(&unpacked);
+	buf_release(&answer);
+	buf_release(&out);
+}
+
+/* RETURN VALUE: false when the pull has ended. */
+static bool on_frame(pull_t *pull)
+{
+	str_t content;
+
+	if (frame_peek(buf_view(&pull->in), &content)) {
+		end_pull(pull);
+		return false;
+	}
+	if (!content.ptr)
+		return true;
+	if (pull->asks) {
+		on_answer(pull, content);
+		end_pull(pull);
+		return false;
+	}
+	if (!pull->answered)
+		on_question(pull, content);
+	return true;
+}
+
+static void ask(pull_t *pull)
+{
+	msgpack_packer packer;
+	buf_t question = BUF_INIT;
+	buf_t out = BUF_INIT;
+
+	msgpack_packer_init(&packer, &question, append_packed);
+	msgpack_pack_int64(&packer, replica_revision(pull->peersync->replica));
+	frame_append(&out, buf_view(&question));
+	tcp_send(&pull->tcp, buf_view(&out));
+	buf_release(&question);
+	buf_release(&out);
+}
+
+static void on_pull_io(void *user, uint32_t events)
+{
+	pull_t *pull = user;
+	char buffer[READ_BYTES];
+	size_t len;
+
+	if (pull->tcp.connecting && tcp_connect_result(&pull->tcp)) {
+		end_pull(pull);
+		return;
+	}
+	if ((events & EPOLLOUT) && !tcp_flush(&pull->tcp)) {
+		end_pull(pull);
+		return;
+	}
+	if (!(events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
+		return;
+	switch (tcp_read(&pull->tcp, buffer, sizeof(buffer), &len)) {
+	case TCP_READ_DATA:
+		buf_append(&pull->in, buffer, len);
+		on_frame(pull);
+		return;
+	case TCP_READ_AGAIN:
+		return;
+	case TCP_READ_END:
+	case TCP_READ_BROKEN:
+		end_pull(pull);
+		return;
+	}
+}
+
+static pull_t *create_pull(peersync_t *peersync, bool asks)
+{
+	pull_t *pull = calloc(1, sizeof(*pull));
+
+	if (!pull)
+		abort();
+	pull->peersync = peersync;
+	pull->asks = asks;
+	loop_timer_set(peersync->loop, &pull->timer, PEERSYNC_PULL_TIMEOUT_MS,
+		       on_pull_timeout, pull);
+	return pull;
+}
+
+static void start_pull(peersync_t *peersync, const char *ip)
+{
+	pull_t *pull = create_pull(peersync, true);
+	err_t err;
+
+	peersync->pulling = pull;
+	snprintf(pull->peer, sizeof(pull->peer), "%s:%u", ip,
+		 peersync->pull_port);
+	if (tcp_connect(&pull->tcp, peersync->loop, pull->peer, on_pull_io,
+			pull, &err)) {
+		end_pull(pull);
+		return;
+	}
+	ask(pull);
+}
+
+static void on_accept(void *user, uint32_t events)
+{
+	peersync_t *peersync = user;
+	int fd;
+
+	(void)events;
+	while ((fd = tcp_accept(peersync->listen_fd)) >= 0) {
+		pull_t *pull;
+
+		if (peersync->served >= PEERSYNC_MAX_SERVED) {
+			close(fd);
+			continue;
+		}
+		pull = create_pull(peersync, false);
+		peersync->served++;
+		tcp_open(&pull->tcp, peersync->loop, fd, on_pull_io, pull);
+	}
+}
+
+/* Pulls from a peer that has been ahead for longer than the watch takes. */
+static void check_behind(peersync_t *peersync)
+{
+	int64_t now_ms = now_of(peersync);
+	int64_t revision = replica_revision(peersync->replica);
+	const member_t *newest =
+		gossip_newest(peersync->gossip, revision, now_ms);
+
+	if (!newest) {
+		peersync->behind_since_ms = 0;
+		return;
+	}
+	if (!peersync->behind_since_ms)
+		peersync->behind_since_ms = now_ms;
+	if (peersync->pulling ||
+	    (revision &&
+	     now_ms - peersync->behind_since_ms < PEERSYNC_PATIENCE_MS))
+		return;
+	start_pull(peersync, newest->ip);
+}
+
+static void on_datagram(void *user, uint32_t events)
+{
+	peersync_t *peersync = user;
+	char buffer[GOSSIP_MESSAGE_BYTES];
+	ssize_t len;
+
+	(void)events;
+	while ((len = recv(peersync->udp_fd, buffer, sizeof(buffer),
+			   MSG_DONTWAIT)) > 0) {
+		const member_t *sender;
+		err_t err;
+
+		if (gossip_read(peersync->gossip, (str_t){buffer, (size_t)len},
+				now_of(peersync), &sender,
+				&err) == ERR_INVALID)
+			plog_write(PLOG_MESSAGE_INVALID, "peer=%s step=%s",
+				   err.peer, err.step);
+	}
+	check_behind(peersync);
+}
+
+static void send_to_ip(const peersync_t *peersync, const char *ip, str_t data)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET,
+				  .sin_port = htons(
+					  (uint16_t)peersync->gossip_port)};
+
+	if (inet_pton(AF_INET, ip, &sin.sin_addr) != 1)
+		return;
+	/* Lost datagrams are made good by the next round. */
+	if (sendto(peersync->udp_fd, data.ptr, data.len, MSG_DONTWAIT,
+		   (struct sockaddr *)&sin, sizeof(sin)) < 0)
+		metrics_inc(METRIC_GOSSIP_UNSENT);
+}
+
+static void update_hosts(peersync_t *peersync)
+{
+	int64_t now_ms = now_of(peersync);
+	unsigned domain_hosts =
+		gossip_count_domain(peersync->gossip, now_ms) + SPARE_HOSTS;
+	unsigned all_hosts =
+		gossip_count(peersync->gossip, now_ms) + SPARE_HOSTS;
+
+	if (now_ms - peersync->started_ms < LEARN_MS) {
+		if (domain_hosts < MIN_DOMAIN_HOSTS)
+			domain_hosts = MIN_DOMAIN_HOSTS;
+		if (all_hosts < MIN_ALL_HOSTS)
+			all_hosts = MIN_ALL_HOSTS;
+	}
+	if (domain_hosts == peersync->domain_hosts &&
+	    all_hosts == peersync->all_hosts)
+		return;
+	peersync->domain_hosts = domain_hosts;
+	peersync->all_hosts = all_hosts;
+	peersync->observer.hosts_changed(peersync->observer.user, domain_hosts,
+					 all_hosts);
+}
+
+static void send_round(peersync_t *peersync)
+{
+	const member_t *targets[GOSSIP_FANOUT];
+	int64_t now_ms = now_of(peersync);
+	size_t count = gossip_targets(peersync->gossip, now_ms, targets);
+	buf_t message = BUF_INIT;
+
+	gossip_write(peersync->gossip, replica_revision(peersync->replica),
+		     peersync->leaving, now_ms, &message);
+	for (size_t i = 0; i < count; i++)
+		send_to_ip(peersync, targets[i]->ip, buf_view(&message));
+	if (count < GOSSIP_FANOUT)
+		for (size_t i = 0; i < peersync->seed_count; i++)
+			send_to_ip(peersync, peersync->seeds[i],
+				   buf_view(&message));
+	buf_release(&message);
+}
+
+static void on_round(void *user)
+{
+	peersync_t *peersync = user;
+
+	send_round(peersync);
+	update_hosts(peersync);
+	check_behind(peersync);
+	loop_timer_set(peersync->loop, &peersync->round_timer, GOSSIP_ROUND_MS,
+		       on_round, peersync);
+}
+
+static int open_udp(const char *ip, unsigned port, err_t *err)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET,
+				  .sin_port = htons((uint16_t)port)};
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd >= 0 && inet_pton(AF_INET, ip, &sin.sin_addr) == 1 &&
+	    !bind(fd, (struct sockaddr *)&sin, sizeof(sin)))
+		return fd;
+	err_set(err, ERR_IO, "listen-gossip", ip, "port %u: %s", port,
+		strerror(errno));
+	if (fd >= 0)
+		close(fd);
+	return -1;
+}
+
+err_code_t peersync_create(const peersync_options_t *options,
+			   peersync_t **out, err_t *err)
+{
+	peersync_t *peersync = calloc(1, sizeof(*peersync));
+	struct sockaddr_in sin;
+
+	if (!peersync)
+		abort();
+	peersync->loop = options->loop;
+	peersync->replica = options->replica;
+	peersync->observer = options->observer;
+	peersync->gossip_port = options->gossip_port;
+	peersync->listen_fd = -1;
+	peersync->started_ms = now_of(peersync);
+	peersync->gossip = gossip_create(
+		&options->self,
+		options->self.incarnation ^
+			(uint64_t)mclock_now_us(loop_clock(options->loop)));
+	peersync->udp_fd =
+		open_udp(options->self.ip, options->gossip_port, err);
+	if (peersync->udp_fd < 0 ||
+	    address_parse(options->pull_listen, &sin, err))
+		goto fail;
+	peersync->pull_port = ntohs(sin.sin_port);
+	peersync->listen_fd = tcp_listen(options->pull_listen, err);
+	if (peersync->listen_fd < 0)
+		goto fail;
+	loop_watch(peersync->loop, peersync->udp_fd, EPOLLIN, on_datagram,
+		   peersync);
+	loop_watch(peersync->loop, peersync->listen_fd, EPOLLIN, on_accept,
+		   peersync);
+	loop_timer_set(peersync->loop, &peersync->round_timer, 0, on_round,
+		       peersync);
+	*out = peersync;
+	return ERR_OK;
+fail:
+	peersync_free(peersync);
+	return ERR_IO;
+}
+
+void peersync_free(peersync_t *peersync)
+{
+	if (!peersync)
+		return;
+	loop_timer_cancel(peersync->loop, &peersync->round_timer);
+	if (peersync->pulling)
+		end_pull(peersync->pulling);
+	if (peersync->udp_fd >= 0) {
+		loop_unwatch(peersync->loop, peersync->udp_fd);
+		close(peersync->udp_fd);
+	}
+	if (peersync->listen_fd >= 0) {
+		loop_unwatch(peersync->loop, peersync->listen_fd);
+		close(peersync->listen_fd);
+	}
+	gossip_free(peersync->gossip);
+	free(peersync);
+}
+
+void peersync_set_seeds(peersync_t *peersync, const str_t *ips, size_t count)
+{
+	peersync->seed_count = 0;
+	for (size_t i = 0; i < count && i < MAX_SEEDS; i++)
+		if (str_copy(peersync->seeds[peersync->seed_count],
+			     GOSSIP_IP_BYTES, ips[i]))
+			peersync->seed_count++;
+}
+
+void peersync_leave(peersync_t *peersync)
+{
+	peersync->leaving = true;
+}
--- /dev/null
+++ b/lib/coordination/peersync.h
@@ -0,0 +1,55 @@
+#ifndef COORDINATION_PEERSYNC_H
+#define COORDINATION_PEERSYNC_H
+
+#include "coordination/gossip.h"
+#include "state/replica.h"
+#include "transport/loop.h"
+
+/*
+ * peersync - keeps this host's replica as new as that of its peers
+ *
+ * Sends and receives gossip over UDP. When a peer has known a newer revision
+ * for a while, which this host's own watch should have told by then, the
+ * changes are pulled from that peer over TCP: a frame with the own revision,
+ * answered by a frame with the records. Nothing is pulled while the
+ * configuration service answers every host.
+ */
+/* Time for the own watch to tell what a peer already knows. */
+#define PEERSYNC_PATIENCE_MS 350
+#define PEERSYNC_PULL_TIMEOUT_MS 1000
+#define PEERSYNC_MAX_SERVED 16 /* pulls answered at the same time */
+
+typedef struct peersync peersync_t;
+
+typedef struct peersync_observer {
+	/* How many hosts share what is limited over all of them. */
+	void (*hosts_changed)(void *user, unsigned domain_hosts,
+			      unsigned all_hosts);
+	/* Records came from a peer that the service hasn't told. */
+	void (*pulled)(void *user, const char *peer, int64_t revision);
+	void *user;
+} peersync_observer_t;
+
+typedef struct peersync_options {
+	loop_t *loop;
+	replica_t *replica;
+	gossip_self_t self;
+	unsigned gossip_port;	 /* of all hosts */
+	const char *pull_listen; /* own "IP:PORT" for pulls */
+	peersync_observer_t observer;
+} peersync_options_t;
+
+/*
+ * ERRORS: ERR_IO when an address can't be listened on.
+ */
+err_code_t peersync_create(const peersync_options_t *options,
+			   peersync_t **peersync, err_t *err);
+void peersync_free(peersync_t *peersync);
+
+/* Sets the hosts to begin with, by IP, and again when settings change. */
+void peersync_set_seeds(peersync_t *peersync, const str_t *ips, size_t count);
+
+/* Tells the others that this host stops. */
+void peersync_leave(peersync_t *peersync);
+
+#endif
--- /dev/null
+++ b/lib/request/answer.c
@@ -0,0 +1,158 @@
+#include "request/answer.h"
+
+#include <assert.h>
+#include <stdio.h>
+
+#include "base/metrics.h"
+#include "base/plog.h"
+#include "request/caller.h"
+
+/* Callers wait for a time to return up to a third of what they have left. */
+#define ANSWER_RETRY_PART 3
+#define ANSWER_MIN_RETRY_MS 50
+#define ANSWER_STATUS_BYTES 8
+
+static void log_end(const request_t *request, unsigned status,
+		    const char *reason)
+{
+	int64_t now_ms = router_now_ms(request->router);
+	char text[ANSWER_STATUS_BYTES];
+
+	snprintf(text, sizeof(text), "%u", status);
+	metrics_add(METRIC_ANSWERS, str_from(text), 1);
+	plog_write(PLOG_REQUEST_ENDED,
+		   "id=%" STR_FMT " status=%u reason=%s ms=%lld first_ms=%lld "
+		   "events=%llu sends=%u runs=%u version=%lld",
+		   STR_ARG(request->call.id), status, reason,
+		   (long long)(now_ms - request->arrived_ms),
+		   (long long)(request->first_event_ms
+				       ? request->first_event_ms -
+						 request->arrived_ms
+				       : -1),
+		   (unsigned long long)request->event_count, request->sends,
+		   request->runs,
+		   (long long)(request->catalog
+				       ? catalog_version(request->catalog)
+				       : -1));
+}
+
+static void finish(request_t *request, bool close)
+{
+	caller_t *caller = request->caller;
+
+	request_finish(request);
+	caller_answered(caller, close);
+}
+
+static void send_own(request_t *request, const own_reply_t *reply)
+{
+	const dialect_t *dialect = request->router->dialect;
+	buf_t out = BUF_INIT;
+
+	assert(request->state != REQUEST_ANSWERING);
+	log_end(request, reply->status, reply->reason);
+	dialect->ops->write_own_reply(dialect, &request->call, reply, &out);
+	caller_send(request->caller, buf_view(&out));
+	buf_release(&out);
+	finish(request, reply->close);
+}
+
+void answer_not_run(request_t *request, const char *reason,
+		    int64_t retry_after_ms)
+{
+	int64_t left_ms = request->ends_ms - router_now_ms(request->router);
+	int64_t most_ms = left_ms / ANSWER_RETRY_PART;
+	own_reply_t reply = {.status = 503,
+			     .reason = reason,
+			     .retry_after_ms = retry_after_ms,
+			     .close = caller_must_close(request->caller)};
+
+	assert(!request->runs);
+	if (reply.retry_after_ms > most_ms)
+		reply.retry_after_ms = most_ms;
+	if (reply.retry_after_ms < ANSWER_MIN_RETRY_MS)
+		reply.retry_after_ms = -1;
+	send_own(request, &reply);
+}
+
+void answer_failed(request_t *request, unsigned status, const char *reason)
+{
+	own_reply_t reply = {.status = status,
+			     .reason = reason,
+			     .retry_after_ms = -1,
+			     .close = caller_must_close(request->caller)};
+
+	send_own(request, &reply);
+}
+
+static void send_head(request_t *request, const http1_head_t *head,
+		      const reply_terms_t *terms, str_t body)
+{
+	const dialect_t *dialect = request->router->dialect;
+	buf_t *out = &request->router->scratch;
+
+	buf_reset(out);
+	dialect->ops->write_reply(dialect, head, terms, out);
+	buf_append_str(out, body);
+	caller_send(request->caller, buf_view(out));
+}
+
+void answer_whole(request_t *request, const http1_head_t *head,
+		  const reply_t *reply)
+{
+	reply_terms_t terms = {.framing = REPLY_LENGTH,
+			       .body_len = request->answer.len,
+			       .close = caller_must_close(request->caller)};
+
+	log_end(request, reply->status, "answered");
+	send_head(request, head, &terms, buf_view(&request->answer));
+	finish(request, terms.close);
+}
+
+void answer_begin(request_t *request, const http1_head_t *head)
+{
+	bool chunked = request->head->minor >= 1;
+	reply_terms_t terms = {
+		.framing = chunked ? REPLY_CHUNKED : REPLY_UNTIL_CLOSE,
+		.close = !chunked || caller_must_close(request->caller)};
+
+	request->state = REQUEST_ANSWERING;
+	request->chunked = chunked;
+	request->closes = terms.close;
+	send_head(request, head, &terms, (str_t){NULL, 0});
+}
+
+void answer_part(request_t *request, str_t data)
+{
+	buf_t *out = &request->router->scratch;
+
+	if (!data.len)
+		return;
+	if (!request->chunked) {
+		caller_send(request->caller, data);
+		return;
+	}
+	buf_reset(out);
+	buf_printf(out, "%zx\r\n", data.len);
+	buf_append_str(out, data);
+	buf_append_str(out, STR_LIT("\r\n"));
+	caller_send(request->caller, buf_view(out));
+}
+
+void answer_end(request_t *request)
+{
+	log_end(request, 200, "answered");
+	if (request->chunked)
+		caller_send(request->caller, STR_LIT("0\r\n\r\n"));
+	finish(request, request->closes || request->router->stopping);
+}
+
+void answer_break_off(request_t *request, const char *reason)
+{
+	caller_t *caller = request->caller;
+	bool chunked = request->chunked;
+
+	log_end(request, 0, reason);
+	request_finish(request);
+	caller_break_off(caller, !chunked);
+}
--- /dev/null
+++ b/lib/request/caller.c
@@ -0,0 +1,339 @@
+#include "request/caller.h"
+
+#include <stdlib.h>
+#include <sys/epoll.h>
+
+#include "base/plog.h"
+
+/* Limits before a catalog is known. */
+#define CALLER_HEAD_BYTES 16384
+#define CALLER_BODY_BYTES (4 * 1024 * 1024)
+#define CALLER_HEAD_TIMEOUT_MS 3000
+#define CALLER_IDLE_TIMEOUT_MS 15000
+/* How long the rest of what a caller sends is read off after the end. */
+#define CALLER_LINGER_MS 1000
+/* Bytes kept of what a caller sends while its request runs. */
+#define CALLER_PENDING_BYTES 65536
+/* An answer above this waits until the caller has taken some of it. */
+#define CALLER_SLOW_BYTES 131072
+/* Body buffers above this size are given back between requests. */
+#define CALLER_KEEP_BODY_BYTES 4096
+
+static void on_timer(void *user);
+static void on_pending(void *user);
+
+static catalog_limits_t limits_of(const caller_t *caller)
+{
+	if (caller->router->catalog)
+		return *catalog_get_limits(caller->router->catalog);
+	return (catalog_limits_t){.head_bytes = CALLER_HEAD_BYTES,
+				  .body_bytes = CALLER_BODY_BYTES,
+				  .head_timeout_ms = CALLER_HEAD_TIMEOUT_MS,
+				  .idle_timeout_ms = CALLER_IDLE_TIMEOUT_MS};
+}
+
+static bool is_closed(const caller_t *caller)
+{
+	return caller->tcp.fd < 0;
+}
+
+static void set_timer(caller_t *caller, int64_t ms)
+{
+	loop_timer_set(caller->router->loop, &caller->timer, ms, on_timer,
+		       caller);
+}
+
+static void destroy(caller_t *caller)
+{
+	router_t *router = caller->router;
+
+	if (is_closed(caller))
+		return;
+	loop_timer_cancel(router->loop, &caller->timer);
+	tcp_close(&caller->tcp);
+	if (caller->request)
+		request_abandon(caller->request);
+	caller->request = NULL;
+	if (caller->prev)
+		caller->prev->next = caller->next;
+	else
+		router->callers = caller->next;
+	if (caller->next)
+		caller->next->prev = caller->prev;
+	http1_release(&caller->http);
+	buf_release(&caller->body);
+	buf_release(&caller->pending);
+	router->caller_count--;
+	router_free_later(router, caller);
+}
+
+/* Ends the sending side and reads off what the caller still sends: closing with
+ * unread bytes would reset the connection and might lose the answer. */
+static void begin_linger(caller_t *caller)
+{
+	caller->lingering = true;
+	tcp_finish(&caller->tcp);
+	set_timer(caller, CALLER_LINGER_MS);
+}
+
+static void begin_close(caller_t *caller)
+{
+	caller->closing = true;
+	buf_release(&caller->pending);
+	tcp_set_reading(&caller->tcp, true);
+	if (!tcp_unsent(&caller->tcp))
+		begin_linger(caller);
+	else
+		set_timer(caller, limits_of(caller).idle_timeout_ms);
+}
+
+/* Answers a message that can't become a request. */
+static void reject(caller_t *caller, unsigned status, const char *reason)
+{
+	buf_t out = BUF_INIT;
+	own_reply_t reply = {.status = status,
+			     .reason = reason,
+			     .retry_after_ms = -1,
+			     .close = true};
+	const dialect_t *dialect = caller->router->dialect;
+
+	plog_write(PLOG_REQUEST_INVALID, "status=%u reason=%s", status, reason);
+	dialect->ops->write_own_reply(dialect, NULL, &reply, &out);
+	tcp_send(&caller->tcp, buf_view(&out));
+	buf_release(&out);
+	begin_close(caller);
+}
+
+static void on_timer(void *user)
+{
+	caller_t *caller = user;
+
+	if (caller->request)
+		return;
+	if (caller->closing || !http1_has_begun(&caller->http))
+		destroy(caller);
+	else
+		reject(caller, 408, "the request did not arrive in time");
+}
+
+static void on_body(http1_t *http, str_t data)
+{
+	caller_t *caller =
+		(caller_t *)((char *)http - offsetof(caller_t, http));
+
+	if (caller->too_large ||
+	    caller->body.len + data.len > limits_of(caller).body_bytes) {
+		caller->too_large = true;
+		return;
+	}
+	buf_append_str(&caller->body, data);
+}
+
+static const http1_ops_t http_ops = {on_body};
+
+/* A part of a message has been read. */
+static void on_partial(caller_t *caller)
+{
+	const http1_head_t *head = &caller->http.head;
+	catalog_limits_t limits = limits_of(caller);
+
+	if (!http1_has_begun(&caller->http))
+		return;
+	if (caller->too_large ||
+	    (head->has_length && head->length > limits.body_bytes)) {
+		reject(caller, 413, "the body is too large");
+		return;
+	}
+	if (!head->complete) {
+		if (!caller->timer.due_ms ||
+		    caller->timer.due_ms > router_now_ms(caller->router) +
+						   limits.head_timeout_ms)
+			set_timer(caller, limits.head_timeout_ms);
+		return;
+	}
+	set_timer(caller, limits.idle_timeout_ms);
+	if (!caller->continued &&
+	    http1_name_equals(http1_find(head, STR_LIT("Expect")),
+			      STR_LIT("100-continue"))) {
+		caller->continued = true;
+		tcp_send(&caller->tcp,
+			 STR_LIT("HTTP/1.1 100 Continue\r\n\r\n"));
+	}
+}
+
+static void on_message(caller_t *caller)
+{
+	if (caller->too_large) {
+		reject(caller, 413, "the body is too large");
+		return;
+	}
+	loop_timer_cancel(caller->router->loop, &caller->timer);
+	request_start(caller->router, caller);
+}
+
+/* Feeds bytes until a request runs; keeps what follows it. */
+static void feed(caller_t *caller, str_t data)
+{
+	while (data.len && !is_closed(caller) && !caller->closing) {
+		http1_result_t result;
+		size_t consumed;
+
+		if (caller->request) {
+			buf_append_str(&caller->pending, data);
+			if (caller->pending.len > CALLER_PENDING_BYTES)
+				tcp_set_reading(&caller->tcp, false);
+			return;
+		}
+		result = http1_feed(&caller->http, data, &consumed);
+		data = (str_t){data.ptr + consumed, data.len - consumed};
+		if (result == HTTP1_MESSAGE)
+			on_message(caller);
+		else if (result == HTTP1_HEAD_TOO_LARGE)
+			reject(caller, 431, "the head is too large");
+		else if (result == HTTP1_MALFORMED)
+			reject(caller, 400, "the request is malformed");
+		else
+			on_partial(caller);
+	}
+}
+
+/* Reads the requests that arrived while one was running. */
+static void on_pending(void *user)
+{
+	caller_t *caller = user;
+	buf_t bytes = caller->pending;
+
+	caller->pending = (buf_t)BUF_INIT;
+	set_timer(caller, limits_of(caller).idle_timeout_ms);
+	feed(caller, buf_view(&bytes));
+	buf_release(&bytes);
+}
+
+static void read_input(caller_t *caller)
+{
+	char *buffer = caller->router->read_buffer;
+	size_t len;
+
+	switch (tcp_read(&caller->tcp, buffer, ROUTER_READ_BYTES, &len)) {
+	case TCP_READ_DATA:
+		if (!caller->closing)
+			feed(caller, (str_t){buffer, len});
+		return;
+	case TCP_READ_AGAIN:
+		return;
+	case TCP_READ_END:
+	case TCP_READ_BROKEN:
+		destroy(caller);
+		return;
+	}
+}
+
+static void on_io(void *user, uint32_t events)
+{
+	caller_t *caller = user;
+
+	if (events & EPOLLOUT) {
+		if (!tcp_flush(&caller->tcp)) {
+			destroy(caller);
+			return;
+		}
+		if (caller->closing && !caller->lingering &&
+		    !tcp_unsent(&caller->tcp))
+			begin_linger(caller);
+		else if (caller->request && caller->request->channel &&
+			 !caller_is_slow(caller))
+			request_resume_reading(caller->request);
+	}
+	if (events & (EPOLLIN | EPOLLHUP | EPOLLERR))
+		read_input(caller);
+}
+
+static void adopt(router_t *router, int fd)
+{
+	caller_t *caller = calloc(1, sizeof(*caller));
+
+	if (!caller)
+		abort();
+	caller->router = router;
+	tcp_open(&caller->tcp, router->loop, fd, on_io, caller);
+	http1_init(&caller->http, &http_ops, HTTP_REQUEST,
+		   limits_of(caller).head_bytes);
+	caller->next = router->callers;
+	if (caller->next)
+		caller->next->prev = caller;
+	router->callers = caller;
+	router->caller_count++;
+	set_timer(caller, limits_of(caller).idle_timeout_ms);
+}
+
+void caller_accept(router_t *router, int listen_fd)
+{
+	int fd;
+
+	while ((fd = tcp_accept(listen_fd)) >= 0)
+		adopt(router, fd);
+}
+
+void caller_send(caller_t *caller, str_t data)
+{
+	tcp_send(&caller->tcp, data);
+}
+
+bool caller_is_slow(const caller_t *caller)
+{
+	return tcp_unsent(&caller->tcp) > CALLER_SLOW_BYTES;
+}
+
+bool caller_must_close(const caller_t *caller)
+{
+	return caller->router->stopping || !caller->http.head.keep_alive;
+}
+
+void caller_answered(caller_t *caller, bool close)
+{
+	caller->request = NULL;
+	caller->continued = false;
+	buf_reset(&caller->body);
+	if (caller->body.cap > CALLER_KEEP_BODY_BYTES)
+		buf_release(&caller->body);
+	if (close) {
+		begin_close(caller);
+		return;
+	}
+	http1_next(&caller->http);
+	set_timer(caller, limits_of(caller).idle_timeout_ms);
+	tcp_set_reading(&caller->tcp, true);
+	/* Not at once: the caller's own read may be on the stack. */
+	if (caller->pending.len)
+		loop_timer_set(caller->router->loop, &caller->timer, 0,
+			       on_pending, caller);
+}
+
+void caller_break_off(caller_t *caller, bool reset)
+{
+	caller->request = NULL;
+	if (!reset) {
+		begin_close(caller);
+		return;
+	}
+	tcp_reset_on_close(&caller->tcp);
+	destroy(caller);
+}
+
+void caller_close_idle(router_t *router)
+{
+	caller_t *next;
+
+	for (caller_t *caller = router->callers; caller; caller = next) {
+		next = caller->next;
+		if (!caller->request && !caller->closing &&
+		    !http1_has_begun(&caller->http))
+			begin_close(caller);
+	}
+}
+
+void caller_close_all(router_t *router)
+{
+	while (router->callers)
+		destroy(router->callers);
+}
--- /dev/null
+++ b/lib/request/choose.c
@@ -0,0 +1,178 @@
+#include "request/choose.h"
+
+#include <math.h>
+
+#include "coordination/balance.h"
+#include "request/channel.h"
+
+/* Prompt tokens that an engine reads in a ms, as a first guess. */
+#define CHOOSE_TOKENS_PER_MS 90.0
+/* Until an engine's first token, besides reading the prompt. */
+#define CHOOSE_ENGINE_BASE_MS 45.0
+/* Excess times are forgotten, so that a slow endpoint is tried again. */
+#define CHOOSE_EXCESS_HALF_LIFE_MS 1500.0
+/* A failed request loses this part of its target. */
+#define CHOOSE_FAIL_PART 1.5
+/* Prefixes that no endpoint is known to have read go to the endpoint that all
+ * hosts of the domain prefer; so much of them counts as read there. */
+#define CHOOSE_PREFERENCE 0.6
+
+typedef struct candidate {
+	endpoint_t *endpoint;
+	balance_option_t option;
+} candidate_t;
+
+static balance_distance_t distance_of(const router_t *router,
+				      const endpoint_t *endpoint)
+{
+	if (str_equals(str_from(endpoint->domain), router->domain))
+		return BALANCE_SAME_DOMAIN;
+	return str_equals(endpoint->region, router->region)
+		       ? BALANCE_SAME_REGION
+		       : BALANCE_OTHER_REGION;
+}
+
+/* True when this host may send to a cold endpoint now. */
+static bool may_send_cold(const request_t *request, const endpoint_t *endpoint,
+			  int64_t now_ms)
+{
+	const router_t *router = request->router;
+	const catalog_service_t *service = request->admission.service;
+	unsigned share;
+
+	if (!service || service->cold_per_s <= 0.0)
+		return true;
+	if (!str_equals(str_from(endpoint->domain), router->domain))
+		return false;
+	share = coldgate_share(service->cold_per_s,
+			       router->bounds.cold_overshoot,
+			       router->bounds.cold_slack, router->domain_hosts);
+	return coldgate_allows(&endpoint->gate, share, now_ms);
+}
+
+static bool is_candidate(const request_t *request, const endpoint_t *endpoint)
+{
+	const fleet_t *fleet = request->router->fleet;
+
+	return (endpoint->state == ENDPOINT_READY ||
+		endpoint->state == ENDPOINT_LINGERING) &&
+	       str_equals(str_from(endpoint->service),
+			  request->admission.service_name) &&
+	       admit_region(&request->admission, endpoint->region) &&
+	       !fleet_is_evacuated(fleet, str_from(endpoint->domain)) &&
+	       !request_was_tried(request, endpoint);
+}
+
+static bool has_room(const request_t *request, const endpoint_t *endpoint)
+{
+	return endpoint->idle ||
+	       endpoint->channel_count <
+		       channel_limit(request->router,
+				     request->admission.service);
+}
+
+/* A number in [0, 1) that all hosts give to the same prompt and endpoint. */
+static double preference(const endpoint_t *endpoint, uint64_t part)
+{
+	uint64_t x = (endpoint->hash ^ part) * 0x9e3779b97f4a7c15ull;
+
+	x ^= x >> 32;
+	x *= 0xd6e8feb86659fd93ull;
+	return (double)(x >> 11) / 9007199254740992.0; /* 2^53 */
+}
+
+static uint64_t unread_tokens(const request_t *request,
+			      const endpoint_t *endpoint)
+{
+	const prompt_parts_t *parts = &request->call.parts;
+	uint64_t total = request->call.prompt_tokens;
+	uint64_t cached = prefixmap_cached(&request->router->prefixes,
+					   endpoint->hash, parts);
+	uint64_t shared = 0;
+
+	for (size_t i = 0; i + 1 < parts->count; i++)
+		shared += parts->tokens[i];
+	if (shared > cached && parts->count > 1)
+		cached += (uint64_t)((double)(shared - cached) *
+				     CHOOSE_PREFERENCE *
+				     preference(endpoint,
+						parts->hashes[parts->count -
+							      2]));
+	return total > cached ? total - cached : 0;
+}
+
+static double excess_now(const endpoint_t *endpoint, int64_t now_ms)
+{
+	double age = (double)(now_ms - endpoint->excess_set_ms);
+
+	if (endpoint->excess_ms <= 0.0)
+		return 0.0;
+	return endpoint->excess_ms * exp2(-age / CHOOSE_EXCESS_HALF_LIFE_MS);
+}
+
+static balance_option_t describe(const request_t *request,
+				 const endpoint_t *endpoint, int64_t now_ms)
+{
+	const catalog_service_t *service = request->admission.service;
+	bool engine = service && service->slots;
+	balance_option_t option = {
+		.distance = distance_of(request->router, endpoint),
+		.in_flight = endpoint->in_flight,
+		.slots = endpoint->slots,
+		.excess_ms = excess_now(endpoint, now_ms),
+		.failing = breaker_failing(&endpoint->breaker, now_ms),
+		.last_resort = endpoint->state == ENDPOINT_LINGERING ||
+			       breaker_is_open(&endpoint->breaker, now_ms)};
+
+	if (engine) {
+		option.backlog_tokens = endpoint->backlog_tokens;
+		option.unread_tokens = unread_tokens(request, endpoint);
+		option.service_ms = CHOOSE_ENGINE_BASE_MS;
+	} else {
+		option.service_ms =
+			router_service(request->router,
+				       request->admission.service_name)
+				->service_ms;
+	}
+	return option;
+}
+
+choose_result_t choose_endpoint(const request_t *request, choice_t *choice)
+{
+	const router_t *router = request->router;
+	int64_t now_ms = router_now_ms(router);
+	balance_rates_t rates = {
+		.tokens_per_ms = CHOOSE_TOKENS_PER_MS,
+		.fail_cost_ms =
+			CHOOSE_FAIL_PART * request->admission.route->target_ms};
+	choose_result_t result = CHOOSE_NONE;
+	double best_cost = 0.0;
+
+	*choice = (choice_t){NULL, 0, 0.0};
+	for (size_t i = 0; i < fleet_count(router->fleet); i++) {
+		endpoint_t *endpoint = fleet_at(router->fleet, i);
+		balance_option_t option;
+		double cost;
+
+		if (!is_candidate(request, endpoint))
+			continue;
+		if (!has_room(request, endpoint) ||
+		    (endpoint_is_cold(endpoint, now_ms) &&
+		     !may_send_cold(request, endpoint, now_ms))) {
+			if (result == CHOOSE_NONE)
+				result = CHOOSE_LATER;
+			continue;
+		}
+		option = describe(request, endpoint, now_ms);
+		cost = balance_cost(&option, &rates);
+		if (choice->endpoint && cost >= best_cost)
+			continue;
+		best_cost = cost;
+		result = CHOOSE_OK;
+		choice->endpoint = endpoint;
+		choice->unread_tokens = option.unread_tokens;
+		choice->expected_ms =
+			balance_expected_ms(&option, &rates) - option.excess_ms;
+	}
+	return result;
+}
--- /dev/null
+++ b/lib/request/choose.h
@@ -0,0 +1,23 @@
+#ifndef REQUEST_CHOOSE_H
+#define REQUEST_CHOOSE_H
+
+#include "request/request.h"
+
+/*
+ * choose - the endpoint for a request, among those that may get it now
+ */
+typedef enum choose_result {
+	CHOOSE_OK,
+	CHOOSE_LATER, /* endpoints there are, but each is at a limit now */
+	CHOOSE_NONE   /* no endpoint of the service may get it */
+} choose_result_t;
+
+typedef struct choice {
+	endpoint_t *endpoint;
+	uint64_t unread_tokens; /* that it will have to read */
+	double expected_ms;	/* until the first token or answer */
+} choice_t;
+
+choose_result_t choose_endpoint(const request_t *request, choice_t *choice);
+
+#endif
--- /dev/null
+++ b/lib/request/dialect.h
@@ -0,0 +1,93 @@
+#ifndef REQUEST_DIALECT_H
+#define REQUEST_DIALECT_H
+
+#include "coordination/prefixmap.h"
+#include "transport/http1.h"
+
+/*
+ * dialect - the wire format of an interface towards callers and endpoints
+ *
+ * The life of a request knows header names only through this table of
+ * functions. Views in call_t and reply_t point into the head they were read
+ * from.
+ */
+
+/* What a caller's request says of itself. */
+typedef struct call {
+	str_t id;  /* of this request, chosen by the caller */
+	str_t key; /* of the customer; ptr NULL without one */
+	str_t host;
+	str_t path;	     /* without the query */
+	int64_t deadline_ms; /* how long the caller waits; -1: not said */
+	prompt_parts_t parts;
+	uint64_t prompt_tokens;
+	uint64_t output_tokens; /* upper bound */
+	str_t last_event_id;	/* the stream goes on after it */
+} call_t;
+
+/* What the router adds when it sends a request to an endpoint. */
+typedef struct send_terms {
+	str_t endpoint_id;
+	str_t customer; /* ptr NULL for a request without a customer */
+	int64_t left_ms;
+	unsigned priority; /* 0 is the highest */
+	str_t resume_after;	 /* id of the last event passed on */
+	size_t body_len;
+} send_terms_t;
+
+/* What an endpoint's answer says of itself. */
+typedef struct reply {
+	unsigned status;
+	str_t id;		/* of the request it answers; ptr NULL */
+	bool stamped;		/* bears the endpoint's stamp */
+	bool not_run;		/* the endpoint did not run the request */
+	bool misdirected;	/* another endpoint has the address */
+	bool encoded;		/* the body has a content coding */
+	int64_t cold_ms;	/* the endpoint stays cold so long; -1 */
+	int64_t keep_alive_ms;	/* idle time allowed on the connection; -1 */
+} reply_t;
+
+typedef enum reply_framing {
+	REPLY_LENGTH,  /* Content-Length */
+	REPLY_CHUNKED, /* chunked */
+	REPLY_UNTIL_CLOSE
+} reply_framing_t;
+
+typedef struct reply_terms {
+	reply_framing_t framing;
+	size_t body_len; /* REPLY_LENGTH */
+	bool close;
+} reply_terms_t;
+
+/* An answer of the router's own. */
+typedef struct own_reply {
+	unsigned status;
+	const char *reason;	/* for the body */
+	int64_t retry_after_ms; /* -1: not said */
+	bool close;
+} own_reply_t;
+
+typedef struct dialect dialect_t;
+
+typedef struct dialect_ops {
+	void (*read_call)(const dialect_t *dialect, const http1_head_t *head,
+			  call_t *call);
+	/* Appends the request's head for an endpoint. */
+	void (*write_call)(const dialect_t *dialect, const http1_head_t *head,
+			   const call_t *call, const send_terms_t *terms,
+			   buf_t *out);
+	void (*read_reply)(const dialect_t *dialect, const http1_head_t *head,
+			   reply_t *reply);
+	/* Appends the answer's head for the caller. */
+	void (*write_reply)(const dialect_t *dialect, const http1_head_t *head,
+			    const reply_terms_t *terms, buf_t *out);
+	/* Appends a whole answer of the router; `call` may be NULL. */
+	void (*write_own_reply)(const dialect_t *dialect, const call_t *call,
+				const own_reply_t *reply, buf_t *out);
+} dialect_ops_t;
+
+struct dialect {
+	const dialect_ops_t *ops;
+};
+
+#endif
--- /dev/null
+++ b/lib/request/request.h
@@ -0,0 +1,102 @@
+#ifndef REQUEST_REQUEST_H
+#define REQUEST_REQUEST_H
+
+#include "request/admit.h"
+#include "request/events.h"
+#include "request/router.h"
+
+/*
+ * request - one caller's request from its last byte to its final answer
+ *
+ * State: waiting for an endpoint, sent, or answering; a request ends by exactly
+ * one of request_finish() and request_abandon().
+ */
+#define REQUEST_MAX_TRIED 8
+#define REQUEST_EVENT_ID_BYTES 32
+
+struct caller;
+struct channel;
+
+typedef enum request_state {
+	REQUEST_WAITING,
+	REQUEST_SENT,
+	REQUEST_ANSWERING /* the answer's head was passed on */
+} request_state_t;
+
+/* How a send ended without an answer that can be passed on. */
+typedef enum send_failure {
+	SEND_NOT_CONNECTED, /* no byte was sent */
+	SEND_NOT_RUN,	    /* the endpoint says that it did not run it */
+	SEND_LOST,	    /* may have run; connection or answer is broken */
+	SEND_SILENT,	    /* may have run; no progress for too long */
+	SEND_FAILED	    /* ran; the endpoint answered with an error */
+} send_failure_t;
+
+typedef struct request {
+	router_t *router;
+	struct caller *caller;
+	const http1_head_t *head; /* the caller's */
+	str_t body;
+	call_t call;
+	uint64_t draw;
+	request_state_t state;
+	int64_t arrived_ms;
+	int64_t ends_ms;
+	catalog_t *catalog; /* in which `admission` points */
+	admission_t admission;
+	/* Sends so far. */
+	unsigned sends;	   /* that reached an endpoint */
+	unsigned runs;	   /* that may have run */
+	unsigned failures; /* of any kind */
+	uint64_t tried[REQUEST_MAX_TRIED]; /* hashes of endpoints */
+	unsigned tried_count;
+	/* The present send. */
+	endpoint_t *endpoint; /* NULL while nothing is sent */
+	struct channel *channel;
+	reply_t reply;			/* once its head is known */
+	const http1_head_t *reply_head; /* while the answer is read */
+	int64_t sent_ms;
+	uint64_t backlog_tokens; /* counted at the endpoint until its answer */
+	double expected_ms;
+	int64_t progress_ms; /* when the endpoint last sent something */
+	/* The answer. */
+	buf_t answer;
+	events_t events;
+	char last_event_id[REQUEST_EVENT_ID_BYTES];
+	bool chunked;
+	bool closes; /* the connection ends after the answer */
+	bool ended;
+	uint64_t event_count;
+	int64_t first_event_ms;
+	loop_timer_t end_timer;
+	loop_timer_t progress_timer;
+	struct request *next, *prev; /* in the waiting list */
+	bool in_waiting;
+} request_t;
+
+/* Begins the life of a request that has been read as a whole. */
+void request_start(router_t *router, struct caller *caller);
+
+/* Sends the request on, lets it wait, or answers that it can't be served. */
+void request_dispatch(request_t *request);
+
+/* The caller is gone: whatever runs for it is ended. */
+void request_abandon(request_t *request);
+
+/* Called by the channel. */
+void request_on_sent(request_t *request);
+void request_on_reply_head(request_t *request, const http1_head_t *head,
+			   const reply_t *reply);
+void request_on_reply_body(request_t *request, str_t data);
+void request_on_reply_end(request_t *request, const http1_head_t *head,
+			  const reply_t *reply);
+/* The caller takes the answer again. */
+void request_resume_reading(request_t *request);
+void request_on_failure(request_t *request, send_failure_t failure);
+
+/* Called by answer.c once the final answer has been handed to the caller. */
+void request_finish(request_t *request);
+
+bool request_was_tried(const request_t *request, const endpoint_t *endpoint);
+
+#endif
--- /dev/null
+++ b/lib/request/router.c
@@ -0,0 +1,164 @@
+#include "request/router.h"
+
+#include <stdlib.h>
+
+#include "base/plog.h"
+#include "request/channel.h"
+#include "request/request.h"
+
+#define ROUTER_TICK_MS 250
+/* Hosts assumed to share a limit before gossip has told of any. */
+#define ROUTER_DEFAULT_DOMAIN_HOSTS 4
+#define ROUTER_DEFAULT_ALL_HOSTS 12
+
+static void free_garbage(router_t *router)
+{
+	for (size_t i = 0; i < router->garbage_count; i++)
+		free(router->garbage[i]);
+	router->garbage_count = 0;
+}
+
+void router_free_later(router_t *router, void *object)
+{
+	if (router->garbage_count == router->garbage_cap) {
+		void **grown;
+
+		router->garbage_cap =
+			router->garbage_cap ? router->garbage_cap * 2 : 64;
+		grown = realloc(router->garbage,
+				router->garbage_cap * sizeof(*grown));
+		if (!grown)
+			abort();
+		router->garbage = grown;
+	}
+	router->garbage[router->garbage_count++] = object;
+}
+
+static void on_tick(void *user)
+{
+	router_t *router = user;
+	int64_t now_ms = router_now_ms(router);
+
+	fleet_tick(router->fleet, now_ms);
+	for (size_t i = 0; i < fleet_count(router->fleet); i++)
+		channel_retire_idle(router, fleet_at(router->fleet, i));
+	plog_flush();
+	free_garbage(router);
+	loop_timer_set(router->loop, &router->tick_timer, ROUTER_TICK_MS,
+		       on_tick, router);
+}
+
+static void on_endpoint_gone(void *user, endpoint_t *endpoint)
+{
+	channel_drop_idle(user, endpoint);
+}
+
+router_t *router_create(const router_options_t *options)
+{
+	router_t *router = calloc(1, sizeof(*router));
+	fleet_observer_t observer = {on_endpoint_gone, router};
+
+	if (!router)
+		abort();
+	router->loop = options->loop;
+	router->clock = loop_clock(options->loop);
+	router->dialect = options->dialect;
+	router->domain = options->domain;
+	router->region = options->region;
+	router->bounds = options->bounds;
+	router->fleet = fleet_create(&observer);
+	router->read_buffer = malloc(ROUTER_READ_BYTES);
+	if (!router->read_buffer)
+		abort();
+	router->random =
+		(uint64_t)mclock_now_us(router->clock) ^ (uintptr_t)router;
+	router_set_hosts(router, ROUTER_DEFAULT_DOMAIN_HOSTS,
+			 ROUTER_DEFAULT_ALL_HOSTS);
+	on_tick(router);
+	return router;
+}
+
+void router_free(router_t *router)
+{
+	if (!router)
+		return;
+	loop_timer_cancel(router->loop, &router->tick_timer);
+	loop_timer_cancel(router->loop, &router->wait_timer);
+	for (size_t i = 0; i < fleet_count(router->fleet); i++)
+		channel_drop_idle(router, fleet_at(router->fleet, i));
+	fleet_free(router->fleet);
+	catalog_unref(router->catalog);
+	while (router->services) {
+		service_stats_t *service = router->services;
+
+		router->services = service->next;
+		free(service->name);
+		free(service);
+	}
+	free_garbage(router);
+	free(router->garbage);
+	free(router->read_buffer);
+	buf_release(&router->scratch);
+	free(router);
+}
+
+bool router_set_catalog(router_t *router, catalog_t *catalog)
+{
+	if (router->catalog &&
+	    catalog_version(catalog) <= catalog_version(router->catalog))
+		return false;
+	catalog_unref(router->catalog);
+	router->catalog = catalog_ref(catalog);
+	return true;
+}
+
+void router_set_hosts(router_t *router, unsigned domain_hosts,
+		      unsigned all_hosts)
+{
+	router->domain_hosts = domain_hosts;
+	router->all_hosts = all_hosts;
+	for (service_stats_t *service = router->services; service;
+	     service = service->next)
+		repeats_share(&service->repeats, router->bounds.repeat_slack,
+			      all_hosts);
+}
+
+service_stats_t *router_service(router_t *router, str_t name)
+{
+	service_stats_t *service = router->services;
+
+	while (service && !str_equals(str_from(service->name), name))
+		service = service->next;
+	if (service)
+		return service;
+	service = calloc(1, sizeof(*service));
+	if (!service || !(service->name = str_dup(name)))
+		abort();
+	repeats_init(&service->repeats, router->bounds.repeat_ratio,
+		     router->bounds.repeat_window_ms);
+	repeats_share(&service->repeats, router->bounds.repeat_slack,
+		      router->all_hosts);
+	service->next = router->services;
+	router->services = service;
+	return service;
+}
+
+int64_t router_now_ms(const router_t *router)
+{
+	return mclock_now_ms(router->clock);
+}
+
+uint64_t router_random(router_t *router)
+{
+	/* splitmix64 */
+	uint64_t x = router->random += 0x9e3779b97f4a7c15ull;
+
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ull;
+	x = (x ^ (x >> 27)) * 0x94d049bb133111ebull;
+	return x ^ (x >> 31);
+}
+
+void router_stop(router_t *router)
+{
+	router->stopping = true;
+}
--- /dev/null
+++ b/lib/request/router.h
@@ -0,0 +1,103 @@
+#ifndef REQUEST_ROUTER_H
+#define REQUEST_ROUTER_H
+
+#include "coordination/prefixmap.h"
+#include "coordination/repeats.h"
+#include "request/dialect.h"
+#include "state/catalog.h"
+#include "state/fleet.h"
+#include "transport/loop.h"
+
+/*
+ * router - what all requests of a host share
+ *
+ * A router owns the catalog in force, the endpoints, and the counts by which
+ * requests are limited. The life of a request goes through the modules of this
+ * folder in one direction: caller (read), admit, choose, channel (send), answer
+ * (answer, end). All run on the loop's thread.
+ */
+
+/* Figures that the operators of the hosts set, see platform/settings.h. */
+typedef struct router_bounds {
+	double repeat_ratio;
+	double repeat_slack;
+	int64_t repeat_window_ms;
+	double cold_overshoot;
+	double cold_slack;
+} router_bounds_t;
+
+typedef struct router_options {
+	loop_t *loop;
+	const dialect_t *dialect;
+	str_t domain;
+	str_t region;
+	router_bounds_t bounds;
+} router_options_t;
+
+/* What is learned of a service as a whole. */
+typedef struct service_stats {
+	char *name;
+	repeats_t repeats;
+	double service_ms; /* plain services: mean time of an answer */
+	struct service_stats *next;
+} service_stats_t;
+
+struct request;
+struct caller;
+
+#define ROUTER_READ_BYTES 16384
+
+typedef struct router {
+	loop_t *loop;
+	const mclock_t *clock;
+	const dialect_t *dialect;
+	str_t domain;
+	str_t region;
+	router_bounds_t bounds;
+	catalog_t *catalog; /* NULL until the first one is known */
+	fleet_t *fleet;
+	prefixmap_t prefixes;
+	service_stats_t *services;
+	unsigned domain_hosts; /* hosts of this domain, this one included */
+	unsigned all_hosts;
+	bool stopping;
+	size_t caller_count;
+	size_t request_count;
+	struct caller *callers;
+	struct request *waiting; /* no endpoint may be used now, by urgency */
+	loop_timer_t wait_timer;
+	loop_timer_t tick_timer;
+	uint64_t random;
+	char *read_buffer; /* ROUTER_READ_BYTES, for one read at a time */
+	buf_t scratch;	   /* for one message being put together */
+	void **garbage;	   /* freed at the next tick */
+	size_t garbage_count, garbage_cap;
+} router_t;
+
+router_t *router_create(const router_options_t *options);
+void router_free(router_t *router);
+
+/* Puts a catalog in force unless it is older than the present one. */
+bool router_set_catalog(router_t *router, catalog_t *catalog);
+
+/* States how many hosts share what is limited over all of them. */
+void router_set_hosts(router_t *router, unsigned domain_hosts,
+		      unsigned all_hosts);
+
+service_stats_t *router_service(router_t *router, str_t name);
+
+int64_t router_now_ms(const router_t *router);
+
+/* A pseudo-random number; for spreading, not for secrets. */
+uint64_t router_random(router_t *router);
+
+/*
+ * Frees an object once no function that uses it can still be on the stack: a
+ * connection may end in the middle of its own callback.
+ */
+void router_free_later(router_t *router, void *object);
+
+/* Marks the router as stopping: answers close their connections. */
+void router_stop(router_t *router);
+
+#endif
--- /dev/null
+++ b/lib/state/fleet.h
@@ -0,0 +1,101 @@
+#ifndef STATE_FLEET_H
+#define STATE_FLEET_H
+
+#include "coordination/breaker.h"
+#include "coordination/coldgate.h"
+#include "state/catalog.h"
+
+/*
+ * fleet - the endpoints that this host knows, and what it has seen of each
+ *
+ * Records of the configuration service add, change and remove endpoints.
+ * Requests and connections hold references, so that an endpoint outlives its
+ * record until the last of them has ended.
+ */
+
+/* How long an endpoint whose record is gone stays a last resort. Records lapse
+ * while the configuration service is away and come back within this time. */
+#define FLEET_LINGER_MS 2000
+
+typedef enum endpoint_state {
+	ENDPOINT_READY,
+	ENDPOINT_LEAVING,   /* gets no new work */
+	ENDPOINT_LINGERING, /* its record is gone; a last resort for a while */
+	ENDPOINT_GONE
+} endpoint_state_t;
+
+/* An endpoint as a record describes it. */
+typedef struct endpoint_record {
+	str_t id;
+	str_t service;
+	str_t address;
+	str_t domain;
+	unsigned slots;
+	bool leaving;
+	int64_t cold_ms; /* it stays cold for this long from now on */
+	int64_t incarnation;
+} endpoint_record_t;
+
+struct channel;
+
+typedef struct endpoint {
+	char *id, *service, *address, *domain;
+	str_t region; /* of the domain; empty when unknown */
+	uint64_t hash;
+	endpoint_state_t state;
+	unsigned refs;
+	unsigned slots;
+	int64_t incarnation;
+	int64_t cold_until_ms;
+	int64_t lingers_until_ms;
+	/* What this host has sent and seen. */
+	coldgate_t gate;
+	breaker_t breaker;
+	unsigned in_flight;
+	uint64_t backlog_tokens;
+	double excess_ms;
+	int64_t excess_set_ms;
+	double service_ms;
+	struct channel *idle; /* kept connections, the newest first */
+	unsigned channel_count;
+} endpoint_t;
+
+typedef struct fleet fleet_t;
+
+/* Tells of changes that concern work in progress. */
+typedef struct fleet_observer {
+	void (*endpoint_gone)(void *user, endpoint_t *endpoint);
+	void *user;
+} fleet_observer_t;
+
+fleet_t *fleet_create(const fleet_observer_t *observer);
+void fleet_free(fleet_t *fleet);
+
+/* States the region of a domain. */
+void fleet_add_domain(fleet_t *fleet, str_t domain, str_t region);
+str_t fleet_region(const fleet_t *fleet, str_t domain);
+
+/* Adds the endpoint or changes it. A new incarnation starts cold for
+ * `cold_ms` of its record at least. */
+endpoint_t *fleet_put(fleet_t *fleet, const endpoint_record_t *record,
+		      int64_t now_ms);
+void fleet_remove(fleet_t *fleet, str_t id, int64_t now_ms);
+endpoint_t *fleet_find(const fleet_t *fleet, str_t id);
+
+/* Takes a domain out or back. Endpoints of a domain that is back count as cold
+ * for their service's cold time. */
+void fleet_set_evacuated(fleet_t *fleet, str_t domain, bool evacuated,
+			 const catalog_t *catalog, int64_t now_ms);
+bool fleet_is_evacuated(const fleet_t *fleet, str_t domain);
+
+/* Ends the time of lingering endpoints. */
+void fleet_tick(fleet_t *fleet, int64_t now_ms);
+
+size_t fleet_count(const fleet_t *fleet);
+endpoint_t *fleet_at(const fleet_t *fleet, size_t index);
+
+bool endpoint_is_cold(const endpoint_t *endpoint, int64_t now_ms);
+void endpoint_ref(endpoint_t *endpoint);
+void endpoint_unref(endpoint_t *endpoint);
+
+#endif
--- /dev/null
+++ b/lib/state/replica.c
@@ -0,0 +1,218 @@
+#include "state/replica.h"
+
+#include <stdlib.h>
+
+typedef struct record {
+	char *key;
+	size_t key_len;
+	char *value; /* NULL: a tombstone */
+	size_t value_len;
+	int64_t revision;
+	unsigned listing; /* the last full listing that had it */
+} record_t;
+
+struct replica {
+	replica_observer_t observer;
+	record_t *records;
+	size_t count, cap;
+	size_t tombstones;
+	int64_t revision;
+	int64_t dropped; /* highest revision of a dropped tombstone */
+	unsigned listing;
+};
+
+replica_t *replica_create(const replica_observer_t *observer)
+{
+	replica_t *replica = calloc(1, sizeof(*replica));
+
+	if (!replica)
+		abort();
+	replica->observer = *observer;
+	return replica;
+}
+
+void replica_free(replica_t *replica)
+{
+	if (!replica)
+		return;
+	for (size_t i = 0; i < replica->count; i++) {
+		free(replica->records[i].key);
+		free(replica->records[i].value);
+	}
+	free(replica->records);
+	free(replica);
+}
+
+static str_t key_of(const record_t *record)
+{
+	return (str_t){record->key, record->key_len};
+}
+
+static record_t *find(const replica_t *replica, str_t key)
+{
+	for (size_t i = 0; i < replica->count; i++)
+		if (str_equals(key_of(&replica->records[i]), key))
+			return &replica->records[i];
+	return NULL;
+}
+
+static char *copy_bytes(str_t s)
+{
+	char *copy = str_dup(s);
+
+	if (!copy)
+		abort();
+	return copy;
+}
+
+static record_t *add(replica_t *replica, str_t key)
+{
+	record_t *grown;
+
+	if (replica->count == replica->cap) {
+		replica->cap = replica->cap ? replica->cap * 2 : 32;
+		grown = realloc(replica->records,
+				replica->cap * sizeof(*grown));
+		if (!grown)
+			abort();
+		replica->records = grown;
+	}
+	grown = &replica->records[replica->count++];
+	*grown = (record_t){.key = copy_bytes(key), .key_len = key.len};
+	return grown;
+}
+
+/* Forgets the oldest tombstone once there are too many. */
+static void limit_tombstones(replica_t *replica)
+{
+	record_t *oldest = NULL;
+
+	if (replica->tombstones <= REPLICA_MAX_TOMBSTONES)
+		return;
+	for (size_t i = 0; i < replica->count; i++) {
+		record_t *record = &replica->records[i];
+
+		if (!record->value &&
+		    (!oldest || record->revision < oldest->revision))
+			oldest = record;
+	}
+	if (oldest->revision > replica->dropped)
+		replica->dropped = oldest->revision;
+	free(oldest->key);
+	*oldest = replica->records[--replica->count];
+	replica->tombstones--;
+}
+
+bool replica_put(replica_t *replica, str_t key, str_t value, int64_t revision)
+{
+	record_t *record = find(replica, key);
+
+	if (record && record->revision >= revision) {
+		if (record->value)
+			record->listing = replica->listing;
+		return false;
+	}
+	if (!record)
+		record = add(replica, key);
+	else if (!record->value)
+		replica->tombstones--;
+	free(record->value);
+	record->value = copy_bytes(value);
+	record->value_len = value.len;
+	record->revision = revision;
+	record->listing = replica->listing;
+	replica->observer.changed(replica->observer.user, key, value);
+	return true;
+}
+
+bool replica_remove(replica_t *replica, str_t key, int64_t revision)
+{
+	record_t *record = find(replica, key);
+	bool known = record && record->value;
+
+	if (record && record->revision >= revision)
+		return false;
+	if (!record)
+		record = add(replica, key);
+	if (known || !record->revision)
+		replica->tombstones++;
+	free(record->value);
+	record->value = NULL;
+	record->value_len = 0;
+	record->revision = revision;
+	limit_tombstones(replica);
+	if (known)
+		replica->observer.changed(replica->observer.user, key,
+					  (str_t){NULL, 0});
+	return known;
+}
+
+void replica_begin(replica_t *replica)
+{
+	replica->listing++;
+}
+
+/* Finds a record that the last listing lacks; they are removed one by one,
+ * since each removal may move records. */
+static const record_t *find_unlisted(const replica_t *replica, int64_t revision)
+{
+	for (size_t i = 0; i < replica->count; i++) {
+		const record_t *record = &replica->records[i];
+
+		if (record->value && record->listing != replica->listing &&
+		    record->revision <= revision)
+			return record;
+	}
+	return NULL;
+}
+
+void replica_end(replica_t *replica, int64_t revision)
+{
+	const record_t *record;
+
+	while ((record = find_unlisted(replica, revision))) {
+		char *key = copy_bytes(key_of(record));
+		size_t len = record->key_len;
+		/* A record written at the listing's own revision is in it. */
+		int64_t removed = record->revision < revision
+					  ? revision
+					  : record->revision + 1;
+
+		replica_remove(replica, (str_t){key, len}, removed);
+		free(key);
+	}
+	replica_advance(replica, revision);
+}
+
+int64_t replica_revision(const replica_t *replica)
+{
+	return replica->revision;
+}
+
+void replica_advance(replica_t *replica, int64_t revision)
+{
+	if (revision > replica->revision)
+		replica->revision = revision;
+}
+
+bool replica_changes(const replica_t *replica, int64_t revision,
+		     replica_visit_t visit, void *user)
+{
+	bool complete = revision > 0 && revision >= replica->dropped;
+
+	for (size_t i = 0; i < replica->count; i++) {
+		const record_t *record = &replica->records[i];
+
+		if (complete ? record->revision > revision
+			     : record->value != NULL)
+			visit(user, key_of(record),
+			      (str_t){record->value, record->value_len},
+			      record->revision);
+	}
+	return complete;
+}
+
+size_t replica_count(const replica_t *replica)
+{
+	return replica->count - replica->tombstones;
+}
--- /dev/null
+++ b/lib/state/replica.h
@@ -0,0 +1,60 @@
+#ifndef STATE_REPLICA_H
+#define STATE_REPLICA_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/str.h"
+
+/*
+ * replica - this host's copy of the configuration service's records
+ *
+ * Changes arrive from the service or from other hosts, in any order and more
+ * than once; only a change with a newer revision of its key takes effect. A
+ * removed key leaves a tombstone, so that other hosts can be told and an older
+ * copy doesn't bring the record back.
+ */
+#define REPLICA_MAX_TOMBSTONES 256
+
+typedef struct replica replica_t;
+
+/* Called for each change that takes effect; `value` has ptr NULL when the key
+ * was removed. */
+typedef struct replica_observer {
+	void (*changed)(void *user, str_t key, str_t value);
+	void *user;
+} replica_observer_t;
+
+replica_t *replica_create(const replica_observer_t *observer);
+void replica_free(replica_t *replica);
+
+/* RETURN VALUE: true when the change took effect. */
+bool replica_put(replica_t *replica, str_t key, str_t value, int64_t revision);
+bool replica_remove(replica_t *replica, str_t key, int64_t revision);
+
+/*
+ * Between replica_begin() and replica_end() all keys of a full listing are put.
+ * replica_end() removes the keys that were not, unless they are newer than
+ * `revision`, at which the listing began.
+ */
+void replica_begin(replica_t *replica);
+void replica_end(replica_t *replica, int64_t revision);
+
+/* All changes up to this revision are known. */
+int64_t replica_revision(const replica_t *replica);
+void replica_advance(replica_t *replica, int64_t revision);
+
+/*
+ * Visits the changes after `revision`, tombstones (value.ptr NULL) included.
+ *
+ * RETURN VALUE: false when tombstones that new may have been dropped, so that
+ * the visited records make up a full listing instead.
+ */
+typedef void (*replica_visit_t)(void *user, str_t key, str_t value,
+				int64_t revision);
+bool replica_changes(const replica_t *replica, int64_t revision,
+		     replica_visit_t visit, void *user);
+
+size_t replica_count(const replica_t *replica);
+
+#endif
--- /dev/null
+++ b/lib/transport/http1.c
@@ -0,0 +1,246 @@
+#include "transport/http1.h"
+
+#include <stdlib.h>
+#include <strings.h>
+
+/* A head buffer above this size is given back between messages. */
+#define HTTP1_KEEP_HEAD_BYTES 2048
+
+static int fail_too_large(http1_t *http)
+{
+	http->too_large = true;
+	return 1;
+}
+
+static int append_text(http1_t *http, const char *at, size_t len)
+{
+	if (http->head.text.len + len > http->max_head_bytes)
+		return fail_too_large(http);
+	buf_append(&http->head.text, at, len);
+	return 0;
+}
+
+static int on_url(http_parser *parser, const char *at, size_t len)
+{
+	http1_t *http = parser->data;
+
+	if (append_text(http, at, len))
+		return 1;
+	http->head.target_len += (uint32_t)len;
+	return 0;
+}
+
+static int on_field(http_parser *parser, const char *at, size_t len)
+{
+	http1_t *http = parser->data;
+	http1_head_t *head = &http->head;
+	http1_field_t *field;
+
+	if (head->complete)
+		return 0; /* trailers are not passed on */
+	if (!head->field_count || http->in_value) {
+		if (head->field_count == HTTP1_MAX_FIELDS)
+			return fail_too_large(http);
+		field = &head->fields[head->field_count++];
+		*field = (http1_field_t){.name = (uint32_t)head->text.len};
+		http->in_value = false;
+	}
+	field = &head->fields[head->field_count - 1];
+	field->name_len += (uint32_t)len;
+	return append_text(http, at, len);
+}
+
+static int on_value(http_parser *parser, const char *at, size_t len)
+{
+	http1_t *http = parser->data;
+	http1_head_t *head = &http->head;
+	http1_field_t *field;
+
+	if (head->complete)
+		return 0;
+	field = &head->fields[head->field_count - 1];
+	if (!http->in_value)
+		field->value = (uint32_t)head->text.len;
+	http->in_value = true;
+	field->value_len += (uint32_t)len;
+	return append_text(http, at, len);
+}
+
+static int on_headers_complete(http_parser *parser)
+{
+	http1_t *http = parser->data;
+	http1_head_t *head = &http->head;
+
+	head->complete = true;
+	head->keep_alive = http_should_keep_alive(parser);
+	head->chunked = parser->flags & F_CHUNKED;
+	head->has_length = parser->flags & F_CONTENTLENGTH;
+	head->length = head->has_length ? parser->content_length : 0;
+	head->method = parser->method;
+	head->status = parser->status_code;
+	head->minor = parser->http_minor;
+	return http->no_body;
+}
+
+static int on_body(http_parser *parser, const char *at, size_t len)
+{
+	http1_t *http = parser->data;
+
+	http->ops->on_body(http, (str_t){at, len});
+	return 0;
+}
+
+static int on_message_complete(http_parser *parser)
+{
+	http1_t *http = parser->data;
+
+	http->done = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings callbacks = {
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers_complete,
+	.on_body = on_body,
+	.on_message_complete = on_message_complete,
+};
+
+void http1_init(http1_t *http, const http1_ops_t *ops,
+		enum http_parser_type type, size_t max_head_bytes)
+{
+	*http = (http1_t){.ops = ops, .max_head_bytes = max_head_bytes};
+	http_parser_init(&http->parser, type);
+	http->parser.data = http;
+}
+
+void http1_release(http1_t *http)
+{
+	buf_release(&http->head.text);
+}
+
+void http1_next(http1_t *http)
+{
+	buf_t text = http->head.text;
+
+	buf_reset(&text);
+	if (text.cap > HTTP1_KEEP_HEAD_BYTES)
+		buf_release(&text);
+	http->head = (http1_head_t){.text = text};
+	http->in_value = false;
+	http->too_large = false;
+	http->done = false;
+	http_parser_init(&http->parser, (enum http_parser_type)http->parser.type);
+}
+
+http1_result_t http1_feed(http1_t *http, str_t data, size_t *consumed)
+{
+	*consumed = http_parser_execute(&http->parser, &callbacks, data.ptr,
+					data.len);
+	if (http->done)
+		return HTTP1_MESSAGE;
+	if (http->too_large)
+		return HTTP1_HEAD_TOO_LARGE;
+	if (HTTP_PARSER_ERRNO(&http->parser) != HPE_OK ||
+	    http->parser.upgrade)
+		return HTTP1_MALFORMED;
+	return HTTP1_MORE;
+}
+
+http1_result_t http1_end(http1_t *http)
+{
+	http_parser_execute(&http->parser, &callbacks, NULL, 0);
+	if (http->done)
+		return HTTP1_MESSAGE;
+	return http1_has_begun(http) ? HTTP1_MALFORMED : HTTP1_MORE;
+}
+
+bool http1_has_begun(const http1_t *http)
+{
+	return http->parser.nread || http->head.text.len || http->head.complete;
+}
+
+str_t http1_target(const http1_head_t *head)
+{
+	return (str_t){head->text.ptr, head->target_len};
+}
+
+str_t http1_field_name(const http1_head_t *head, size_t index)
+{
+	const http1_field_t *field = &head->fields[index];
+
+	return (str_t){head->text.ptr + field->name, field->name_len};
+}
+
+str_t http1_field_value(const http1_head_t *head, size_t index)
+{
+	const http1_field_t *field = &head->fields[index];
+
+	return (str_t){head->text.ptr + field->value, field->value_len};
+}
+
+bool http1_name_equals(str_t a, str_t b)
+{
+	return a.len == b.len && !strncasecmp(a.ptr, b.ptr, a.len);
+}
+
+str_t http1_find(const http1_head_t *head, str_t name)
+{
+	for (size_t i = 0; i < head->field_count; i++)
+		if (http1_name_equals(http1_field_name(head, i), name))
+			return http1_field_value(head, i);
+	return (str_t){NULL, 0};
+}
+
+static bool is_blank(char c)
+{
+	return c == ' ' || c == '\t';
+}
+
+bool http1_list_has(str_t value, str_t token)
+{
+	while (value.len) {
+		const char *comma = memchr(value.ptr, ',', value.len);
+		size_t len = comma ? (size_t)(comma - value.ptr) : value.len;
+		str_t item = {value.ptr, len};
+
+		while (item.len && is_blank(item.ptr[0]))
+			item = (str_t){item.ptr + 1, item.len - 1};
+		while (item.len && is_blank(item.ptr[item.len - 1]))
+			item.len--;
+		if (http1_name_equals(item, token))
+			return true;
+		if (!comma)
+			return false;
+		value = (str_t){comma + 1, value.len - len - 1};
+	}
+	return false;
+}
+
+bool http1_is_hop_field(const http1_head_t *head, size_t index)
+{
+	static const str_t names[] = {
+		{"Connection", 10},	   {"Keep-Alive", 10},
+		{"Proxy-Connection", 16},  {"Proxy-Authenticate", 18},
+		{"Proxy-Authorization", 19}, {"TE", 2},
+		{"Trailer", 7},		   {"Transfer-Encoding", 17},
+		{"Upgrade", 7},		   {"Content-Length", 14},
+		{"Expect", 6}};
+	str_t name = http1_field_name(head, index);
+
+	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++)
+		if (http1_name_equals(name, names[i]))
+			return true;
+	for (size_t i = 0; i < head->field_count; i++)
+		if (http1_name_equals(http1_field_name(head, i), names[0]) &&
+		    http1_list_has(http1_field_value(head, i), name))
+			return true;
+	return false;
+}
+
+const char *http1_reason(unsigned status)
+{
+	return http_status_str((enum http_status)status);
+}
--- /dev/null
+++ b/lib/transport/monitor.c
@@ -0,0 +1,178 @@
+#include "transport/monitor.h"
+
+#include <stdlib.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include "transport/http1.h"
+#include "transport/tcp.h"
+
+#define HEAD_BYTES 8192
+#define READ_BYTES 4096
+#define IDLE_MS 60000
+#define MAX_CLIENTS 32
+
+typedef struct client {
+	monitor_t *monitor;
+	tcp_t tcp;
+	http1_t http;
+	loop_timer_t timer;
+	struct client *next, *prev;
+} client_t;
+
+struct monitor {
+	loop_t *loop;
+	int listen_fd;
+	monitor_handler_t handler;
+	void *user;
+	client_t *clients;
+	size_t client_count;
+};
+
+static void destroy(client_t *client)
+{
+	monitor_t *monitor = client->monitor;
+
+	loop_timer_cancel(monitor->loop, &client->timer);
+	tcp_close(&client->tcp);
+	http1_release(&client->http);
+	if (client->prev)
+		client->prev->next = client->next;
+	else
+		monitor->clients = client->next;
+	if (client->next)
+		client->next->prev = client->prev;
+	monitor->client_count--;
+	free(client);
+}
+
+static void on_idle(void *user)
+{
+	destroy(user);
+}
+
+static void on_body(http1_t *http, str_t data)
+{
+	(void)http;
+	(void)data;
+}
+
+static const http1_ops_t http_ops = {on_body};
+
+static void answer(client_t *client)
+{
+	monitor_t *monitor = client->monitor;
+	const http1_head_t *head = &client->http.head;
+	monitor_page_t page = {.status = 404, .body = BUF_INIT};
+	buf_t out = BUF_INIT;
+
+	if (head->method == HTTP_GET)
+		monitor->handler(monitor->user, http1_target(head), &page);
+	buf_printf(&out,
+		   "HTTP/1.1 %u %s\r\nContent-Type: text/plain\r\n"
+		   "Content-Length: %zu\r\n\r\n",
+		   page.status, http1_reason(page.status), page.body.len);
+	buf_append_str(&out, buf_view(&page.body));
+	tcp_send(&client->tcp, buf_view(&out));
+	buf_release(&out);
+	buf_release(&page.body);
+}
+
+static void on_io(void *user, uint32_t events)
+{
+	client_t *client = user;
+	char buffer[READ_BYTES];
+	size_t len, consumed;
+
+	if ((events & EPOLLOUT) && !tcp_flush(&client->tcp)) {
+		destroy(client);
+		return;
+	}
+	if (!(events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
+		return;
+	switch (tcp_read(&client->tcp, buffer, sizeof(buffer), &len)) {
+	case TCP_READ_DATA:
+		break;
+	case TCP_READ_AGAIN:
+		return;
+	default:
+		destroy(client);
+		return;
+	}
+	switch (http1_feed(&client->http, (str_t){buffer, len}, &consumed)) {
+	case HTTP1_MORE:
+		return;
+	case HTTP1_MESSAGE:
+		answer(client);
+		if (client->http.head.keep_alive) {
+			http1_next(&client->http);
+			loop_timer_set(client->monitor->loop, &client->timer,
+				       IDLE_MS, on_idle, client);
+		} else {
+			tcp_finish(&client->tcp);
+		}
+		return;
+	default:
+		destroy(client);
+		return;
+	}
+}
+
+static void on_accept(void *user, uint32_t events)
+{
+	monitor_t *monitor = user;
+	int fd;
+
+	(void)events;
+	while ((fd = tcp_accept(monitor->listen_fd)) >= 0) {
+		client_t *client;
+
+		if (monitor->client_count >= MAX_CLIENTS) {
+			close(fd);
+			continue;
+		}
+		client = calloc(1, sizeof(*client));
+		if (!client)
+			abort();
+		client->monitor = monitor;
+		client->next = monitor->clients;
+		if (client->next)
+			client->next->prev = client;
+		monitor->clients = client;
+		monitor->client_count++;
+		http1_init(&client->http, &http_ops, HTTP_REQUEST, HEAD_BYTES);
+		tcp_open(&client->tcp, monitor->loop, fd, on_io, client);
+		loop_timer_set(monitor->loop, &client->timer, IDLE_MS, on_idle,
+			       client);
+	}
+}
+
+monitor_t *monitor_create(loop_t *loop, const char *address,
+			  monitor_handler_t handler, void *user, err_t *err)
+{
+	int fd = tcp_listen(address, err);
+	monitor_t *monitor;
+
+	if (fd < 0)
+		return NULL;
+	monitor = calloc(1, sizeof(*monitor));
+	if (!monitor)
+		abort();
+	*monitor = (monitor_t){.loop = loop,
+			       .listen_fd = fd,
+			       .handler = handler,
+			       .user = user};
+	loop_watch(loop, fd, EPOLLIN, on_accept, monitor);
+	return monitor;
+}
+
+void monitor_free(monitor_t *monitor)
+{
+	if (!monitor)
+		return;
+	while (monitor->clients)
+		destroy(monitor->clients);
+	loop_unwatch(monitor->loop, monitor->listen_fd);
+	close(monitor->listen_fd);
+	free(monitor);
+}
--- /dev/null
+++ b/programs/hostd/host.c
@@ -0,0 +1,395 @@
+#include "programs/hostd/host.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/epoll.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include "base/metrics.h"
+#include "base/plog.h"
+#include "platform/headers.h"
+#include "platform/names.h"
+#include "platform/records.h"
+#include "request/caller.h"
+
+#define ADDRESS_TEXT_BYTES 64
+/* The settings file may change without a signal. */
+#define SETTINGS_CHECK_MS 1000
+/* New connections come for a while after readiness has ended. */
+#define STOP_ACCEPT_MS 2600
+#define STOP_CHECK_MS 100
+/* Left of the time for a stop when what still runs is given up. */
+#define STOP_RESERVE_MS 700
+#define METRICS_PORT 9464
+
+static int64_t now_of(const host_t *host)
+{
+	return mclock_now_ms(loop_clock(host->loop));
+}
+
+static void read_domains(host_t *host)
+{
+	const psettings_t *settings = host->settings;
+
+	for (size_t i = 0; i < settings->domain_count; i++)
+		fleet_add_domain(host->router->fleet, settings->domains[i].name,
+				 settings->domains[i].region);
+}
+
+static router_bounds_t bounds_of(const psettings_t *settings)
+{
+	return (router_bounds_t){.repeat_ratio = settings->repeat_ratio,
+				 .repeat_slack = settings->repeat_slack,
+				 .repeat_window_ms = settings->repeat_window_ms,
+				 .cold_overshoot = settings->cold_overshoot,
+				 .cold_slack = settings->cold_slack};
+}
+
+static void read_seeds(host_t *host)
+{
+	const psettings_t *settings = host->settings;
+	str_t ips[PSETTINGS_MAX_SEEDS];
+	size_t count = 0;
+
+	for (size_t i = 0; i < settings->seed_count; i++) {
+		str_t seed = settings->seeds[i];
+		const char *colon = memchr(seed.ptr, ':', seed.len);
+
+		if (colon)
+			seed.len = (size_t)(colon - seed.ptr);
+		if (!str_equals(seed, settings->ip))
+			ips[count++] = seed;
+	}
+	peersync_set_seeds(host->peersync, ips, count);
+}
+
+static psettings_t *parse_settings(const buf_t *text)
+{
+	buf_t report = BUF_INIT;
+	psettings_t *settings = psettings_parse(buf_view(text), &report);
+
+	if (!settings) {
+		fprintf(stderr, "%" STR_FMT, STR_ARG(buf_view(&report)));
+		plog_write(PLOG_SETTINGS_INVALID, "faults=\"%" STR_FMT "\"",
+			   STR_ARG(buf_view(&report)));
+	}
+	buf_release(&report);
+	return settings;
+}
+
+err_code_t host_load_settings(host_t *host, const char *path)
+{
+	err_t err;
+
+	if (psettings_read_file(path, &host->settings_text, &err)) {
+		fprintf(stderr, "%s %s: %s\n", err.step, err.peer, err.message);
+		return err.code;
+	}
+	host->settings = parse_settings(&host->settings_text);
+	if (!host->settings)
+		return ERR_INVALID;
+	host->settings_path = str_dup(str_from(path));
+	return host->settings_path ? ERR_OK : ERR_FULL;
+}
+
+/* Puts changed settings in force, but for addresses this host listens on. */
+static void apply_settings(host_t *host, psettings_t *settings)
+{
+	/* The router and the listeners keep views of the first settings. */
+	host->settings->seed_count = settings->seed_count;
+	for (size_t i = 0; i < settings->seed_count; i++)
+		host->settings->seeds[i] = settings->seeds[i];
+	read_seeds(host);
+	host->settings->seed_count = 0;
+	host->router->bounds = bounds_of(settings);
+	host->settings->grace_ms = settings->grace_ms;
+	for (size_t i = 0; i < settings->domain_count; i++)
+		if (!fleet_region(host->router->fleet,
+				  settings->domains[i].name)
+			     .len)
+			fleet_add_domain(host->router->fleet,
+					 settings->domains[i].name,
+					 settings->domains[i].region);
+	pstore_set_address(host->store, settings->store.ptr);
+	plog_write(PLOG_SETTINGS_RELOADED, "path=%s", host->settings_path);
+}
+
+static void check_settings(host_t *host)
+{
+	buf_t text = BUF_INIT;
+	psettings_t *settings;
+	err_t err;
+
+	if (psettings_read_file(host->settings_path, &text, &err)) {
+		plog_write(PLOG_SETTINGS_INVALID, "step=%s error=\"%s\"",
+			   err.step, err.message);
+	} else if (!str_equals(buf_view(&text),
+			       buf_view(&host->settings_text))) {
+		settings = parse_settings(&text);
+		if (settings)
+			apply_settings(host, settings);
+		psettings_free(settings);
+		buf_release(&host->settings_text);
+		host->settings_text = text;
+		return;
+	}
+	buf_release(&text);
+}
+
+static void on_settings_timer(void *user)
+{
+	host_t *host = user;
+
+	check_settings(host);
+	loop_timer_set(host->loop, &host->settings_timer, SETTINGS_CHECK_MS,
+		       on_settings_timer, host);
+}
+
+static void on_record(void *user, str_t key, str_t value)
+{
+	host_t *host = user;
+
+	records_apply(host->router, key, value);
+}
+
+static void on_store_reached(void *user)
+{
+	host_t *host = user;
+
+	plog_write(PLOG_STORE_REACHED, "revision=%lld records=%zu",
+		   (long long)replica_revision(host->replica),
+		   replica_count(host->replica));
+}
+
+static void on_store_lost(void *user, const err_t *err)
+{
+	const host_t *host = user;
+
+	plog_write(PLOG_STORE_LOST, "step=%s peer=%s error=\"%s\" revision=%lld",
+		   err->step, err->peer, err->message,
+		   (long long)replica_revision(host->replica));
+}
+
+static void on_hosts_changed(void *user, unsigned domain_hosts,
+			     unsigned all_hosts)
+{
+	host_t *host = user;
+
+	plog_write(PLOG_HOSTS_CHANGED, "domain=%u all=%u", domain_hosts,
+		   all_hosts);
+	router_set_hosts(host->router, domain_hosts, all_hosts);
+}
+
+static void on_pulled(void *user, const char *peer, int64_t revision)
+{
+	host_t *host = user;
+
+	plog_write(PLOG_PEER_PULLED, "peer=%s revision=%lld", peer,
+		   (long long)revision);
+	if (host->store && pstore_is_reached(host->store))
+		pstore_restart(host->store);
+}
+
+static bool is_ready(const host_t *host)
+{
+	return !host->stop_ms && host->router->catalog &&
+	       fleet_count(host->router->fleet);
+}
+
+static void on_readiness(void *user, str_t path, monitor_page_t *page)
+{
+	const host_t *host = user;
+
+	if (!str_equals(path, STR_LIT(NAME_PATH_READY)))
+		return;
+	page->status = is_ready(host) ? 200 : 503;
+}
+
+static void on_metrics(void *user, str_t path, monitor_page_t *page)
+{
+	(void)user;
+	if (!str_equals(path, STR_LIT("/metrics")))
+		return;
+	page->status = 200;
+	metrics_render(&page->body);
+}
+
+static void on_callers(void *user, uint32_t events)
+{
+	host_t *host = user;
+
+	(void)events;
+	caller_accept(host->router, host->listen_fd);
+}
+
+/* Ends the process when nothing is left to do, or the time is nearly over. */
+static void on_stop_timer(void *user)
+{
+	host_t *host = user;
+	int64_t passed_ms = now_of(host) - host->stop_ms;
+
+	if (passed_ms >= host->settings->grace_ms - STOP_RESERVE_MS) {
+		loop_stop(host->loop);
+		return;
+	}
+	if (passed_ms >= STOP_ACCEPT_MS) {
+		caller_close_idle(host->router);
+		if (!host->router->caller_count) {
+			loop_stop(host->loop);
+			return;
+		}
+	}
+	loop_timer_set(host->loop, &host->stop_timer, STOP_CHECK_MS,
+		       on_stop_timer, host);
+}
+
+static void begin_stop(host_t *host)
+{
+	if (host->stop_ms)
+		return;
+	host->stop_ms = now_of(host);
+	plog_write(PLOG_STOPPING, "callers=%zu requests=%zu",
+		   host->router->caller_count, host->router->request_count);
+	router_stop(host->router);
+	peersync_leave(host->peersync);
+	on_stop_timer(host);
+}
+
+static void on_signal(void *user, uint32_t events)
+{
+	host_t *host = user;
+	struct signalfd_siginfo info;
+
+	(void)events;
+	while (read(host->signal_fd, &info, sizeof(info)) == sizeof(info)) {
+		if (info.ssi_signo == SIGHUP)
+			check_settings(host);
+		else
+			begin_stop(host);
+	}
+}
+
+static err_code_t open_signals(host_t *host, err_t *err)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
+	sigprocmask(SIG_BLOCK, &set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	host->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	if (host->signal_fd < 0)
+		return err_set(err, ERR_IO, "signals", "-", "no signalfd");
+	loop_watch(host->loop, host->signal_fd, EPOLLIN, on_signal, host);
+	return ERR_OK;
+}
+
+static err_code_t start_peers(host_t *host, err_t *err)
+{
+	const psettings_t *settings = host->settings;
+	peersync_options_t options = {
+		.loop = host->loop,
+		.replica = host->replica,
+		.self = {settings->host.ptr, settings->domain.ptr,
+			 settings->ip.ptr,
+			 (uint64_t)mclock_wall_ms(loop_clock(host->loop))},
+		.gossip_port = settings->first_port,
+		.pull_listen = settings->listen_peers.ptr,
+		.observer = {on_hosts_changed, on_pulled, host}};
+	err_code_t code =
+		peersync_create(&options, &host->peersync, err);
+
+	if (!code)
+		read_seeds(host);
+	return code;
+}
+
+static err_code_t start_listeners(host_t *host, err_t *err)
+{
+	const psettings_t *settings = host->settings;
+	char metrics[ADDRESS_TEXT_BYTES];
+
+	snprintf(metrics, sizeof(metrics), "%s:%d", settings->ip.ptr,
+		 METRICS_PORT);
+	host->metrics =
+		monitor_create(host->loop, metrics, on_metrics, host, err);
+	if (!host->metrics)
+		return err->code;
+	host->listen_fd = tcp_listen(settings->listen_callers.ptr, err);
+	if (host->listen_fd < 0)
+		return err->code;
+	loop_watch(host->loop, host->listen_fd, EPOLLIN, on_callers, host);
+	host->readiness = monitor_create(host->loop, settings->listen_ready.ptr,
+					 on_readiness, host, err);
+	return host->readiness ? ERR_OK : err->code;
+}
+
+err_code_t host_start(host_t *host, err_t *err)
+{
+	const psettings_t *settings = host->settings;
+	replica_observer_t records = {on_record, host};
+	pstore_observer_t store = {on_store_reached, on_store_lost, host};
+
+	host->listen_fd = -1;
+	host->signal_fd = -1;
+	host->loop = loop_create(mclock_system());
+	if (!host->loop)
+		return err_set(err, ERR_IO, "loop", "-", "no epoll");
+	host->router = router_create(&(router_options_t){
+		.loop = host->loop,
+		.dialect = headers_dialect(),
+		.domain = settings->domain,
+		.region = settings->region,
+		.bounds = bounds_of(settings)});
+	host->replica = replica_create(&records);
+	read_domains(host);
+	if (open_signals(host, err) || start_peers(host, err))
+		return err->code;
+	host->store = pstore_create(host->loop, settings->store.ptr,
+				    host->replica, &store);
+	if (start_listeners(host, err))
+		return err->code;
+	on_settings_timer(host);
+	plog_write(PLOG_STARTED,
+		   "host=%s domain=%s callers=%s peers=%s store=%s",
+		   settings->host.ptr, settings->domain.ptr,
+		   settings->listen_callers.ptr, settings->listen_peers.ptr,
+		   settings->store.ptr);
+	plog_flush();
+	return ERR_OK;
+}
+
+void host_run(host_t *host)
+{
+	loop_run(host->loop);
+	plog_write(PLOG_STOPPED, "callers=%zu requests=%zu",
+		   host->router->caller_count, host->router->request_count);
+}
+
+void host_release(host_t *host)
+{
+	if (host->router)
+		caller_close_all(host->router);
+	monitor_free(host->readiness);
+	monitor_free(host->metrics);
+	pstore_free(host->store);
+	peersync_free(host->peersync);
+	router_free(host->router);
+	replica_free(host->replica);
+	if (host->listen_fd >= 0)
+		close(host->listen_fd);
+	if (host->signal_fd >= 0)
+		close(host->signal_fd);
+	if (host->loop) {
+		loop_timer_cancel(host->loop, &host->settings_timer);
+		loop_timer_cancel(host->loop, &host->stop_timer);
+		loop_free(host->loop);
+	}
+	psettings_free(host->settings);
+	buf_release(&host->settings_text);
+	free(host->settings_path);
+}
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -5,7 +5,7 @@
 
 packages="gcc g++ make pkg-config clang-format clang-tidy curl
 liburcu-dev libmsgpack-dev libcivetweb-dev liblog4c-dev libcunit1-dev
-libtomlplusplus-dev libjansson-dev libxxhash-dev libcurl4-openssl-dev
+libtomlplusplus-dev libjansson-dev libhttp-parser-dev libb64-dev libxxhash-dev libcurl4-openssl-dev
 libssl-dev libgsl-dev"
 
 missing=""
