--- a/lib/coordination/balance.c
+++ b/lib/coordination/balance.c
@@ -8,6 +8,9 @@
 #define DOMAIN_CHARGE_MS 10.0
 /* Each running request makes the steps of the others a little longer. */
 #define RUNNING_CHARGE_MS 2.0
+/* Reading a shared part of a prompt once more takes capacity from others and
+ * is billed: a longer wait is preferred. */
+#define REPEATED_CHARGE_MS_PER_TOKEN 0.12
 #define LAST_RESORT_MS 1e9
 
 static double trip_ms(balance_distance_t distance)
@@ -48,6 +51,8 @@
 	return balance_expected_ms(option, rates) +
 	       charge_ms(option->distance) +
 	       RUNNING_CHARGE_MS * option->in_flight +
+	       REPEATED_CHARGE_MS_PER_TOKEN *
+		       (double)option->repeated_tokens +
 	       option->failing * rates->fail_cost_ms +
 	       (option->last_resort ? LAST_RESORT_MS : 0.0);
 }
--- a/lib/coordination/balance.h
+++ b/lib/coordination/balance.h
@@ -24,6 +24,8 @@
 	 * of this request that it would have to read. */
 	uint64_t backlog_tokens;
 	uint64_t unread_tokens;
+	/* Of these, tokens that another endpoint has already read. */
+	uint64_t repeated_tokens;
 	unsigned in_flight; /* own requests at the endpoint */
 	unsigned slots;	    /* requests that it runs at once */
 	double excess_ms;   /* recent answers' time over what was expected */
--- a/lib/request/admit.h
+++ b/lib/request/admit.h
@@ -19,7 +19,7 @@
 	const catalog_customer_t *customer; /* NULL for a public route */
 	const catalog_service_t *service;   /* NULL when it isn't listed */
 	str_t service_name;
-	unsigned priority;
+	unsigned priority; /* 0 is the highest */
 } admission_t;
 
 /*
--- a/lib/request/choose.c
+++ b/lib/request/choose.c
@@ -13,14 +13,15 @@
 #define CHOOSE_EXCESS_HALF_LIFE_MS 1500.0
 /* A failed request loses this part of its target. */
 #define CHOOSE_FAIL_PART 1.5
-/* Prefixes that no endpoint is known to have read go to the endpoint that all
- * hosts of the domain prefer; so much of them counts as read there. */
-#define CHOOSE_PREFERENCE 0.6
+/* The domain's own preferred endpoint repeats less: its other hosts send there
+ * as well. */
+#define CHOOSE_OWN_DOMAIN_PART 0.75
 
-typedef struct candidate {
-	endpoint_t *endpoint;
-	balance_option_t option;
-} candidate_t;
+/* The endpoints that all hosts prefer for a prompt: of all and of the domain. */
+typedef struct preferred {
+	const endpoint_t *any;
+	const endpoint_t *own_domain;
+} preferred_t;
 
 static balance_distance_t distance_of(const router_t *router,
 				      const endpoint_t *endpoint)
@@ -81,24 +82,77 @@
 	return (double)(x >> 11) / 9007199254740992.0; /* 2^53 */
 }
 
+static uint64_t shared_tokens(const request_t *request)
+{
+	const prompt_parts_t *parts = &request->call.parts;
+	uint64_t tokens = 0;
+
+	for (size_t i = 0; i + 1 < parts->count; i++)
+		tokens += parts->tokens[i];
+	return tokens;
+}
+
+static uint64_t cached_tokens(const request_t *request,
+			      const endpoint_t *endpoint)
+{
+	return prefixmap_cached(&request->router->prefixes, endpoint->hash,
+				&request->call.parts);
+}
+
 static uint64_t unread_tokens(const request_t *request,
 			      const endpoint_t *endpoint)
 {
+	uint64_t cached = cached_tokens(request, endpoint);
+
+	return request->call.prompt_tokens > cached
+		       ? request->call.prompt_tokens - cached
+		       : 0;
+}
+
+/* Shared tokens that the endpoint would read although another one has. */
+static uint64_t repeated_tokens(const request_t *request,
+				const preferred_t *preferred,
+				const endpoint_t *endpoint)
+{
+	uint64_t shared = shared_tokens(request);
+	uint64_t cached = cached_tokens(request, endpoint);
+
+	if (endpoint == preferred->any || cached >= shared)
+		return 0;
+	shared -= cached;
+	return endpoint == preferred->own_domain
+		       ? (uint64_t)((double)shared * CHOOSE_OWN_DOMAIN_PART)
+		       : shared;
+}
+
+/* Highest random weight: removing an endpoint moves only its own prompts. */
+static preferred_t find_preferred(const request_t *request)
+{
+	const router_t *router = request->router;
 	const prompt_parts_t *parts = &request->call.parts;
-	uint64_t total = request->call.prompt_tokens;
-	uint64_t cached = prefixmap_cached(&request->router->prefixes,
-					   endpoint->hash, parts);
-	uint64_t shared = 0;
+	preferred_t preferred = {NULL, NULL};
+	double best = -1.0, best_own = -1.0;
 
-	for (size_t i = 0; i + 1 < parts->count; i++)
-		shared += parts->tokens[i];
-	if (shared > cached && parts->count > 1)
-		cached += (uint64_t)((double)(shared - cached) *
-				     CHOOSE_PREFERENCE *
-				     preference(endpoint,
-						parts->hashes[parts->count -
-							      2]));
-	return total > cached ? total - cached : 0;
+	if (parts->count < 2)
+		return preferred;
+	for (size_t i = 0; i < fleet_count(router->fleet); i++) {
+		const endpoint_t *endpoint = fleet_at(router->fleet, i);
+		double weight;
+
+		if (!is_candidate(request, endpoint))
+			continue;
+		weight = preference(endpoint, parts->hashes[parts->count - 2]);
+		if (weight > best) {
+			best = weight;
+			preferred.any = endpoint;
+		}
+		if (weight > best_own && str_equals(str_from(endpoint->domain),
+						    router->domain)) {
+			best_own = weight;
+			preferred.own_domain = endpoint;
+		}
+	}
+	return preferred;
 }
 
 static double excess_now(const endpoint_t *endpoint, int64_t now_ms)
@@ -111,6 +165,7 @@
 }
 
 static balance_option_t describe(const request_t *request,
+				 const preferred_t *preferred,
 				 const endpoint_t *endpoint, int64_t now_ms)
 {
 	const catalog_service_t *service = request->admission.service;
@@ -127,6 +182,8 @@
 	if (engine) {
 		option.backlog_tokens = endpoint->backlog_tokens;
 		option.unread_tokens = unread_tokens(request, endpoint);
+		option.repeated_tokens =
+			repeated_tokens(request, preferred, endpoint);
 		option.service_ms = CHOOSE_ENGINE_BASE_MS;
 	} else {
 		option.service_ms =
@@ -145,6 +202,7 @@
 		.tokens_per_ms = CHOOSE_TOKENS_PER_MS,
 		.fail_cost_ms =
 			CHOOSE_FAIL_PART * request->admission.route->target_ms};
+	preferred_t preferred = find_preferred(request);
 	choose_result_t result = CHOOSE_NONE;
 	double best_cost = 0.0;
 
@@ -163,7 +221,7 @@
 				result = CHOOSE_LATER;
 			continue;
 		}
-		option = describe(request, endpoint, now_ms);
+		option = describe(request, &preferred, endpoint, now_ms);
 		cost = balance_cost(&option, &rates);
 		if (choice->endpoint && cost >= best_cost)
 			continue;
--- a/lib/state/catalog.c
+++ b/lib/state/catalog.c
@@ -35,6 +35,7 @@
 	int64_t version;
 	bool needs_keys;
 	bool sealed;
+	unsigned priority_levels;
 	catalog_limits_t limits;
 	block_t *blocks;
 	GROWING(catalog_route_t, routes);
@@ -165,6 +166,8 @@
 		splits[i].service = copy(catalog, route->splits[i].service);
 	}
 	added->splits = splits;
+	if (route->priority >= catalog->priority_levels)
+		catalog->priority_levels = route->priority + 1;
 }
 
 void catalog_add_service(catalog_t *catalog, const catalog_service_t *service)
@@ -268,6 +271,11 @@
 	return catalog->routes_count;
 }
 
+unsigned catalog_priority_levels(const catalog_t *catalog)
+{
+	return catalog->priority_levels;
+}
+
 const catalog_limits_t *catalog_get_limits(const catalog_t *catalog)
 {
 	return &catalog->limits;
--- a/programs/hostd/host.c
+++ b/programs/hostd/host.c
@@ -224,6 +224,17 @@
 	caller_accept(host->router, host->listen_fd);
 }
 
+/* New connections go to another host: one that is accepted late in a stop may
+ * bring a request that can't be finished. */
+static void close_listener(host_t *host)
+{
+	if (host->listen_fd < 0)
+		return;
+	loop_unwatch(host->loop, host->listen_fd);
+	close(host->listen_fd);
+	host->listen_fd = -1;
+}
+
 /* Ends the process when nothing is left to do, or the time is nearly over. */
 static void on_stop_timer(void *user)
 {
@@ -235,6 +246,7 @@
 		return;
 	}
 	if (passed_ms >= STOP_ACCEPT_MS) {
+		close_listener(host);
 		caller_close_idle(host->router);
 		if (!host->router->caller_count) {
 			loop_stop(host->loop);
