Keep long prompts off a part of the engines

Ruled out: waiting for the first token (p50 55 to 90 ms). Change: one engine in three of a service and domain is express; prompts of 1,500 tokens and more are charged there by length, shorter ones are charged beside long prompts; the preferred endpoint of a prompt is on its own lane.

--- a/lib/coordination/balance.c
+++ b/lib/coordination/balance.c
@@ -11,6 +11,10 @@
 /* Reading a shared part of a prompt once more takes capacity from others and
  * is billed: a longer wait is preferred. */
 #define REPEATED_CHARGE_MS_PER_TOKEN 0.12
+/* A long prompt on an express endpoint, by its length; any other one beside
+ * long prompts. */
+#define EXPRESS_CHARGE_MS_PER_TOKEN 0.1
+#define BULK_CHARGE_MS 150.0
 #define LAST_RESORT_MS 1e9
 
 static double trip_ms(balance_distance_t distance)
@@ -45,6 +49,17 @@
 	       queue_ms(option) + tokens / rates->tokens_per_ms;
 }
 
+double balance_lane_charge(uint64_t prompt_tokens, bool express)
+{
+	bool is_long = prompt_tokens >= BALANCE_LONG_PROMPT_TOKENS;
+
+	if (is_long)
+		return express ? EXPRESS_CHARGE_MS_PER_TOKEN *
+					 (double)prompt_tokens
+			       : 0.0;
+	return express ? 0.0 : BULK_CHARGE_MS;
+}
+
 double balance_cost(const balance_option_t *option,
 		    const balance_rates_t *rates)
 {
@@ -53,6 +68,6 @@
 	       RUNNING_CHARGE_MS * option->in_flight +
 	       REPEATED_CHARGE_MS_PER_TOKEN *
 		       (double)option->repeated_tokens +
-	       option->failing * rates->fail_cost_ms +
+	       option->failing * rates->fail_cost_ms + option->lane_ms +
 	       (option->last_resort ? LAST_RESORT_MS : 0.0);
 }
--- a/lib/coordination/balance.h
+++ b/lib/coordination/balance.h
@@ -31,6 +31,7 @@
 	double excess_ms;   /* recent answers' time over what was expected */
 	double service_ms;  /* plain services: usual time of an answer */
 	double failing;	    /* share of recent requests that failed */
+	double lane_ms;	    /* charge of balance_lane_charge() */
 	bool last_resort;   /* only when there is nothing else */
 } balance_option_t;
 
@@ -39,6 +40,15 @@
 	double fail_cost_ms;  /* what a failed request loses */
 } balance_rates_t;
 
+/*
+ * Lanes: some engines are kept free of long prompts, since a prompt that is
+ * read lengthens the pauses of all streams beside it.
+ */
+#define BALANCE_LONG_PROMPT_TOKENS 1500
+
+/* Charge for a prompt on an endpoint of the other lane; 0 on its own. */
+double balance_lane_charge(uint64_t prompt_tokens, bool express);
+
 /* Expected time in ms until the first token or answer. */
 double balance_expected_ms(const balance_option_t *option,
 			   const balance_rates_t *rates);
--- a/lib/request/answer.c
+++ b/lib/request/answer.c
@@ -21,14 +21,20 @@
 	snprintf(text, sizeof(text), "%u", status);
 	metrics_add(METRIC_ANSWERS, str_from(text), 1);
 	plog_write(PLOG_REQUEST_ENDED,
-		   "id=%" STR_FMT " status=%u reason=%s ms=%lld first_ms=%lld "
-		   "events=%llu sends=%u runs=%u version=%lld",
-		   STR_ARG(request->call.id), status, reason,
+		   "id=%" STR_FMT " route=%" STR_FMT
+		   " status=%u reason=\"%s\" ms=%lld first_ms=%lld "
+		   "pause_ms=%lld events=%llu sends=%u runs=%u version=%lld",
+		   STR_ARG(request->call.id),
+		   STR_ARG(request->admission.route
+				   ? request->admission.route->name
+				   : (str_t)STR_LIT("-")),
+		   status, reason,
 		   (long long)(now_ms - request->arrived_ms),
 		   (long long)(request->first_event_ms
 				       ? request->first_event_ms -
 						 request->arrived_ms
 				       : -1),
+		   (long long)request->longest_pause_ms,
 		   (unsigned long long)request->event_count, request->sends,
 		   request->runs,
 		   (long long)(request->catalog
--- a/lib/request/choose.c
+++ b/lib/request/choose.c
@@ -125,6 +125,13 @@
 		       : shared;
 }
 
+/* True when the endpoint's lane is the prompt's own. */
+static bool is_on_lane(const request_t *request, const endpoint_t *endpoint)
+{
+	return balance_lane_charge(request->call.prompt_tokens,
+				   endpoint->express) <= 0.0;
+}
+
 /* Highest random weight: removing an endpoint moves only its own prompts. */
 static preferred_t find_preferred(const request_t *request)
 {
@@ -142,6 +149,8 @@
 		if (!is_candidate(request, endpoint))
 			continue;
 		weight = preference(endpoint, parts->hashes[parts->count - 2]);
+		if (is_on_lane(request, endpoint))
+			weight += 1.0; /* before all others */
 		if (weight > best) {
 			best = weight;
 			preferred.any = endpoint;
@@ -185,6 +194,8 @@
 		option.repeated_tokens =
 			repeated_tokens(request, preferred, endpoint);
 		option.service_ms = CHOOSE_ENGINE_BASE_MS;
+		option.lane_ms = balance_lane_charge(
+			request->call.prompt_tokens, endpoint->express);
 	} else {
 		option.service_ms =
 			router_service(request->router,
--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -405,6 +405,16 @@
 	release_backlog(request, endpoint);
 }
 
+static void note_pause(request_t *request)
+{
+	int64_t now_ms = now_of(request);
+	int64_t pause_ms = now_ms - request->last_event_ms;
+
+	if (request->last_event_ms && pause_ms > request->longest_pause_ms)
+		request->longest_pause_ms = pause_ms;
+	request->last_event_ms = now_ms;
+}
+
 static void pass_event(request_t *request, const event_t *event)
 {
 	if (event->id.ptr &&
@@ -414,6 +424,7 @@
 		request->first_event_ms = now_of(request);
 		learn(request);
 	}
+	note_pause(request);
 	request->event_count++;
 	if (event->id.ptr)
 		str_copy(request->last_event_id,
--- a/lib/request/request.h
+++ b/lib/request/request.h
@@ -68,6 +68,8 @@
 	bool ended;
 	uint64_t event_count;
 	int64_t first_event_ms;
+	int64_t last_event_ms;
+	int64_t longest_pause_ms; /* between events */
 	loop_timer_t end_timer;
 	loop_timer_t progress_timer;
 	struct request *next, *prev; /* in the waiting list */
--- a/lib/state/fleet.c
+++ b/lib/state/fleet.c
@@ -147,6 +147,30 @@
 	return endpoint;
 }
 
+static bool is_group(const endpoint_t *a, const endpoint_t *b)
+{
+	return !strcmp(a->service, b->service) && !strcmp(a->domain, b->domain);
+}
+
+static void mark_express(fleet_t *fleet)
+{
+	for (size_t i = 0; i < fleet->count; i++) {
+		endpoint_t *endpoint = fleet->endpoints[i];
+		size_t size = 0, rank = 0;
+
+		for (size_t j = 0; j < fleet->count; j++) {
+			const endpoint_t *other = fleet->endpoints[j];
+
+			if (other->state != ENDPOINT_READY ||
+			    !is_group(endpoint, other))
+				continue;
+			size++;
+			rank += other->hash < endpoint->hash;
+		}
+		endpoint->express = rank < size / FLEET_EXPRESS_ONE_IN;
+	}
+}
+
 /* Takes the endpoint off the list; requests that run there go on. */
 static void drop(fleet_t *fleet, size_t index)
 {
@@ -195,6 +219,7 @@
 	if (record->cold_ms > 0 && cold_until_ms > endpoint->cold_until_ms)
 		endpoint->cold_until_ms = cold_until_ms;
 	endpoint->state = record->leaving ? ENDPOINT_LEAVING : ENDPOINT_READY;
+	mark_express(fleet);
 	return endpoint;
 }
 
@@ -210,6 +235,7 @@
 	}
 	endpoint->state = ENDPOINT_LINGERING;
 	endpoint->lingers_until_ms = now_ms + FLEET_LINGER_MS;
+	mark_express(fleet);
 }
 
 static void chill_domain(fleet_t *fleet, str_t domain, const catalog_t *catalog,
--- a/lib/state/fleet.h
+++ b/lib/state/fleet.h
@@ -16,6 +16,8 @@
 /* How long an endpoint whose record is gone stays a last resort. Records lapse
  * while the configuration service is away and come back within this time. */
 #define FLEET_LINGER_MS 2000
+/* One endpoint in so many of a service and domain is express. */
+#define FLEET_EXPRESS_ONE_IN 3
 
 typedef enum endpoint_state {
 	ENDPOINT_READY,
@@ -45,6 +47,7 @@
 	endpoint_state_t state;
 	unsigned refs;
 	unsigned slots;
+	bool express; /* kept free of long prompts, see fleet_put() */
 	int64_t incarnation;
 	int64_t cold_until_ms;
 	int64_t lingers_until_ms;
@@ -75,8 +78,14 @@
 void fleet_add_domain(fleet_t *fleet, str_t domain, str_t region);
 str_t fleet_region(const fleet_t *fleet, str_t domain);
 
-/* Adds the endpoint or changes it. A new incarnation starts cold for
- * `cold_ms` of its record at least. */
+/*
+ * Adds the endpoint or changes it.
+ *
+ * A part of each service's endpoints in a domain are marked as express: an
+ * engine reads long prompts between the tokens of the requests that run, whose
+ * pauses grow, so long prompts are kept off some engines. All hosts mark the
+ * same ones, since the marks follow from the records alone.
+ */
 endpoint_t *fleet_put(fleet_t *fleet, const endpoint_record_t *record,
 		      int64_t now_ms);
 void fleet_remove(fleet_t *fleet, str_t id, int64_t now_ms);
