Share the loads of endpoints between hosts

Ruled out: reports of engines (they show requests that wait, not prompts that are read) and messages from each host to each other (grows with the square). Change: loads go to one relay host a region by UDP and come back as sums; an engine that reads for more than 35% of its time is charged; its speed is learned from long prompts read alone; reading a shared part again is charged 0.4 ms a token. Prompts are long from 2,500 tokens.

--- a/Makefile
+++ b/Makefile
@@ -76,9 +76,10 @@
 	platform/*.c lib/request/*.c) \
 	$(patsubst %,lib/base/%.c,buf err mclock metrics plog str) \
 	$(patsubst %,lib/coordination/%.c,balance breaker coldgate gossip \
-	peersync prefixmap repeats) \
+	loadboard peersync prefixmap repeats) \
 	$(patsubst %,lib/state/%.c,catalog fleet replica) \
-	$(patsubst %,lib/transport/%.c,address frame http1 loop monitor tcp)
+	$(patsubst %,lib/transport/%.c,address frame http1 loop monitor tcp \
+	udp)
 HOSTD_LIBS := http_parser jansson b64 msgpackc xxhash
 $(BUILD)/peridot-hostd: $(HOSTD_C:%.c=$(BUILD)/%.o)
 	$(CC) $(LDFLAGS) -Wl,--as-needed -o $@ $^ \
--- a/lib/coordination/balance.c
+++ b/lib/coordination/balance.c
@@ -8,16 +8,22 @@
 #define DOMAIN_CHARGE_MS 10.0
 /* Each running request makes the steps of the others a little longer. */
 #define RUNNING_CHARGE_MS 2.0
+/* While a prompt is read, each step of the streams beside it takes many times
+ * as long: an engine that reads all the time is slow for all it runs. */
+#define READING_CHARGE_MS 400.0
+#define READING_FREE_SHARE 0.35
+#define READING_MAX_SHARE 0.95
+#define MS_PER_S 1000.0
 /* Reading a shared part of a prompt once more takes capacity from others and
  * is billed: a longer wait is preferred. */
-#define REPEATED_CHARGE_MS_PER_TOKEN 0.12
+#define REPEATED_CHARGE_MS_PER_TOKEN 0.4
 /* A long prompt on an express endpoint, by its length; any other one beside
  * long prompts. */
 #define EXPRESS_CHARGE_MS_PER_TOKEN 0.1
 #define BULK_CHARGE_MS 150.0
 #define LAST_RESORT_MS 1e9
 
-static double trip_ms(balance_distance_t distance)
+double balance_trip_ms(balance_distance_t distance)
 {
 	static const double trips[] = {0.0, DOMAIN_TRIP_MS, REGION_TRIP_MS};
 
@@ -39,13 +45,27 @@
 	return option->service_ms * (1.0 + (double)option->in_flight / slots);
 }
 
+/* Charge by the share of its time that the engine reads prompts. */
+static double reading_ms(const balance_option_t *option,
+			 const balance_rates_t *rates)
+{
+	double share =
+		option->tokens_per_s / (rates->tokens_per_ms * MS_PER_S);
+
+	if (share <= READING_FREE_SHARE)
+		return 0.0;
+	if (share > READING_MAX_SHARE)
+		share = READING_MAX_SHARE;
+	return READING_CHARGE_MS * (share - READING_FREE_SHARE) / (1.0 - share);
+}
+
 double balance_expected_ms(const balance_option_t *option,
 			   const balance_rates_t *rates)
 {
 	double tokens =
 		(double)(option->backlog_tokens + option->unread_tokens);
 
-	return trip_ms(option->distance) + option->excess_ms +
+	return balance_trip_ms(option->distance) + option->excess_ms +
 	       queue_ms(option) + tokens / rates->tokens_per_ms;
 }
 
@@ -64,7 +84,7 @@
 		    const balance_rates_t *rates)
 {
 	return balance_expected_ms(option, rates) +
-	       charge_ms(option->distance) +
+	       charge_ms(option->distance) + reading_ms(option, rates) +
 	       RUNNING_CHARGE_MS * option->in_flight +
 	       REPEATED_CHARGE_MS_PER_TOKEN *
 		       (double)option->repeated_tokens +
--- a/lib/coordination/balance.h
+++ b/lib/coordination/balance.h
@@ -23,10 +23,11 @@
 	/* Model engines: prompt tokens sent to it and not read yet, and those
 	 * of this request that it would have to read. */
 	uint64_t backlog_tokens;
+	double tokens_per_s; /* sent to it lately, by all hosts */
 	uint64_t unread_tokens;
 	/* Of these, tokens that another endpoint has already read. */
 	uint64_t repeated_tokens;
-	unsigned in_flight; /* own requests at the endpoint */
+	unsigned in_flight; /* requests at the endpoint */
 	unsigned slots;	    /* requests that it runs at once */
 	double excess_ms;   /* recent answers' time over what was expected */
 	double service_ms;  /* plain services: usual time of an answer */
@@ -44,11 +45,14 @@
  * Lanes: some engines are kept free of long prompts, since a prompt that is
  * read lengthens the pauses of all streams beside it.
  */
-#define BALANCE_LONG_PROMPT_TOKENS 1500
+#define BALANCE_LONG_PROMPT_TOKENS 2500
 
 /* Charge for a prompt on an endpoint of the other lane; 0 on its own. */
 double balance_lane_charge(uint64_t prompt_tokens, bool express);
 
+/* Time to an endpoint and back. */
+double balance_trip_ms(balance_distance_t distance);
+
 /* Expected time in ms until the first token or answer. */
 double balance_expected_ms(const balance_option_t *option,
 			   const balance_rates_t *rates);
--- a/lib/coordination/gossip.c
+++ b/lib/coordination/gossip.c
@@ -263,7 +263,7 @@
 	}
 }
 
-static bool is_live(const member_t *member, int64_t now_ms)
+bool gossip_is_live(const member_t *member, int64_t now_ms)
 {
 	return now_ms - member->heard_ms < GOSSIP_LIVE_MS;
 }
@@ -287,7 +287,7 @@
 		const member_t *member =
 			&gossip->members[(start + i) % gossip->count];
 
-		if (is_live(member, now_ms) &&
+		if (gossip_is_live(member, now_ms) &&
 		    !is_chosen(targets, count, member) &&
 		    (!own_domain ||
 		     !strcmp(member->domain, gossip->self.domain)))
@@ -312,6 +312,16 @@
 	return count;
 }
 
+size_t gossip_member_count(const gossip_t *gossip)
+{
+	return gossip->count;
+}
+
+const member_t *gossip_member(const gossip_t *gossip, size_t index)
+{
+	return &gossip->members[index];
+}
+
 static unsigned count_members(const gossip_t *gossip, int64_t now_ms,
 			      const char *domain)
 {
--- a/lib/coordination/gossip.h
+++ b/lib/coordination/gossip.h
@@ -1,6 +1,7 @@
 #ifndef COORDINATION_GOSSIP_H
 #define COORDINATION_GOSSIP_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "base/buf.h"
@@ -72,6 +73,10 @@
 size_t gossip_targets(gossip_t *gossip, int64_t now_ms,
 		      const member_t **targets);
 
+size_t gossip_member_count(const gossip_t *gossip);
+const member_t *gossip_member(const gossip_t *gossip, size_t index);
+bool gossip_is_live(const member_t *member, int64_t now_ms);
+
 /* Hosts that count for shares, this one included. */
 unsigned gossip_count(const gossip_t *gossip, int64_t now_ms);
 unsigned gossip_count_domain(const gossip_t *gossip, int64_t now_ms);
--- /dev/null
+++ b/lib/coordination/loadboard.h
@@ -0,0 +1,74 @@
+#ifndef COORDINATION_LOADBOARD_H
+#define COORDINATION_LOADBOARD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/buf.h"
+#include "base/err.h"
+
+/*
+ * loadboard - what all hosts together have sent to each endpoint
+ *
+ * A host alone sees its own sends only, which are few when there are many
+ * hosts. So each tells its loads to one relay host a region, and each relay
+ * tells the sums to the hosts of its region. The board keeps the entries and
+ * reads and writes messages; it does no input or output. Loads are hints: what
+ * has not been renewed for LOADBOARD_LIFE_MS counts as zero.
+ */
+#define LOADBOARD_LIFE_MS 1500
+#define LOADBOARD_MESSAGE_ENTRIES 60
+#define LOADBOARD_MAX_ENTRIES 16384
+
+/* Loads of one endpoint. */
+typedef struct load {
+	uint64_t backlog_tokens; /* of prompts sent and not read yet */
+	uint64_t tokens_per_s;	 /* of prompts sent lately */
+	unsigned in_flight;
+} load_t;
+
+typedef struct loadboard loadboard_t;
+
+loadboard_t *loadboard_create(void);
+void loadboard_free(loadboard_t *board);
+
+typedef enum loadboard_kind {
+	LOADBOARD_HOST, /* loads of one host, for a relay */
+	LOADBOARD_SUMS	/* sums over all hosts, from a relay */
+} loadboard_kind_t;
+
+/* One endpoint's entry of a message. */
+typedef struct loadboard_entry {
+	uint32_t endpoint; /* hash of its id */
+	load_t load;
+} loadboard_entry_t;
+
+/* Appends a message with up to LOADBOARD_MESSAGE_ENTRIES entries of a host. */
+void loadboard_write(loadboard_kind_t kind, uint32_t host,
+		     const loadboard_entry_t *entries, size_t count,
+		     buf_t *out);
+
+/*
+ * Reads a message into the board.
+ *
+ * ERRORS: ERR_INVALID.
+ */
+err_code_t loadboard_read(loadboard_t *board, str_t message, int64_t now_ms,
+			  err_t *err);
+
+/*
+ * Sums what hosts said of each endpoint, for a relay's message.
+ *
+ * RETURN VALUE: the number of entries, `max` at most.
+ */
+size_t loadboard_sum(const loadboard_t *board, int64_t now_ms,
+		     loadboard_entry_t *entries, size_t max);
+
+/* What a relay last said of the endpoint; zero when that is too old. */
+load_t loadboard_get(const loadboard_t *board, uint32_t endpoint,
+		     int64_t now_ms);
+
+/* Forgets what has not been renewed. */
+void loadboard_expire(loadboard_t *board, int64_t now_ms);
+
+#endif
--- a/lib/coordination/peersync.c
+++ b/lib/coordination/peersync.c
@@ -1,12 +1,10 @@
 #include "coordination/peersync.h"
 
 #include <arpa/inet.h>
-#include <errno.h>
 #include <msgpack.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "base/metrics.h"
@@ -14,6 +12,7 @@
 #include "transport/address.h"
 #include "transport/frame.h"
 #include "transport/tcp.h"
+#include "transport/udp.h"
 
 #define MAX_SEEDS 8
 #define READ_BYTES 8192
@@ -354,15 +353,14 @@
 {
 	peersync_t *peersync = user;
 	char buffer[GOSSIP_MESSAGE_BYTES];
-	ssize_t len;
+	size_t len;
 
 	(void)events;
-	while ((len = recv(peersync->udp_fd, buffer, sizeof(buffer),
-			   MSG_DONTWAIT)) > 0) {
+	while ((len = udp_receive(peersync->udp_fd, buffer, sizeof(buffer)))) {
 		const member_t *sender;
 		err_t err;
 
-		if (gossip_read(peersync->gossip, (str_t){buffer, (size_t)len},
+		if (gossip_read(peersync->gossip, (str_t){buffer, len},
 				now_of(peersync), &sender,
 				&err) == ERR_INVALID)
 			plog_write(PLOG_MESSAGE_INVALID, "peer=%s step=%s",
@@ -373,15 +371,8 @@
 
 static void send_to_ip(const peersync_t *peersync, const char *ip, str_t data)
 {
-	struct sockaddr_in sin = {.sin_family = AF_INET,
-				  .sin_port = htons(
-					  (uint16_t)peersync->gossip_port)};
-
-	if (inet_pton(AF_INET, ip, &sin.sin_addr) != 1)
-		return;
 	/* Lost datagrams are made good by the next round. */
-	if (sendto(peersync->udp_fd, data.ptr, data.len, MSG_DONTWAIT,
-		   (struct sockaddr *)&sin, sizeof(sin)) < 0)
+	if (!udp_send(peersync->udp_fd, ip, peersync->gossip_port, data))
 		metrics_inc(METRIC_GOSSIP_UNSENT);
 }
 
@@ -437,22 +428,6 @@
 		       on_round, peersync);
 }
 
-static int open_udp(const char *ip, unsigned port, err_t *err)
-{
-	struct sockaddr_in sin = {.sin_family = AF_INET,
-				  .sin_port = htons((uint16_t)port)};
-	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-	if (fd >= 0 && inet_pton(AF_INET, ip, &sin.sin_addr) == 1 &&
-	    !bind(fd, (struct sockaddr *)&sin, sizeof(sin)))
-		return fd;
-	err_set(err, ERR_IO, "listen-gossip", ip, "port %u: %s", port,
-		strerror(errno));
-	if (fd >= 0)
-		close(fd);
-	return -1;
-}
-
 err_code_t peersync_create(const peersync_options_t *options,
 			   peersync_t **out, err_t *err)
 {
@@ -472,7 +447,7 @@
 		options->self.incarnation ^
 			(uint64_t)mclock_now_us(loop_clock(options->loop)));
 	peersync->udp_fd =
-		open_udp(options->self.ip, options->gossip_port, err);
+		udp_open(options->self.ip, options->gossip_port, err);
 	if (peersync->udp_fd < 0 ||
 	    address_parse(options->pull_listen, &sin, err))
 		goto fail;
@@ -521,6 +496,11 @@
 			peersync->seed_count++;
 }
 
+const gossip_t *peersync_gossip(const peersync_t *peersync)
+{
+	return peersync->gossip;
+}
+
 void peersync_leave(peersync_t *peersync)
 {
 	peersync->leaving = true;
--- a/lib/coordination/peersync.h
+++ b/lib/coordination/peersync.h
@@ -15,7 +15,7 @@
  * configuration service answers every host.
  */
 /* Time for the own watch to tell what a peer already knows. */
-#define PEERSYNC_PATIENCE_MS 350
+#define PEERSYNC_PATIENCE_MS 700
 #define PEERSYNC_PULL_TIMEOUT_MS 1000
 #define PEERSYNC_MAX_SERVED 16 /* pulls answered at the same time */
 
@@ -49,6 +49,9 @@
 /* Sets the hosts to begin with, by IP, and again when settings change. */
 void peersync_set_seeds(peersync_t *peersync, const str_t *ips, size_t count);
 
+/* The hosts that are known. */
+const gossip_t *peersync_gossip(const peersync_t *peersync);
+
 /* Tells the others that this host stops. */
 void peersync_leave(peersync_t *peersync);
 
--- a/lib/request/choose.c
+++ b/lib/request/choose.c
@@ -5,10 +5,6 @@
 #include "coordination/balance.h"
 #include "request/channel.h"
 
-/* Prompt tokens that an engine reads in a ms, as a first guess. */
-#define CHOOSE_TOKENS_PER_MS 90.0
-/* Until an engine's first token, besides reading the prompt. */
-#define CHOOSE_ENGINE_BASE_MS 45.0
 /* Excess times are forgotten, so that a slow endpoint is tried again. */
 #define CHOOSE_EXCESS_HALF_LIFE_MS 1500.0
 /* A failed request loses this part of its target. */
@@ -179,9 +175,10 @@
 {
 	const catalog_service_t *service = request->admission.service;
 	bool engine = service && service->slots;
+	load_t load = endpoint_load(endpoint, now_ms);
 	balance_option_t option = {
 		.distance = distance_of(request->router, endpoint),
-		.in_flight = endpoint->in_flight,
+		.in_flight = load.in_flight,
 		.slots = endpoint->slots,
 		.excess_ms = excess_now(endpoint, now_ms),
 		.failing = breaker_failing(&endpoint->breaker, now_ms),
@@ -189,11 +186,12 @@
 			       breaker_is_open(&endpoint->breaker, now_ms)};
 
 	if (engine) {
-		option.backlog_tokens = endpoint->backlog_tokens;
+		option.backlog_tokens = load.backlog_tokens;
+		option.tokens_per_s = (double)load.tokens_per_s;
 		option.unread_tokens = unread_tokens(request, endpoint);
 		option.repeated_tokens =
 			repeated_tokens(request, preferred, endpoint);
-		option.service_ms = CHOOSE_ENGINE_BASE_MS;
+		option.service_ms = ROUTER_ENGINE_BASE_MS;
 		option.lane_ms = balance_lane_charge(
 			request->call.prompt_tokens, endpoint->express);
 	} else {
@@ -207,17 +205,20 @@
 
 choose_result_t choose_endpoint(const request_t *request, choice_t *choice)
 {
-	const router_t *router = request->router;
+	router_t *router = request->router;
 	int64_t now_ms = router_now_ms(router);
 	balance_rates_t rates = {
-		.tokens_per_ms = CHOOSE_TOKENS_PER_MS,
+		.tokens_per_ms =
+			router_service(router,
+				       request->admission.service_name)
+				->tokens_per_ms,
 		.fail_cost_ms =
 			CHOOSE_FAIL_PART * request->admission.route->target_ms};
 	preferred_t preferred = find_preferred(request);
 	choose_result_t result = CHOOSE_NONE;
 	double best_cost = 0.0;
 
-	*choice = (choice_t){NULL, 0, 0.0};
+	*choice = (choice_t){.endpoint = NULL};
 	for (size_t i = 0; i < fleet_count(router->fleet); i++) {
 		endpoint_t *endpoint = fleet_at(router->fleet, i);
 		balance_option_t option;
@@ -240,6 +241,8 @@
 		result = CHOOSE_OK;
 		choice->endpoint = endpoint;
 		choice->unread_tokens = option.unread_tokens;
+		choice->alone = !option.backlog_tokens;
+		choice->trip_ms = balance_trip_ms(option.distance);
 		choice->expected_ms =
 			balance_expected_ms(&option, &rates) - option.excess_ms;
 	}
--- a/lib/request/choose.h
+++ b/lib/request/choose.h
@@ -15,6 +15,8 @@
 typedef struct choice {
 	endpoint_t *endpoint;
 	uint64_t unread_tokens; /* that it will have to read */
+	bool alone;		/* it has nothing else to read */
+	double trip_ms;		/* to it and back */
 	double expected_ms;	/* until the first token or answer */
 } choice_t;
 
--- /dev/null
+++ b/lib/request/loadsync.c
@@ -0,0 +1,270 @@
+#include "request/loadsync.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include "base/metrics.h"
+#include "base/plog.h"
+#include "transport/udp.h"
+
+#define MESSAGE_BYTES 2048
+#define MAX_ENDPOINTS 1024
+
+/* The relay of a region; `member` is NULL for this host. */
+typedef struct relay {
+	str_t region;
+	uint64_t weight;
+	const member_t *member;
+} relay_t;
+
+struct loadsync {
+	router_t *router;
+	const peersync_t *peersync;
+	loadboard_t *board;
+	char *name;
+	uint32_t host; /* hash of the name */
+	unsigned port;
+	int fd;
+	loop_timer_t timer;
+	relay_t relays[LOADSYNC_MAX_REGIONS];
+	size_t relay_count;
+	loadboard_entry_t entries[MAX_ENDPOINTS];
+};
+
+static int64_t now_of(const loadsync_t *loadsync)
+{
+	return router_now_ms(loadsync->router);
+}
+
+static relay_t *get_relay(loadsync_t *loadsync, str_t region)
+{
+	for (size_t i = 0; i < loadsync->relay_count; i++)
+		if (str_equals(loadsync->relays[i].region, region))
+			return &loadsync->relays[i];
+	if (loadsync->relay_count == LOADSYNC_MAX_REGIONS)
+		return NULL;
+	loadsync->relays[loadsync->relay_count] =
+		(relay_t){.region = region};
+	return &loadsync->relays[loadsync->relay_count++];
+}
+
+static void propose(loadsync_t *loadsync, str_t region, const char *name,
+		    const member_t *member)
+{
+	relay_t *relay = get_relay(loadsync, region);
+	uint64_t weight = XXH64(name, strlen(name), 1) | 1;
+
+	if (relay && weight > relay->weight) {
+		relay->weight = weight;
+		relay->member = member;
+	}
+}
+
+static void find_relays(loadsync_t *loadsync)
+{
+	const gossip_t *gossip = peersync_gossip(loadsync->peersync);
+	const fleet_t *fleet = loadsync->router->fleet;
+	int64_t now_ms = now_of(loadsync);
+
+	loadsync->relay_count = 0;
+	propose(loadsync, loadsync->router->region, loadsync->name, NULL);
+	for (size_t i = 0; i < gossip_member_count(gossip); i++) {
+		const member_t *member = gossip_member(gossip, i);
+
+		if (gossip_is_live(member, now_ms) && !member->leaving)
+			propose(loadsync,
+				fleet_region(fleet, str_from(member->domain)),
+				member->name, member);
+	}
+}
+
+/* Sends entries in messages of bounded size. */
+static void send_entries(const loadsync_t *loadsync, const char *ip,
+			 loadboard_kind_t kind, size_t count)
+{
+	for (size_t at = 0; at < count; at += LOADBOARD_MESSAGE_ENTRIES) {
+		size_t part = count - at < LOADBOARD_MESSAGE_ENTRIES
+				      ? count - at
+				      : LOADBOARD_MESSAGE_ENTRIES;
+		buf_t message = BUF_INIT;
+
+		loadboard_write(kind, loadsync->host, loadsync->entries + at,
+				part, &message);
+		if (!udp_send(loadsync->fd, ip, loadsync->port,
+			      buf_view(&message)))
+			metrics_inc(METRIC_GOSSIP_UNSENT);
+		buf_release(&message);
+	}
+}
+
+/* Gathers the loads of this host that are not zero. */
+static size_t gather_own(loadsync_t *loadsync)
+{
+	const fleet_t *fleet = loadsync->router->fleet;
+	size_t count = 0;
+
+	for (size_t i = 0; i < fleet_count(fleet) && count < MAX_ENDPOINTS;
+	     i++) {
+		endpoint_t *endpoint = fleet_at(fleet, i);
+		load_t load = endpoint_own_load(endpoint, now_of(loadsync));
+
+		endpoint->told = load;
+		if (load.backlog_tokens || load.tokens_per_s || load.in_flight)
+			loadsync->entries[count++] = (loadboard_entry_t){
+				(uint32_t)endpoint->hash, load};
+	}
+	return count;
+}
+
+/* Adds the own loads to the board, as a relay's own messages do. */
+static void note_own(loadsync_t *loadsync, size_t count)
+{
+	buf_t message = BUF_INIT;
+	err_t err;
+
+	loadboard_write(LOADBOARD_HOST, loadsync->host, loadsync->entries,
+			count, &message);
+	loadboard_read(loadsync->board, buf_view(&message), now_of(loadsync),
+		       &err);
+	buf_release(&message);
+}
+
+static void tell_relays(loadsync_t *loadsync)
+{
+	size_t count = gather_own(loadsync);
+
+	if (!count)
+		return;
+	for (size_t i = 0; i < loadsync->relay_count; i++) {
+		const member_t *member = loadsync->relays[i].member;
+
+		if (member)
+			send_entries(loadsync, member->ip, LOADBOARD_HOST,
+				     count);
+		else
+			note_own(loadsync, count);
+	}
+}
+
+static bool is_relay(loadsync_t *loadsync)
+{
+	const relay_t *relay =
+		get_relay(loadsync, loadsync->router->region);
+
+	return relay && !relay->member;
+}
+
+/* A relay tells the sums to the hosts of its region, itself included. */
+static void tell_region(loadsync_t *loadsync)
+{
+	const gossip_t *gossip = peersync_gossip(loadsync->peersync);
+	int64_t now_ms = now_of(loadsync);
+	size_t count = loadboard_sum(loadsync->board, now_ms,
+				     loadsync->entries, MAX_ENDPOINTS);
+	buf_t message = BUF_INIT;
+	err_t err;
+
+	if (!count)
+		return;
+	for (size_t i = 0; i < gossip_member_count(gossip); i++) {
+		const member_t *member = gossip_member(gossip, i);
+
+		if (gossip_is_live(member, now_ms) &&
+		    str_equals(fleet_region(loadsync->router->fleet,
+					    str_from(member->domain)),
+			       loadsync->router->region))
+			send_entries(loadsync, member->ip, LOADBOARD_SUMS,
+				     count);
+	}
+	loadboard_write(LOADBOARD_SUMS, loadsync->host, loadsync->entries,
+			count, &message);
+	loadboard_read(loadsync->board, buf_view(&message), now_ms, &err);
+	buf_release(&message);
+}
+
+/* Takes what the board says into the endpoints. */
+static void read_board(loadsync_t *loadsync)
+{
+	const fleet_t *fleet = loadsync->router->fleet;
+	int64_t now_ms = now_of(loadsync);
+
+	loadboard_expire(loadsync->board, now_ms);
+	for (size_t i = 0; i < fleet_count(fleet); i++) {
+		endpoint_t *endpoint = fleet_at(fleet, i);
+
+		endpoint->total = loadboard_get(
+			loadsync->board, (uint32_t)endpoint->hash, now_ms);
+	}
+}
+
+static void on_round(void *user)
+{
+	loadsync_t *loadsync = user;
+	int64_t round_ms = (int64_t)loadsync->router->all_hosts *
+			   LOADSYNC_ROUND_MS_PER_HOST;
+
+	find_relays(loadsync);
+	tell_relays(loadsync);
+	if (is_relay(loadsync))
+		tell_region(loadsync);
+	read_board(loadsync);
+	loop_timer_set(loadsync->router->loop, &loadsync->timer,
+		       round_ms > LOADSYNC_MIN_ROUND_MS ? round_ms
+							: LOADSYNC_MIN_ROUND_MS,
+		       on_round, loadsync);
+}
+
+static void on_datagram(void *user, uint32_t events)
+{
+	loadsync_t *loadsync = user;
+	char buffer[MESSAGE_BYTES];
+	size_t len;
+
+	(void)events;
+	while ((len = udp_receive(loadsync->fd, buffer, sizeof(buffer)))) {
+		err_t err;
+
+		if (loadboard_read(loadsync->board, (str_t){buffer, len},
+				   now_of(loadsync), &err))
+			plog_write(PLOG_MESSAGE_INVALID, "peer=%s step=%s",
+				   err.peer, err.step);
+	}
+}
+
+loadsync_t *loadsync_create(router_t *router, const peersync_t *peersync,
+			    const char *ip, const char *name, unsigned port,
+			    err_t *err)
+{
+	int fd = udp_open(ip, port, err);
+	loadsync_t *loadsync;
+
+	if (fd < 0)
+		return NULL;
+	loadsync = calloc(1, sizeof(*loadsync));
+	if (!loadsync || !(loadsync->name = str_dup(str_from(name))))
+		abort();
+	loadsync->router = router;
+	loadsync->peersync = peersync;
+	loadsync->board = loadboard_create();
+	loadsync->host = (uint32_t)XXH64(name, strlen(name), 0) | 1;
+	loadsync->port = port;
+	loadsync->fd = fd;
+	loop_watch(router->loop, fd, EPOLLIN, on_datagram, loadsync);
+	on_round(loadsync);
+	return loadsync;
+}
+
+void loadsync_free(loadsync_t *loadsync)
+{
+	if (!loadsync)
+		return;
+	loop_timer_cancel(loadsync->router->loop, &loadsync->timer);
+	loop_unwatch(loadsync->router->loop, loadsync->fd);
+	close(loadsync->fd);
+	loadboard_free(loadsync->board);
+	free(loadsync->name);
+	free(loadsync);
+}
--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -19,6 +19,8 @@
 #define REQUEST_WAIT_PART 8
 /* Time to return that a refused caller gets, spread by as much again. */
 #define REQUEST_RETRY_MS 250
+/* The same while no configuration is known: it takes longer to come. */
+#define REQUEST_START_RETRY_MS 800
 /* Answers up to this size are held until they are whole. */
 #define REQUEST_HOLD_BYTES (256 * 1024)
 /* A repeatable request is sent again when its answer takes this many times the
@@ -33,6 +35,11 @@
 /* Weight of the newest answer in mean times. */
 #define REQUEST_MEAN_WEIGHT 0.1
 #define REQUEST_EXCESS_WEIGHT 0.3
+#define REQUEST_SPEED_WEIGHT 0.05
+/* Prompts that tell an engine's speed, and the bounds of it in tokens a ms. */
+#define REQUEST_SPEED_MIN_TOKENS 3000
+#define REQUEST_SPEED_MIN 10.0
+#define REQUEST_SPEED_MAX 1000.0
 
 static void on_end_timer(void *user);
 static void on_progress_timer(void *user);
@@ -160,8 +167,11 @@
 
 static int64_t retry_after(request_t *request)
 {
-	return REQUEST_RETRY_MS +
-	       (int64_t)(router_random(request->router) % REQUEST_RETRY_MS);
+	int64_t ms = request->router->catalog ? REQUEST_RETRY_MS
+					      : REQUEST_START_RETRY_MS;
+
+	return ms +
+	       (int64_t)(router_random(request->router) % (uint64_t)ms);
 }
 
 /* Gives the final answer of a request that no endpoint answered. */
@@ -238,7 +248,12 @@
 	endpoint_ref(endpoint);
 	endpoint->in_flight++;
 	request->backlog_tokens = choice->unread_tokens;
+	request->alone = choice->alone;
+	request->trip_ms = choice->trip_ms;
+	request->unread_tokens = choice->unread_tokens;
 	endpoint->backlog_tokens += choice->unread_tokens;
+	endpoint_count_tokens(endpoint, choice->unread_tokens,
+			      now_of(request));
 	request->expected_ms = choice->expected_ms;
 	request->state = request->state == REQUEST_ANSWERING
 				 ? REQUEST_ANSWERING
@@ -386,6 +401,27 @@
 	return before > 0.0 ? before + weight * (sample - before) : sample;
 }
 
+/* A long prompt that nothing else was read beside tells the engine's speed. */
+static void learn_speed(const request_t *request, double taken_ms)
+{
+	service_stats_t *stats = stats_of(request);
+	double reading_ms =
+		taken_ms - request->trip_ms - ROUTER_ENGINE_BASE_MS;
+	double speed;
+
+	if (!request->alone ||
+	    request->unread_tokens < REQUEST_SPEED_MIN_TOKENS)
+		return;
+	speed = reading_ms > 1.0 ? (double)request->unread_tokens / reading_ms
+				 : REQUEST_SPEED_MAX;
+	if (speed < REQUEST_SPEED_MIN)
+		speed = REQUEST_SPEED_MIN;
+	if (speed > REQUEST_SPEED_MAX)
+		speed = REQUEST_SPEED_MAX;
+	stats->tokens_per_ms =
+		mean(stats->tokens_per_ms, speed, REQUEST_SPEED_WEIGHT);
+}
+
 /* The first event or the answer has come: what it tells of the endpoint. */
 static void learn(request_t *request)
 {
@@ -398,6 +434,8 @@
 	if (request->admission.route->kind != CATALOG_STREAM)
 		stats->service_ms =
 			mean(stats->service_ms, taken_ms, REQUEST_MEAN_WEIGHT);
+	else
+		learn_speed(request, taken_ms);
 	endpoint->excess_ms +=
 		REQUEST_EXCESS_WEIGHT *
 		((excess_ms > 0.0 ? excess_ms : 0.0) - endpoint->excess_ms);
--- a/lib/request/request.h
+++ b/lib/request/request.h
@@ -57,6 +57,9 @@
 	const http1_head_t *reply_head; /* while the answer is read */
 	int64_t sent_ms;
 	uint64_t backlog_tokens; /* counted at the endpoint until its answer */
+	uint64_t unread_tokens;	 /* that the endpoint had to read at the send */
+	bool alone;		 /* it had nothing else to read then */
+	double trip_ms;		 /* to the endpoint and back */
 	double expected_ms;
 	int64_t progress_ms; /* when the endpoint last sent something */
 	/* The answer. */
--- a/lib/request/router.c
+++ b/lib/request/router.c
@@ -138,6 +138,7 @@
 		     router->bounds.repeat_window_ms);
 	repeats_share(&service->repeats, router->bounds.repeat_slack,
 		      router->all_hosts);
+	service->tokens_per_ms = ROUTER_TOKENS_PER_MS;
 	service->next = router->services;
 	router->services = service;
 	return service;
--- a/lib/request/router.h
+++ b/lib/request/router.h
@@ -38,7 +38,8 @@
 typedef struct service_stats {
 	char *name;
 	repeats_t repeats;
-	double service_ms; /* plain services: mean time of an answer */
+	double service_ms;    /* plain services: mean time of an answer */
+	double tokens_per_ms; /* engines: prompt tokens read in a ms */
 	struct service_stats *next;
 } service_stats_t;
 
@@ -46,6 +47,10 @@
 struct caller;
 
 #define ROUTER_READ_BYTES 16384
+/* Until an engine's first token, besides reading the prompt. */
+#define ROUTER_ENGINE_BASE_MS 45.0
+/* Prompt tokens that an engine reads in a ms, as a first guess. */
+#define ROUTER_TOKENS_PER_MS 90.0
 
 typedef struct router {
 	loop_t *loop;
--- a/lib/state/fleet.c
+++ b/lib/state/fleet.c
@@ -1,11 +1,15 @@
 #include "state/fleet.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <xxhash.h>
 
 #include "base/plog.h"
 
 #define FLEET_MAX_DOMAINS 64
+/* Rates of tokens are means over about this time. */
+#define FLEET_RATE_MS 2000.0
+#define MS_PER_S 1000.0
 
 typedef struct domain {
 	char *name;
@@ -300,6 +304,48 @@
 	return fleet->endpoints[index];
 }
 
+static double faded_rate(const endpoint_t *endpoint, int64_t now_ms)
+{
+	double age = (double)(now_ms - endpoint->rate_ms);
+
+	return age > 0.0 ? endpoint->tokens_per_s * exp(-age / FLEET_RATE_MS)
+			 : endpoint->tokens_per_s;
+}
+
+void endpoint_count_tokens(endpoint_t *endpoint, uint64_t tokens,
+			   int64_t now_ms)
+{
+	endpoint->tokens_per_s = faded_rate(endpoint, now_ms) +
+				 (double)tokens * MS_PER_S / FLEET_RATE_MS;
+	endpoint->rate_ms = now_ms;
+}
+
+load_t endpoint_own_load(const endpoint_t *endpoint, int64_t now_ms)
+{
+	return (load_t){endpoint->backlog_tokens,
+			(uint64_t)faded_rate(endpoint, now_ms),
+			endpoint->in_flight};
+}
+
+/* The others' part of a sum in which the own part was `told`. */
+static uint64_t others(uint64_t total, uint64_t told)
+{
+	return total > told ? total - told : 0;
+}
+
+load_t endpoint_load(const endpoint_t *endpoint, int64_t now_ms)
+{
+	load_t load = endpoint_own_load(endpoint, now_ms);
+	const load_t *total = &endpoint->total;
+	const load_t *told = &endpoint->told;
+
+	load.backlog_tokens +=
+		others(total->backlog_tokens, told->backlog_tokens);
+	load.tokens_per_s += others(total->tokens_per_s, told->tokens_per_s);
+	load.in_flight += (unsigned)others(total->in_flight, told->in_flight);
+	return load;
+}
+
 bool endpoint_is_cold(const endpoint_t *endpoint, int64_t now_ms)
 {
 	return endpoint->cold_until_ms > now_ms;
--- a/lib/state/fleet.h
+++ b/lib/state/fleet.h
@@ -3,6 +3,7 @@
 
 #include "coordination/breaker.h"
 #include "coordination/coldgate.h"
+#include "coordination/loadboard.h"
 #include "state/catalog.h"
 
 /*
@@ -56,6 +57,10 @@
 	breaker_t breaker;
 	unsigned in_flight;
 	uint64_t backlog_tokens;
+	double tokens_per_s; /* of prompts sent; faded since `rate_ms` */
+	int64_t rate_ms;
+	load_t told;  /* own loads that the other hosts were told last */
+	load_t total; /* of all hosts, as told; lags behind */
 	double excess_ms;
 	int64_t excess_set_ms;
 	double service_ms;
@@ -103,6 +108,16 @@
 size_t fleet_count(const fleet_t *fleet);
 endpoint_t *fleet_at(const fleet_t *fleet, size_t index);
 
+/* Counts the prompt tokens of a send. */
+void endpoint_count_tokens(endpoint_t *endpoint, uint64_t tokens,
+			   int64_t now_ms);
+
+/* What this host alone has sent to the endpoint. */
+load_t endpoint_own_load(const endpoint_t *endpoint, int64_t now_ms);
+
+/* What all hosts have sent: the last sums, with the own part as it is now. */
+load_t endpoint_load(const endpoint_t *endpoint, int64_t now_ms);
+
 bool endpoint_is_cold(const endpoint_t *endpoint, int64_t now_ms);
 void endpoint_ref(endpoint_t *endpoint);
 void endpoint_unref(endpoint_t *endpoint);
--- a/programs/hostd/host.c
+++ b/programs/hostd/host.c
@@ -315,9 +315,15 @@
 	err_code_t code =
 		peersync_create(&options, &host->peersync, err);
 
-	if (!code)
-		read_seeds(host);
-	return code;
+	if (code)
+		return code;
+	read_seeds(host);
+	if (settings->last_port == settings->first_port)
+		return ERR_OK;
+	host->loadsync = loadsync_create(host->router, host->peersync,
+					 settings->ip.ptr, settings->host.ptr,
+					 settings->first_port + 1, err);
+	return host->loadsync ? ERR_OK : err->code;
 }
 
 static err_code_t start_listeners(host_t *host, err_t *err)
@@ -389,6 +395,7 @@
 	monitor_free(host->readiness);
 	monitor_free(host->metrics);
 	pstore_free(host->store);
+	loadsync_free(host->loadsync);
 	peersync_free(host->peersync);
 	router_free(host->router);
 	replica_free(host->replica);
--- a/programs/hostd/host.h
+++ b/programs/hostd/host.h
@@ -4,6 +4,7 @@
 #include "coordination/peersync.h"
 #include "platform/settings.h"
 #include "platform/store.h"
+#include "request/loadsync.h"
 #include "request/router.h"
 #include "transport/monitor.h"
 
@@ -22,6 +23,7 @@
 	router_t *router;
 	replica_t *replica;
 	peersync_t *peersync;
+	loadsync_t *loadsync; /* NULL without a port for it */
 	pstore_t *store;
 	monitor_t *readiness;
 	monitor_t *metrics;
