Rank the endpoints of a prompt; fewer express engines

Cause: on the grown deployment a saturated bulk lane spilled prompts to whichever engine looked cheapest, each of which read the shared part again (17.5 M tokens). Change: what the first endpoint of a prompt can't take goes to the next in the common ranking; one engine in five is express, at least one of three.

--- a/lib/request/choose.c
+++ b/lib/request/choose.c
@@ -9,15 +9,18 @@
 #define CHOOSE_EXCESS_HALF_LIFE_MS 1500.0
 /* A failed request loses this part of its target. */
 #define CHOOSE_FAIL_PART 1.5
-/* The domain's own preferred endpoint repeats less: its other hosts send there
- * as well. */
-#define CHOOSE_OWN_DOMAIN_PART 0.75
+/*
+ * All hosts rank the endpoints for a prompt in the same way. What the first
+ * ones can't take goes to the next in rank, so that few endpoints read a shared
+ * part; the later in the rank, the less likely one has read it.
+ */
+#define CHOOSE_RANKS 4
+static const double rank_unread_part[CHOOSE_RANKS] = {0.0, 0.3, 0.6, 0.8};
 
-/* The endpoints that all hosts prefer for a prompt: of all and of the domain. */
-typedef struct preferred {
-	const endpoint_t *any;
-	const endpoint_t *own_domain;
-} preferred_t;
+typedef struct ranking {
+	const endpoint_t *endpoints[CHOOSE_RANKS]; /* NULL after the last */
+	double weights[CHOOSE_RANKS];
+} ranking_t;
 
 static balance_distance_t distance_of(const router_t *router,
 				      const endpoint_t *endpoint)
@@ -107,18 +110,19 @@
 
 /* Shared tokens that the endpoint would read although another one has. */
 static uint64_t repeated_tokens(const request_t *request,
-				const preferred_t *preferred,
+				const ranking_t *ranking,
 				const endpoint_t *endpoint)
 {
 	uint64_t shared = shared_tokens(request);
 	uint64_t cached = cached_tokens(request, endpoint);
 
-	if (endpoint == preferred->any || cached >= shared)
+	if (cached >= shared)
 		return 0;
 	shared -= cached;
-	return endpoint == preferred->own_domain
-		       ? (uint64_t)((double)shared * CHOOSE_OWN_DOMAIN_PART)
-		       : shared;
+	for (size_t i = 0; i < CHOOSE_RANKS; i++)
+		if (ranking->endpoints[i] == endpoint)
+			return (uint64_t)((double)shared * rank_unread_part[i]);
+	return shared;
 }
 
 /* True when the endpoint's lane is the prompt's own. */
@@ -128,16 +132,33 @@
 				   endpoint->express) <= 0.0;
 }
 
+static void insert_ranked(ranking_t *ranking, const endpoint_t *endpoint,
+			  double weight)
+{
+	size_t at = CHOOSE_RANKS;
+
+	while (at && (!ranking->endpoints[at - 1] ||
+		      ranking->weights[at - 1] < weight))
+		at--;
+	for (size_t i = CHOOSE_RANKS - 1; i > at; i--) {
+		ranking->endpoints[i] = ranking->endpoints[i - 1];
+		ranking->weights[i] = ranking->weights[i - 1];
+	}
+	if (at == CHOOSE_RANKS)
+		return;
+	ranking->endpoints[at] = endpoint;
+	ranking->weights[at] = weight;
+}
+
 /* Highest random weight: removing an endpoint moves only its own prompts. */
-static preferred_t find_preferred(const request_t *request)
+static ranking_t rank_endpoints(const request_t *request)
 {
 	const router_t *router = request->router;
 	const prompt_parts_t *parts = &request->call.parts;
-	preferred_t preferred = {NULL, NULL};
-	double best = -1.0, best_own = -1.0;
+	ranking_t ranking = {{NULL}, {0.0}};
 
 	if (parts->count < 2)
-		return preferred;
+		return ranking;
 	for (size_t i = 0; i < fleet_count(router->fleet); i++) {
 		const endpoint_t *endpoint = fleet_at(router->fleet, i);
 		double weight;
@@ -147,17 +168,9 @@
 		weight = preference(endpoint, parts->hashes[parts->count - 2]);
 		if (is_on_lane(request, endpoint))
 			weight += 1.0; /* before all others */
-		if (weight > best) {
-			best = weight;
-			preferred.any = endpoint;
-		}
-		if (weight > best_own && str_equals(str_from(endpoint->domain),
-						    router->domain)) {
-			best_own = weight;
-			preferred.own_domain = endpoint;
-		}
+		insert_ranked(&ranking, endpoint, weight);
 	}
-	return preferred;
+	return ranking;
 }
 
 static double excess_now(const endpoint_t *endpoint, int64_t now_ms)
@@ -170,7 +183,7 @@
 }
 
 static balance_option_t describe(const request_t *request,
-				 const preferred_t *preferred,
+				 const ranking_t *ranking,
 				 const endpoint_t *endpoint, int64_t now_ms)
 {
 	const catalog_service_t *service = request->admission.service;
@@ -190,7 +203,7 @@
 		option.tokens_per_s = (double)load.tokens_per_s;
 		option.unread_tokens = unread_tokens(request, endpoint);
 		option.repeated_tokens =
-			repeated_tokens(request, preferred, endpoint);
+			repeated_tokens(request, ranking, endpoint);
 		option.service_ms = ROUTER_ENGINE_BASE_MS;
 		option.lane_ms = balance_lane_charge(
 			request->call.prompt_tokens, endpoint->express);
@@ -214,7 +227,7 @@
 				->tokens_per_ms,
 		.fail_cost_ms =
 			CHOOSE_FAIL_PART * request->admission.route->target_ms};
-	preferred_t preferred = find_preferred(request);
+	ranking_t ranking = rank_endpoints(request);
 	choose_result_t result = CHOOSE_NONE;
 	double best_cost = 0.0;
 
@@ -233,7 +246,7 @@
 				result = CHOOSE_LATER;
 			continue;
 		}
-		option = describe(request, &preferred, endpoint, now_ms);
+		option = describe(request, &ranking, endpoint, now_ms);
 		cost = balance_cost(&option, &rates);
 		if (choice->endpoint && cost >= best_cost)
 			continue;
--- a/lib/state/fleet.c
+++ b/lib/state/fleet.c
@@ -156,6 +156,14 @@
 	return !strcmp(a->service, b->service) && !strcmp(a->domain, b->domain);
 }
 
+/* How many of a group of endpoints are express; none of a small group. */
+static size_t express_count(size_t size)
+{
+	if (size < FLEET_EXPRESS_MIN_GROUP)
+		return 0;
+	return size < FLEET_EXPRESS_ONE_IN ? 1 : size / FLEET_EXPRESS_ONE_IN;
+}
+
 static void mark_express(fleet_t *fleet)
 {
 	for (size_t i = 0; i < fleet->count; i++) {
@@ -171,7 +179,7 @@
 			size++;
 			rank += other->hash < endpoint->hash;
 		}
-		endpoint->express = rank < size / FLEET_EXPRESS_ONE_IN;
+		endpoint->express = rank < express_count(size);
 	}
 }
 
--- a/lib/state/fleet.h
+++ b/lib/state/fleet.h
@@ -18,7 +18,8 @@
  * while the configuration service is away and come back within this time. */
 #define FLEET_LINGER_MS 2000
 /* One endpoint in so many of a service and domain is express. */
-#define FLEET_EXPRESS_ONE_IN 3
+#define FLEET_EXPRESS_ONE_IN 5
+#define FLEET_EXPRESS_MIN_GROUP 3
 
 typedef enum endpoint_state {
 	ENDPOINT_READY,
