Count the shared tokens that an engine has probably read as read

Cause: a host of many has rarely sent a prompt's shared part itself, took it for unread at its own engine, and so took engines for twice as busy as they were. Change: backlog and reading rate count shared tokens by the endpoint's rank.

--- a/lib/request/choose.c
+++ b/lib/request/choose.c
@@ -98,31 +98,30 @@
 				&request->call.parts);
 }
 
-static uint64_t unread_tokens(const request_t *request,
-			      const endpoint_t *endpoint)
+/* Part of a prompt's shared tokens that the endpoint has not read, unless this
+ * host knows better. */
+static double unread_part(const ranking_t *ranking, const endpoint_t *endpoint)
 {
-	uint64_t cached = cached_tokens(request, endpoint);
-
-	return request->call.prompt_tokens > cached
-		       ? request->call.prompt_tokens - cached
-		       : 0;
+	for (size_t i = 0; i < CHOOSE_RANKS; i++)
+		if (ranking->endpoints[i] == endpoint)
+			return rank_unread_part[i];
+	return 1.0;
 }
 
-/* Shared tokens that the endpoint would read although another one has. */
-static uint64_t repeated_tokens(const request_t *request,
-				const ranking_t *ranking,
-				const endpoint_t *endpoint)
+/* Sets the tokens to be read, and those of them that another one has read. */
+static void set_unread(const request_t *request, const ranking_t *ranking,
+		       const endpoint_t *endpoint, balance_option_t *option)
 {
-	uint64_t shared = shared_tokens(request);
+	uint64_t total = request->call.prompt_tokens;
 	uint64_t cached = cached_tokens(request, endpoint);
+	uint64_t shared = shared_tokens(request);
+	uint64_t unread = total > cached ? total - cached : 0;
+	uint64_t unread_shared = shared > cached ? shared - cached : 0;
+	double part = unread_part(ranking, endpoint);
 
-	if (cached >= shared)
-		return 0;
-	shared -= cached;
-	for (size_t i = 0; i < CHOOSE_RANKS; i++)
-		if (ranking->endpoints[i] == endpoint)
-			return (uint64_t)((double)shared * rank_unread_part[i]);
-	return shared;
+	option->repeated_tokens = (uint64_t)((double)unread_shared * part);
+	option->unread_tokens =
+		unread - unread_shared + option->repeated_tokens;
 }
 
 /* True when the endpoint's lane is the prompt's own. */
@@ -201,9 +200,7 @@
 	if (engine) {
 		option.backlog_tokens = load.backlog_tokens;
 		option.tokens_per_s = (double)load.tokens_per_s;
-		option.unread_tokens = unread_tokens(request, endpoint);
-		option.repeated_tokens =
-			repeated_tokens(request, ranking, endpoint);
+		set_unread(request, ranking, endpoint, &option);
 		option.service_ms = ROUTER_ENGINE_BASE_MS;
 		option.lane_ms = balance_lane_charge(
 			request->call.prompt_tokens, endpoint->express);
