--- a/lib/base/plog.c
+++ b/lib/base/plog.c
@@ -109,8 +109,8 @@
 static bool is_within_bound(plog_level_t level)
 {
 	time_t now;
-	unsigned bound = level >= PLOG_LEVEL_WARN ? 2 * PLOG_LINES_PER_S
-						  : PLOG_LINES_PER_S;
+	unsigned bound = level >= PLOG_LEVEL_WARN ? 2 * PLOG_LINES_PER_S :
+						    PLOG_LINES_PER_S;
 
 	if (output.fd < 0)
 		return true;
--- a/lib/base/plog.h
+++ b/lib/base/plog.h
@@ -35,8 +35,9 @@
 
 /*
  * Sends lines to `fd`, without ever waiting for its reader. Lines are gathered
- * until plog_flush() or a few KB; lines beyond a bound a second are left out and
- * counted (METRIC_LOG_LINES_LEFT_OUT). For processes that log from one thread.
+ * until plog_flush() or a few KB; lines beyond a bound a second are left out
+ * and counted (METRIC_LOG_LINES_LEFT_OUT). For processes that log from one
+ * thread.
  */
 void plog_buffer_output(int fd);
 void plog_flush(void);
--- a/lib/coordination/balance.c
+++ b/lib/coordination/balance.c
@@ -49,8 +49,7 @@
 static double reading_ms(const balance_option_t *option,
 			 const balance_rates_t *rates)
 {
-	double share =
-		option->tokens_per_s / (rates->tokens_per_ms * MS_PER_S);
+	double share = option->tokens_per_s / (rates->tokens_per_ms * MS_PER_S);
 
 	if (share <= READING_FREE_SHARE)
 		return 0.0;
@@ -75,8 +74,8 @@
 
 	if (is_long)
 		return express ? EXPRESS_CHARGE_MS_PER_TOKEN *
-					 (double)prompt_tokens
-			       : 0.0;
+					 (double)prompt_tokens :
+				 0.0;
 	return express ? 0.0 : BULK_CHARGE_MS;
 }
 
@@ -86,8 +85,7 @@
 	return balance_expected_ms(option, rates) +
 	       charge_ms(option->distance) + reading_ms(option, rates) +
 	       RUNNING_CHARGE_MS * option->in_flight +
-	       REPEATED_CHARGE_MS_PER_TOKEN *
-		       (double)option->repeated_tokens +
+	       REPEATED_CHARGE_MS_PER_TOKEN * (double)option->repeated_tokens +
 	       option->failing * rates->fail_cost_ms + option->lane_ms +
 	       (option->last_resort ? LAST_RESORT_MS : 0.0);
 }
--- a/lib/coordination/coldgate.c
+++ b/lib/coordination/coldgate.c
@@ -3,8 +3,7 @@
 unsigned coldgate_share(double per_s, double overshoot, double slack,
 			unsigned hosts)
 {
-	double limit =
-		(per_s * overshoot + slack) * (1.0 - COLDGATE_RESERVE);
+	double limit = (per_s * overshoot + slack) * (1.0 - COLDGATE_RESERVE);
 	unsigned share = (unsigned)(limit / (hosts ? hosts : 1));
 
 	return share < COLDGATE_MAX_SENDS ? share : COLDGATE_MAX_SENDS;
--- a/lib/coordination/gossip.c
+++ b/lib/coordination/gossip.c
@@ -303,8 +303,8 @@
 
 	for (size_t i = 0; i < GOSSIP_FANOUT; i++) {
 		bool own_domain = i + 1 < GOSSIP_FANOUT;
-		const member_t *member = pick(gossip, now_ms, own_domain,
-					      targets, count);
+		const member_t *member =
+			pick(gossip, now_ms, own_domain, targets, count);
 
 		if (member)
 			targets[count++] = member;
--- a/lib/coordination/loadboard.c
+++ b/lib/coordination/loadboard.c
@@ -105,8 +105,8 @@
 		slot = get_slot(board, host, (uint32_t)n[0]);
 		if (!slot)
 			return true;
-		slot->entry = (loadboard_entry_t){
-			(uint32_t)n[0], {n[1], n[2], (unsigned)n[3]}};
+		slot->entry = (loadboard_entry_t){(uint32_t)n[0],
+						  {n[1], n[2], (unsigned)n[3]}};
 		slot->told_ms = now_ms;
 	}
 	return true;
@@ -139,8 +139,8 @@
 		     MSGPACK_UNPACK_SUCCESS &&
 	     read_message(board, &unpacked.data, now_ms);
 	msgpack_unpacked_destroy(&unpacked);
-	return ok ? ERR_OK
-		  : err_set(err, ERR_INVALID, "read-loads", "-",
+	return ok ? ERR_OK :
+		    err_set(err, ERR_INVALID, "read-loads", "-",
 			    "malformed message");
 }
 
@@ -175,8 +175,7 @@
 
 	for (size_t i = 0; i < board->count; i++)
 		if (board->slots[i].host && is_fresh(&board->slots[i], now_ms))
-			add_entry(entries, &count, max,
-				  &board->slots[i].entry);
+			add_entry(entries, &count, max, &board->slots[i].entry);
 	return count;
 }
 
@@ -187,8 +186,8 @@
 		const slot_t *slot = &board->slots[i];
 
 		if (!slot->host && slot->entry.endpoint == endpoint)
-			return is_fresh(slot, now_ms) ? slot->entry.load
-						      : (load_t){0, 0, 0};
+			return is_fresh(slot, now_ms) ? slot->entry.load :
+							(load_t){0, 0, 0};
 	}
 	return (load_t){0, 0, 0};
 }
--- a/lib/coordination/peersync.c
+++ b/lib/coordination/peersync.c
@@ -145,10 +145,10 @@
 	key = (str_t){fields[0].via.str.ptr, fields[0].via.str.size};
 	revision = (int64_t)fields[1].via.u64;
 	if (fields[2].type == MSGPACK_OBJECT_BIN)
-		replica_put(replica, key,
-			    (str_t){fields[2].via.bin.ptr,
-				    fields[2].via.bin.size},
-			    revision);
+		replica_put(
+			replica, key,
+			(str_t){fields[2].via.bin.ptr, fields[2].via.bin.size},
+			revision);
 	else
 		replica_remove(replica, key, revision);
 }
@@ -361,8 +361,7 @@
 		err_t err;
 
 		if (gossip_read(peersync->gossip, (str_t){buffer, len},
-				now_of(peersync), &sender,
-				&err) == ERR_INVALID)
+				now_of(peersync), &sender, &err) == ERR_INVALID)
 			plog_write(PLOG_MESSAGE_INVALID, "peer=%s step=%s",
 				   err.peer, err.step);
 	}
@@ -428,8 +427,8 @@
 		       on_round, peersync);
 }
 
-err_code_t peersync_create(const peersync_options_t *options,
-			   peersync_t **out, err_t *err)
+err_code_t peersync_create(const peersync_options_t *options, peersync_t **out,
+			   err_t *err)
 {
 	peersync_t *peersync = calloc(1, sizeof(*peersync));
 	struct sockaddr_in sin;
--- a/lib/coordination/prefixmap.c
+++ b/lib/coordination/prefixmap.c
@@ -12,8 +12,7 @@
 
 void prompt_parts_add(prompt_parts_t *parts, uint64_t id, unsigned tokens)
 {
-	uint64_t before =
-		parts->count ? parts->hashes[parts->count - 1] : 0;
+	uint64_t before = parts->count ? parts->hashes[parts->count - 1] : 0;
 
 	if (parts->count == PREFIXMAP_MAX_PARTS) {
 		parts->hashes[parts->count - 1] = mix(before, id);
--- a/lib/coordination/repeats.c
+++ b/lib/coordination/repeats.c
@@ -14,8 +14,8 @@
 
 void repeats_share(repeats_t *repeats, double slack, unsigned hosts)
 {
-	repeats->allowance = (unsigned)(slack * REPEATS_SLACK_SAFETY /
-					(hosts ? hosts : 1));
+	repeats->allowance =
+		(unsigned)(slack * REPEATS_SLACK_SAFETY / (hosts ? hosts : 1));
 }
 
 /* Clears the slots that have passed since the last call. */
--- a/lib/request/admit.c
+++ b/lib/request/admit.c
@@ -18,7 +18,8 @@
 	admission->service =
 		catalog_find_service(catalog, admission->service_name);
 	admission->priority = admission->route->priority;
-	/* The customer's priority goes first, the route's orders its requests. */
+	/* The customer's priority goes first, the route's orders its requests.
+	 */
 	if (admission->customer && admission->customer->has_priority)
 		admission->priority += admission->customer->priority *
 				       catalog_priority_levels(catalog);
--- a/lib/request/answer.c
+++ b/lib/request/answer.c
@@ -25,21 +25,20 @@
 		   " status=%u reason=\"%s\" ms=%lld first_ms=%lld "
 		   "pause_ms=%lld events=%llu sends=%u runs=%u version=%lld",
 		   STR_ARG(request->call.id),
-		   STR_ARG(request->admission.route
-				   ? request->admission.route->name
-				   : (str_t)STR_LIT("-")),
-		   status, reason,
-		   (long long)(now_ms - request->arrived_ms),
-		   (long long)(request->first_event_ms
-				       ? request->first_event_ms -
-						 request->arrived_ms
-				       : -1),
+		   STR_ARG(request->admission.route ?
+				   request->admission.route->name :
+				   (str_t)STR_LIT("-")),
+		   status, reason, (long long)(now_ms - request->arrived_ms),
+		   (long long)(request->first_event_ms ?
+				       request->first_event_ms -
+					       request->arrived_ms :
+				       -1),
 		   (long long)request->longest_pause_ms,
 		   (unsigned long long)request->event_count, request->sends,
 		   request->runs,
-		   (long long)(request->catalog
-				       ? catalog_version(request->catalog)
-				       : -1));
+		   (long long)(request->catalog ?
+				       catalog_version(request->catalog) :
+				       -1));
 }
 
 static void finish(request_t *request, bool close)
--- a/lib/request/channel.c
+++ b/lib/request/channel.c
@@ -74,9 +74,8 @@
 	channel->head_read = true;
 	dialect->ops->read_reply(dialect, &channel->http.head, reply);
 	success = reply->status >= 200 && reply->status < 300;
-	channel->foreign =
-		reply->status < 200 ||
-		(reply->id.ptr && !str_equals(reply->id, own_id));
+	channel->foreign = reply->status < 200 ||
+			   (reply->id.ptr && !str_equals(reply->id, own_id));
 	if (channel->foreign)
 		return;
 	/* Without an id, the answer to an earlier request on the connection
@@ -115,8 +114,8 @@
 {
 	int64_t stated = channel->reply.keep_alive_ms;
 
-	return stated >= 0 ? (int64_t)((double)stated * CHANNEL_IDLE_PART)
-			   : CHANNEL_IDLE_MS;
+	return stated >= 0 ? (int64_t)((double)stated * CHANNEL_IDLE_PART) :
+			     CHANNEL_IDLE_MS;
 }
 
 static void keep(channel_t *channel)
@@ -346,9 +345,9 @@
 {
 	router_t *router = request->router;
 	str_t message = write_message(request, endpoint);
-	int64_t max_idle_ms = admit_may_repeat(&request->admission)
-				      ? INT64_MAX
-				      : CHANNEL_FRESH_MS;
+	int64_t max_idle_ms = admit_may_repeat(&request->admission) ?
+				      INT64_MAX :
+				      CHANNEL_FRESH_MS;
 	channel_t *channel;
 
 	while ((channel = take_idle(endpoint, max_idle_ms,
--- a/lib/request/channel.h
+++ b/lib/request/channel.h
@@ -24,11 +24,11 @@
 	int64_t idle_limit_ms;
 	unsigned answers;
 	reply_t reply;
-	bool head_read;	   /* the head of the present answer was classified */
-	bool foreign;	   /* the present answer is not for our request */
-	bool broken;	   /* an answer that can't be trusted was read */
-	bool in_read;	   /* the read loop is on the stack */
-	bool closed;	   /* freed when the read loop ends */
+	bool head_read; /* the head of the present answer was classified */
+	bool foreign;	/* the present answer is not for our request */
+	bool broken;	/* an answer that can't be trusted was read */
+	bool in_read;	/* the read loop is on the stack */
+	bool closed;	/* freed when the read loop ends */
 } channel_t;
 
 /*
--- a/lib/request/choose.c
+++ b/lib/request/choose.c
@@ -27,9 +27,9 @@
 {
 	if (str_equals(str_from(endpoint->domain), router->domain))
 		return BALANCE_SAME_DOMAIN;
-	return str_equals(endpoint->region, router->region)
-		       ? BALANCE_SAME_REGION
-		       : BALANCE_OTHER_REGION;
+	return str_equals(endpoint->region, router->region) ?
+		       BALANCE_SAME_REGION :
+		       BALANCE_OTHER_REGION;
 }
 
 /* True when this host may send to a cold endpoint now. */
@@ -219,8 +219,7 @@
 	int64_t now_ms = router_now_ms(router);
 	balance_rates_t rates = {
 		.tokens_per_ms =
-			router_service(router,
-				       request->admission.service_name)
+			router_service(router, request->admission.service_name)
 				->tokens_per_ms,
 		.fail_cost_ms =
 			CHOOSE_FAIL_PART * request->admission.route->target_ms};
--- a/lib/request/dialect.h
+++ b/lib/request/dialect.h
@@ -30,21 +30,21 @@
 	str_t endpoint_id;
 	str_t customer; /* ptr NULL for a request without a customer */
 	int64_t left_ms;
-	unsigned priority; /* 0 is the highest */
-	str_t resume_after;	 /* id of the last event passed on */
+	unsigned priority;  /* 0 is the highest */
+	str_t resume_after; /* id of the last event passed on */
 	size_t body_len;
 } send_terms_t;
 
 /* What an endpoint's answer says of itself. */
 typedef struct reply {
 	unsigned status;
-	str_t id;		/* of the request it answers; ptr NULL */
-	bool stamped;		/* bears the endpoint's stamp */
-	bool not_run;		/* the endpoint did not run the request */
-	bool misdirected;	/* another endpoint has the address */
-	bool encoded;		/* the body has a content coding */
-	int64_t cold_ms;	/* the endpoint stays cold so long; -1 */
-	int64_t keep_alive_ms;	/* idle time allowed on the connection; -1 */
+	str_t id;	       /* of the request it answers; ptr NULL */
+	bool stamped;	       /* bears the endpoint's stamp */
+	bool not_run;	       /* the endpoint did not run the request */
+	bool misdirected;      /* another endpoint has the address */
+	bool encoded;	       /* the body has a content coding */
+	int64_t cold_ms;       /* the endpoint stays cold so long; -1 */
+	int64_t keep_alive_ms; /* idle time allowed on the connection; -1 */
 } reply_t;
 
 typedef enum reply_framing {
--- a/lib/request/loadsync.c
+++ b/lib/request/loadsync.c
@@ -46,8 +46,7 @@
 			return &loadsync->relays[i];
 	if (loadsync->relay_count == LOADSYNC_MAX_REGIONS)
 		return NULL;
-	loadsync->relays[loadsync->relay_count] =
-		(relay_t){.region = region};
+	loadsync->relays[loadsync->relay_count] = (relay_t){.region = region};
 	return &loadsync->relays[loadsync->relay_count++];
 }
 
@@ -86,9 +85,9 @@
 			 loadboard_kind_t kind, size_t count)
 {
 	for (size_t at = 0; at < count; at += LOADBOARD_MESSAGE_ENTRIES) {
-		size_t part = count - at < LOADBOARD_MESSAGE_ENTRIES
-				      ? count - at
-				      : LOADBOARD_MESSAGE_ENTRIES;
+		size_t part = count - at < LOADBOARD_MESSAGE_ENTRIES ?
+				      count - at :
+				      LOADBOARD_MESSAGE_ENTRIES;
 		buf_t message = BUF_INIT;
 
 		loadboard_write(kind, loadsync->host, loadsync->entries + at,
@@ -151,8 +150,7 @@
 
 static bool is_relay(loadsync_t *loadsync)
 {
-	const relay_t *relay =
-		get_relay(loadsync, loadsync->router->region);
+	const relay_t *relay = get_relay(loadsync, loadsync->router->region);
 
 	return relay && !relay->member;
 }
@@ -162,8 +160,8 @@
 {
 	const gossip_t *gossip = peersync_gossip(loadsync->peersync);
 	int64_t now_ms = now_of(loadsync);
-	size_t count = loadboard_sum(loadsync->board, now_ms,
-				     loadsync->entries, MAX_ENDPOINTS);
+	size_t count = loadboard_sum(loadsync->board, now_ms, loadsync->entries,
+				     MAX_ENDPOINTS);
 	buf_t message = BUF_INIT;
 	err_t err;
 
@@ -212,8 +210,8 @@
 		tell_region(loadsync);
 	read_board(loadsync);
 	loop_timer_set(loadsync->router->loop, &loadsync->timer,
-		       round_ms > LOADSYNC_MIN_ROUND_MS ? round_ms
-							: LOADSYNC_MIN_ROUND_MS,
+		       round_ms > LOADSYNC_MIN_ROUND_MS ? round_ms :
+							  LOADSYNC_MIN_ROUND_MS,
 		       on_round, loadsync);
 }
 
--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -51,8 +51,7 @@
 
 static service_stats_t *stats_of(const request_t *request)
 {
-	return router_service(request->router,
-			      request->admission.service_name);
+	return router_service(request->router, request->admission.service_name);
 }
 
 /* The route's timeout and the caller's patience, whichever ends first. */
@@ -83,8 +82,7 @@
 	request->ends_ms = request->arrived_ms + REQUEST_DEFAULT_MS;
 	router->dialect->ops->read_call(router->dialect, request->head,
 					&request->call);
-	request->draw =
-		XXH64(request->call.id.ptr, request->call.id.len, 0);
+	request->draw = XXH64(request->call.id.ptr, request->call.id.len, 0);
 	caller->request = request;
 	router->request_count++;
 	request_dispatch(request);
@@ -167,11 +165,10 @@
 
 static int64_t retry_after(request_t *request)
 {
-	int64_t ms = request->router->catalog ? REQUEST_RETRY_MS
-					      : REQUEST_START_RETRY_MS;
+	int64_t ms = request->router->catalog ? REQUEST_RETRY_MS :
+						REQUEST_START_RETRY_MS;
 
-	return ms +
-	       (int64_t)(router_random(request->router) % (uint64_t)ms);
+	return ms + (int64_t)(router_random(request->router) % (uint64_t)ms);
 }
 
 /* Gives the final answer of a request that no endpoint answered. */
@@ -182,8 +179,8 @@
 	else if (!request->runs)
 		answer_not_run(request, reason, retry_after(request));
 	else
-		answer_failed(request, now_of(request) >= request->ends_ms ? 504
-									   : 502,
+		answer_failed(request,
+			      now_of(request) >= request->ends_ms ? 504 : 502,
 			      reason);
 }
 
@@ -252,12 +249,11 @@
 	request->trip_ms = choice->trip_ms;
 	request->unread_tokens = choice->unread_tokens;
 	endpoint->backlog_tokens += choice->unread_tokens;
-	endpoint_count_tokens(endpoint, choice->unread_tokens,
-			      now_of(request));
+	endpoint_count_tokens(endpoint, choice->unread_tokens, now_of(request));
 	request->expected_ms = choice->expected_ms;
-	request->state = request->state == REQUEST_ANSWERING
-				 ? REQUEST_ANSWERING
-				 : REQUEST_SENT;
+	request->state = request->state == REQUEST_ANSWERING ?
+				 REQUEST_ANSWERING :
+				 REQUEST_SENT;
 	coldgate_on_send(&endpoint->gate, now_of(request));
 	breaker_on_send(&endpoint->breaker, now_of(request));
 	prefixmap_on_send(&request->router->prefixes, endpoint->hash,
@@ -311,14 +307,14 @@
 		return 0;
 	if (route->kind == CATALOG_REPEATABLE) {
 		ms = (int64_t)(usual_ms * REQUEST_SILENCE_TIMES);
-		return ms > route->target_ms * REQUEST_SILENCE_PART
-			       ? ms
-			       : (int64_t)(route->target_ms *
-					   REQUEST_SILENCE_PART);
+		return ms > route->target_ms * REQUEST_SILENCE_PART ?
+			       ms :
+			       (int64_t)(route->target_ms *
+					 REQUEST_SILENCE_PART);
 	}
-	ms = request->event_count
-		     ? (int64_t)route->pause_target_ms * REQUEST_PAUSE_TARGETS
-		     : (int64_t)route->target_ms * REQUEST_FIRST_EVENT_TARGETS;
+	ms = request->event_count ?
+		     (int64_t)route->pause_target_ms * REQUEST_PAUSE_TARGETS :
+		     (int64_t)route->target_ms * REQUEST_FIRST_EVENT_TARGETS;
 	return ms > REQUEST_MIN_PAUSE_MS ? ms : REQUEST_MIN_PAUSE_MS;
 }
 
@@ -337,9 +333,9 @@
 	if (!limit_ms)
 		return;
 	if (silent_ms < limit_ms || caller_is_slow(request->caller)) {
-		watch_progress(request, limit_ms - silent_ms > 0
-						? limit_ms - silent_ms
-						: limit_ms);
+		watch_progress(request, limit_ms - silent_ms > 0 ?
+						limit_ms - silent_ms :
+						limit_ms);
 		return;
 	}
 	if (!repeats_left(&stats_of(request)->repeats, 0, now_of(request)))
@@ -405,15 +401,14 @@
 static void learn_speed(const request_t *request, double taken_ms)
 {
 	service_stats_t *stats = stats_of(request);
-	double reading_ms =
-		taken_ms - request->trip_ms - ROUTER_ENGINE_BASE_MS;
+	double reading_ms = taken_ms - request->trip_ms - ROUTER_ENGINE_BASE_MS;
 	double speed;
 
 	if (!request->alone ||
 	    request->unread_tokens < REQUEST_SPEED_MIN_TOKENS)
 		return;
-	speed = reading_ms > 1.0 ? (double)request->unread_tokens / reading_ms
-				 : REQUEST_SPEED_MAX;
+	speed = reading_ms > 1.0 ? (double)request->unread_tokens / reading_ms :
+				   REQUEST_SPEED_MAX;
 	if (speed < REQUEST_SPEED_MIN)
 		speed = REQUEST_SPEED_MIN;
 	if (speed > REQUEST_SPEED_MAX)
@@ -465,8 +460,8 @@
 	note_pause(request);
 	request->event_count++;
 	if (event->id.ptr)
-		str_copy(request->last_event_id,
-			 sizeof(request->last_event_id), event->id);
+		str_copy(request->last_event_id, sizeof(request->last_event_id),
+			 event->id);
 	buf_append_str(&request->answer, event->text);
 }
 
@@ -593,9 +588,9 @@
 		return;
 	case SEND_NOT_RUN:
 		breaker_on_fault(breaker,
-				 request->reply.misdirected
-					 ? BREAKER_UNREACHABLE
-					 : BREAKER_REQUEST_FAILED,
+				 request->reply.misdirected ?
+					 BREAKER_UNREACHABLE :
+					 BREAKER_REQUEST_FAILED,
 				 now_ms);
 		return;
 	case SEND_LOST:
@@ -623,9 +618,9 @@
 		   "sends=%u runs=%u ms=%lld",
 		   STR_ARG(request->call.id), request->endpoint->id,
 		   failure_name(failure),
-		   failure == SEND_FAILED || failure == SEND_NOT_RUN
-			   ? request->reply.status
-			   : 0,
+		   failure == SEND_FAILED || failure == SEND_NOT_RUN ?
+			   request->reply.status :
+			   0,
 		   request->sends, request->runs,
 		   (long long)(now_of(request) - request->arrived_ms));
 	judge_endpoint(request, failure);
--- a/lib/request/request.h
+++ b/lib/request/request.h
@@ -45,9 +45,9 @@
 	catalog_t *catalog; /* in which `admission` points */
 	admission_t admission;
 	/* Sends so far. */
-	unsigned sends;	   /* that reached an endpoint */
-	unsigned runs;	   /* that may have run */
-	unsigned failures; /* of any kind */
+	unsigned sends;			   /* that reached an endpoint */
+	unsigned runs;			   /* that may have run */
+	unsigned failures;		   /* of any kind */
 	uint64_t tried[REQUEST_MAX_TRIED]; /* hashes of endpoints */
 	unsigned tried_count;
 	/* The present send. */
--- a/lib/state/catalog.c
+++ b/lib/state/catalog.c
@@ -60,21 +60,21 @@
 	return grown;
 }
 
-#define GROW(catalog, name)                                           \
-	((catalog)->name = grow((catalog)->name, (catalog)->name##_count, \
-				&(catalog)->name##_cap,               \
-				sizeof(*(catalog)->name)))
+#define GROW(catalog, name)                                     \
+	((catalog)->name =                                      \
+		 grow((catalog)->name, (catalog)->name##_count, \
+		      &(catalog)->name##_cap, sizeof(*(catalog)->name)))
 
 static void *allocate(catalog_t *catalog, size_t size)
 {
-	size_t aligned = (size + CATALOG_ALIGN - 1) / CATALOG_ALIGN *
-			 CATALOG_ALIGN;
+	size_t aligned =
+		(size + CATALOG_ALIGN - 1) / CATALOG_ALIGN * CATALOG_ALIGN;
 	block_t *block = catalog->blocks;
 
 	if (!block || block->size - block->used < aligned) {
-		size_t bytes = aligned > CATALOG_BLOCK_BYTES
-				       ? aligned
-				       : CATALOG_BLOCK_BYTES;
+		size_t bytes = aligned > CATALOG_BLOCK_BYTES ?
+				       aligned :
+				       CATALOG_BLOCK_BYTES;
 
 		block = malloc(sizeof(*block) + bytes);
 		if (!block)
@@ -183,8 +183,8 @@
 }
 
 void catalog_add_customer(catalog_t *catalog,
-			  const catalog_customer_t *customer,
-			  const str_t *keys, size_t key_count)
+			  const catalog_customer_t *customer, const str_t *keys,
+			  size_t key_count)
 {
 	catalog_customer_t *added;
 
@@ -196,9 +196,8 @@
 	added->regions = copy_regions(catalog, customer->regions);
 	for (size_t i = 0; i < key_count; i++) {
 		GROW(catalog, keys);
-		catalog->keys[catalog->keys_count++] =
-			(key_entry_t){copy(catalog, keys[i]),
-				      catalog->customers_count - 1};
+		catalog->keys[catalog->keys_count++] = (key_entry_t){
+			copy(catalog, keys[i]), catalog->customers_count - 1};
 	}
 	catalog->needs_keys = true;
 }
@@ -350,8 +349,8 @@
 	for (size_t i = 0; i < route->split_count; i++)
 		total += route->splits[i].weight;
 	if (!total)
-		return route->split_count ? route->splits[0].service
-					  : (str_t){NULL, 0};
+		return route->split_count ? route->splits[0].service :
+					    (str_t){NULL, 0};
 	draw %= total;
 	for (size_t i = 0; i < route->split_count; i++) {
 		if (draw < route->splits[i].weight)
--- a/lib/state/catalog.h
+++ b/lib/state/catalog.h
@@ -83,8 +83,8 @@
 void catalog_add_route(catalog_t *catalog, const catalog_route_t *route);
 void catalog_add_service(catalog_t *catalog, const catalog_service_t *service);
 void catalog_add_customer(catalog_t *catalog,
-			  const catalog_customer_t *customer,
-			  const str_t *keys, size_t key_count);
+			  const catalog_customer_t *customer, const str_t *keys,
+			  size_t key_count);
 
 /* States that requests need keys even when there are no customers. */
 void catalog_require_keys(catalog_t *catalog);
--- a/lib/state/fleet.c
+++ b/lib/state/fleet.c
@@ -316,8 +316,8 @@
 {
 	double age = (double)(now_ms - endpoint->rate_ms);
 
-	return age > 0.0 ? endpoint->tokens_per_s * exp(-age / FLEET_RATE_MS)
-			 : endpoint->tokens_per_s;
+	return age > 0.0 ? endpoint->tokens_per_s * exp(-age / FLEET_RATE_MS) :
+			   endpoint->tokens_per_s;
 }
 
 void endpoint_count_tokens(endpoint_t *endpoint, uint64_t tokens,
--- a/lib/state/replica.c
+++ b/lib/state/replica.c
@@ -174,9 +174,9 @@
 		char *key = copy_bytes(key_of(record));
 		size_t len = record->key_len;
 		/* A record written at the listing's own revision is in it. */
-		int64_t removed = record->revision < revision
-					  ? revision
-					  : record->revision + 1;
+		int64_t removed = record->revision < revision ?
+					  revision :
+					  record->revision + 1;
 
 		replica_remove(replica, (str_t){key, len}, removed);
 		free(key);
@@ -203,8 +203,8 @@
 	for (size_t i = 0; i < replica->count; i++) {
 		const record_t *record = &replica->records[i];
 
-		if (complete ? record->revision > revision
-			     : record->value != NULL)
+		if (complete ? record->revision > revision :
+			       record->value != NULL)
 			visit(user, key_of(record),
 			      (str_t){record->value, record->value_len},
 			      record->revision);
--- a/lib/transport/http1.c
+++ b/lib/transport/http1.c
@@ -5,6 +5,8 @@
 
 /* A head buffer above this size is given back between messages. */
 #define HTTP1_KEEP_HEAD_BYTES 2048
+/* Makes the parser fail; 0 to 2 mean something else after the head. */
+#define HTTP1_STOP 3
 
 static int fail_too_large(http1_t *http)
 {
@@ -66,11 +68,36 @@
 	return append_text(http, at, len);
 }
 
+/* The parser takes blanks in names, which others may read in another way. */
+static bool is_token(str_t name)
+{
+	static const char extra[] = "!#$%&'*+-.^_`|~";
+
+	for (size_t i = 0; i < name.len; i++) {
+		char c = name.ptr[i];
+
+		if (!(c >= 'a' && c <= 'z') && !(c >= 'A' && c <= 'Z') &&
+		    !(c >= '0' && c <= '9') && !(c && strchr(extra, c)))
+			return false;
+	}
+	return name.len > 0;
+}
+
+static bool has_sound_names(const http1_head_t *head)
+{
+	for (size_t i = 0; i < head->field_count; i++)
+		if (!is_token(http1_field_name(head, i)))
+			return false;
+	return true;
+}
+
 static int on_headers_complete(http_parser *parser)
 {
 	http1_t *http = parser->data;
 	http1_head_t *head = &http->head;
 
+	if (!has_sound_names(head))
+		return HTTP1_STOP;
 	head->complete = true;
 	head->keep_alive = http_should_keep_alive(parser);
 	head->chunked = parser->flags & F_CHUNKED;
@@ -132,7 +159,8 @@
 	http->in_value = false;
 	http->too_large = false;
 	http->done = false;
-	http_parser_init(&http->parser, (enum http_parser_type)http->parser.type);
+	http_parser_init(&http->parser,
+			 (enum http_parser_type)http->parser.type);
 }
 
 http1_result_t http1_feed(http1_t *http, str_t data, size_t *consumed)
@@ -143,8 +171,7 @@
 		return HTTP1_MESSAGE;
 	if (http->too_large)
 		return HTTP1_HEAD_TOO_LARGE;
-	if (HTTP_PARSER_ERRNO(&http->parser) != HPE_OK ||
-	    http->parser.upgrade)
+	if (HTTP_PARSER_ERRNO(&http->parser) != HPE_OK || http->parser.upgrade)
 		return HTTP1_MALFORMED;
 	return HTTP1_MORE;
 }
@@ -221,13 +248,17 @@
 
 bool http1_is_hop_field(const http1_head_t *head, size_t index)
 {
-	static const str_t names[] = {
-		{"Connection", 10},	   {"Keep-Alive", 10},
-		{"Proxy-Connection", 16},  {"Proxy-Authenticate", 18},
-		{"Proxy-Authorization", 19}, {"TE", 2},
-		{"Trailer", 7},		   {"Transfer-Encoding", 17},
-		{"Upgrade", 7},		   {"Content-Length", 14},
-		{"Expect", 6}};
+	static const str_t names[] = {{"Connection", 10},
+				      {"Keep-Alive", 10},
+				      {"Proxy-Connection", 16},
+				      {"Proxy-Authenticate", 18},
+				      {"Proxy-Authorization", 19},
+				      {"TE", 2},
+				      {"Trailer", 7},
+				      {"Transfer-Encoding", 17},
+				      {"Upgrade", 7},
+				      {"Content-Length", 14},
+				      {"Expect", 6}};
 	str_t name = http1_field_name(head, index);
 
 	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++)
--- a/lib/transport/monitor.h
+++ b/lib/transport/monitor.h
@@ -15,8 +15,7 @@
 	buf_t body; /* filled by the handler, released by the monitor */
 } monitor_page_t;
 
-typedef void (*monitor_handler_t)(void *user, str_t path,
-				  monitor_page_t *page);
+typedef void (*monitor_handler_t)(void *user, str_t path, monitor_page_t *page);
 
 /* RETURN VALUE: the monitor, or NULL with `err` set. */
 monitor_t *monitor_create(loop_t *loop, const char *address,
--- a/lib/transport/tcp.c
+++ b/lib/transport/tcp.c
@@ -150,8 +150,8 @@
 	}
 	if (!got)
 		return TCP_READ_END;
-	return errno == EAGAIN || errno == EINTR ? TCP_READ_AGAIN
-						 : TCP_READ_BROKEN;
+	return errno == EAGAIN || errno == EINTR ? TCP_READ_AGAIN :
+						   TCP_READ_BROKEN;
 }
 
 bool tcp_has_input(const tcp_t *tcp)
--- a/programs/hostd/host.c
+++ b/programs/hostd/host.c
@@ -167,8 +167,9 @@
 {
 	const host_t *host = user;
 
-	plog_write(PLOG_STORE_LOST, "step=%s peer=%s error=\"%s\" revision=%lld",
-		   err->step, err->peer, err->message,
+	plog_write(PLOG_STORE_LOST,
+		   "step=%s peer=%s error=\"%s\" revision=%lld", err->step,
+		   err->peer, err->message,
 		   (long long)replica_revision(host->replica));
 }
 
@@ -312,8 +313,7 @@
 		.gossip_port = settings->first_port,
 		.pull_listen = settings->listen_peers.ptr,
 		.observer = {on_hosts_changed, on_pulled, host}};
-	err_code_t code =
-		peersync_create(&options, &host->peersync, err);
+	err_code_t code = peersync_create(&options, &host->peersync, err);
 
 	if (code)
 		return code;
@@ -357,12 +357,12 @@
 	host->loop = loop_create(mclock_system());
 	if (!host->loop)
 		return err_set(err, ERR_IO, "loop", "-", "no epoll");
-	host->router = router_create(&(router_options_t){
-		.loop = host->loop,
-		.dialect = headers_dialect(),
-		.domain = settings->domain,
-		.region = settings->region,
-		.bounds = bounds_of(settings)});
+	host->router = router_create(
+		&(router_options_t){.loop = host->loop,
+				    .dialect = headers_dialect(),
+				    .domain = settings->domain,
+				    .region = settings->region,
+				    .bounds = bounds_of(settings)});
 	host->replica = replica_create(&records);
 	read_domains(host);
 	if (open_signals(host, err) || start_peers(host, err))
--- a/programs/peridot-hostd.c
+++ b/programs/peridot-hostd.c
@@ -20,8 +20,8 @@
 static const struct argp_option options[] = {
 	{"settings", 's', "FILE", 0,
 	 "Settings file; default: the file that PERIDOTPIN_BOOT names", 0},
-	{"log-level", 'l', "LEVEL", 0, "debug, info, warn or error; default info",
-	 0},
+	{"log-level", 'l', "LEVEL", 0,
+	 "debug, info, warn or error; default info", 0},
 	{"check", 'c', NULL, 0, "Check the settings and exit", 0},
 	{0}};
 
@@ -46,8 +46,9 @@
 }
 
 static const struct argp argp = {
-	options, parse_option, NULL,
-	"Routes the requests of a host's callers to endpoints.", NULL, NULL,
+	options, parse_option,
+	NULL,	 "Routes the requests of a host's callers to endpoints.",
+	NULL,	 NULL,
 	NULL};
 
 static int run(host_t *host, const arguments_t *arguments)
--- /dev/null
+++ b/tests/unit/test_choose.c
@@ -0,0 +1,355 @@
+#include "unit.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "coordination/balance.h"
+#include "platform/headers.h"
+#include "request/choose.h"
+
+/*
+ * Decisions under load patterns, without a network: a router with endpoints in
+ * three domains of three regions, and requests that are only placed.
+ */
+#define DOMAINS 3
+#define ENGINES 3 /* in each domain */
+#define START_MS 100000
+
+static mclock_manual_t clock_now;
+static loop_t *loop;
+static router_t *router;
+static catalog_t *catalog;
+static request_t request;
+
+static const char *const domain_names[DOMAINS] = {"d0", "d1", "d2"};
+static const char *const region_names[DOMAINS] = {"r0", "r1", "r2"};
+
+static void add_catalog(void)
+{
+	catalog_split_t split = {STR_LIT("model"), 1};
+	catalog_route_t route = {.name = STR_LIT("stream"),
+				 .host = STR_LIT("h"),
+				 .prefix = STR_LIT("/"),
+				 .kind = CATALOG_STREAM,
+				 .is_public = true,
+				 .timeout_ms = 15000,
+				 .target_ms = 2000,
+				 .max_attempts = 1,
+				 .splits = &split,
+				 .split_count = 1};
+	catalog_service_t service = {.name = STR_LIT("model"),
+				     .max_connections = 360,
+				     .slots = 64,
+				     .cold_ms = 3000,
+				     .cold_per_s = 12.0};
+
+	catalog = catalog_create(1);
+	catalog_add_route(catalog, &route);
+	catalog_add_service(catalog, &service);
+	catalog_seal(catalog);
+	router_set_catalog(router, catalog);
+}
+
+static endpoint_t *add_engine(int domain, int index, int64_t cold_ms)
+{
+	char id[16];
+	endpoint_record_t record = {.service = STR_LIT("model"),
+				    .address = STR_LIT("127.0.0.1:1"),
+				    .domain = str_from(domain_names[domain]),
+				    .slots = 64,
+				    .cold_ms = cold_ms};
+
+	snprintf(id, sizeof(id), "e%d-%d", domain, index);
+	record.id = str_from(id);
+	return fleet_put(router->fleet, &record, START_MS);
+}
+
+static void set_up(void)
+{
+	router_options_t options = {.dialect = headers_dialect(),
+				    .domain = STR_LIT("d0"),
+				    .region = STR_LIT("r0"),
+				    .bounds = {0.2, 52, 10000, 1.5, 5}};
+
+	mclock_manual_init(&clock_now, START_MS);
+	loop = loop_create(&clock_now.base);
+	options.loop = loop;
+	router = router_create(&options);
+	for (int i = 0; i < DOMAINS; i++)
+		fleet_add_domain(router->fleet, str_from(domain_names[i]),
+				 str_from(region_names[i]));
+	for (int i = 0; i < DOMAINS * ENGINES; i++)
+		add_engine(i / ENGINES, i % ENGINES, 0);
+	add_catalog();
+}
+
+static void tear_down(void)
+{
+	catalog_unref(catalog);
+	router_free(router);
+	loop_free(loop);
+}
+
+/* A request about `thing` with a shared part and one of its own. */
+static const request_t *make_request(unsigned thing, unsigned shared,
+				     unsigned own)
+{
+	memset(&request, 0, sizeof(request));
+	request.router = router;
+	request.call.host = (str_t)STR_LIT("h");
+	request.call.path = (str_t)STR_LIT("/");
+	if (shared)
+		prompt_parts_add(&request.call.parts, 1000 + thing, shared);
+	prompt_parts_add(&request.call.parts, 7, own);
+	request.call.prompt_tokens = shared + own;
+	CU_ASSERT_EQUAL(
+		admit_check(catalog, &request.call, 0, &request.admission),
+		ADMIT_OK);
+	return &request;
+}
+
+static endpoint_t *place(unsigned thing, unsigned shared, unsigned own)
+{
+	choice_t choice;
+
+	if (choose_endpoint(make_request(thing, shared, own), &choice) !=
+	    CHOOSE_OK)
+		return NULL;
+	return choice.endpoint;
+}
+
+/* Pattern: calm traffic over many things. Guards against shared parts that are
+ * read by several engines: each thing goes to one engine, and all hosts agree,
+ * whatever their domain. */
+static void test_one_engine_per_thing(void)
+{
+	endpoint_t *seen[20];
+
+	set_up();
+	for (unsigned thing = 0; thing < 20; thing++)
+		seen[thing] = place(thing, 5000, 6000);
+	router->domain = (str_t)STR_LIT("d2");
+	router->region = (str_t)STR_LIT("r2");
+	for (unsigned thing = 0; thing < 20; thing++)
+		CU_ASSERT_PTR_EQUAL(place(thing, 5000, 6000), seen[thing]);
+	tear_down();
+}
+
+/* Pattern: short chats. Guards against a way to another region that saves next
+ * to nothing. */
+static void test_short_prompts_stay(void)
+{
+	set_up();
+	for (unsigned thing = 0; thing < 40; thing++) {
+		endpoint_t *endpoint = place(thing, 200, 600);
+
+		CU_ASSERT_PTR_NOT_NULL_FATAL(endpoint);
+		CU_ASSERT_STRING_EQUAL(endpoint->domain, "d0");
+	}
+	tear_down();
+}
+
+/* Pattern: long reports beside chats. Guards against chats whose pauses grow
+ * while a prompt is read on the same engine. */
+static void test_lanes(void)
+{
+	unsigned express = 0;
+
+	set_up();
+	for (size_t i = 0; i < fleet_count(router->fleet); i++)
+		express += fleet_at(router->fleet, i)->express;
+	CU_ASSERT_EQUAL(express, DOMAINS);
+	for (unsigned thing = 0; thing < 40; thing++) {
+		CU_ASSERT_TRUE(place(thing, 200, 600)->express);
+		CU_ASSERT_FALSE(place(thing, 5000, 6000)->express);
+	}
+	tear_down();
+}
+
+/* Pattern: one thing gets much of the traffic. Guards against an engine that
+ * reads all the time: what it can't take goes to the next engines in the common
+ * ranking, so that few engines read the shared part. */
+static void test_hot_thing(void)
+{
+	endpoint_t *first, *second, *third;
+
+	set_up();
+	first = place(3, 5000, 6000);
+	endpoint_count_tokens(first, 155000, START_MS);
+	second = place(3, 5000, 6000);
+	CU_ASSERT_PTR_NOT_EQUAL(first, second);
+	CU_ASSERT_FALSE(second->express);
+	endpoint_count_tokens(second, 155000, START_MS);
+	third = place(3, 5000, 6000);
+	CU_ASSERT_PTR_NOT_EQUAL(first, third);
+	CU_ASSERT_PTR_NOT_EQUAL(second, third);
+	/* The load passes, and the thing comes home. */
+	mclock_manual_advance(&clock_now, 10000);
+	CU_ASSERT_PTR_EQUAL(place(3, 5000, 6000), first);
+	tear_down();
+}
+
+/* Pattern: the same load, sent by other hosts. Guards against a host that sees
+ * its own few sends only. */
+static void test_load_of_others(void)
+{
+	endpoint_t *first;
+
+	set_up();
+	first = place(3, 5000, 6000);
+	first->total = (load_t){0, 80000, 40};
+	CU_ASSERT_PTR_NOT_EQUAL(place(3, 5000, 6000), first);
+	/* What was told already contains the own part. */
+	endpoint_count_tokens(first, 40000, START_MS);
+	first->told = endpoint_own_load(first, START_MS);
+	first->total = first->told;
+	CU_ASSERT_EQUAL(endpoint_load(first, START_MS).tokens_per_s,
+			first->told.tokens_per_s);
+	tear_down();
+}
+
+/* Pattern: an engine fails half of its requests while its health is good. */
+static void test_failing_engine(void)
+{
+	endpoint_t *usual;
+
+	set_up();
+	usual = place(3, 200, 600);
+	for (int i = 0; i < 6; i++) {
+		breaker_on_fault(&usual->breaker, BREAKER_REQUEST_FAILED,
+				 START_MS);
+		breaker_on_success(&usual->breaker, START_MS);
+	}
+	CU_ASSERT_FALSE(breaker_is_open(&usual->breaker, START_MS));
+	CU_ASSERT_PTR_NOT_EQUAL(place(3, 200, 600), usual);
+	tear_down();
+}
+
+/* Guards EVAC and DRAIN. */
+static void test_taken_out(void)
+{
+	set_up();
+	fleet_set_evacuated(router->fleet, STR_LIT("d0"), true, catalog,
+			    START_MS);
+	for (unsigned thing = 0; thing < 20; thing++)
+		CU_ASSERT_STRING_NOT_EQUAL(place(thing, 200, 600)->domain,
+					   "d0");
+	for (size_t i = 0; i < fleet_count(router->fleet); i++)
+		fleet_at(router->fleet, i)->state = ENDPOINT_LEAVING;
+	CU_ASSERT_PTR_NULL(place(1, 200, 600));
+	tear_down();
+}
+
+/* Pattern: a domain that was taken out comes back, cold without saying so.
+ * Guards FAILBACK: each host keeps to its share, and a host of another domain
+ * sends nothing. */
+static void test_back_cold(void)
+{
+	unsigned sent = 0;
+	endpoint_t *endpoint;
+
+	set_up();
+	router_set_hosts(router, 3, 7);
+	fleet_set_evacuated(router->fleet, STR_LIT("d0"), true, catalog,
+			    START_MS);
+	fleet_set_evacuated(router->fleet, STR_LIT("d0"), false, catalog,
+			    START_MS);
+	for (int i = 0; i < 200; i++) {
+		endpoint = place(3, 200, 600);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(endpoint);
+		if (strcmp(endpoint->domain, "d0"))
+			continue;
+		coldgate_on_send(&endpoint->gate, START_MS);
+		sent++;
+	}
+	CU_ASSERT_TRUE(sent > 0);
+	CU_ASSERT_TRUE(sent * 3 <= ENGINES * (12 * 1.5 + 5));
+	router->domain = (str_t)STR_LIT("d1");
+	router->region = (str_t)STR_LIT("r1");
+	CU_ASSERT_STRING_NOT_EQUAL(place(3, 200, 600)->domain, "d0");
+	tear_down();
+}
+
+/* Pattern: the configuration service was away and records lapsed. Guards
+ * against refusing everything until they return, and against using an endpoint
+ * that is really gone. */
+static void test_lapsed(void)
+{
+	endpoint_t *left;
+
+	set_up();
+	for (int i = 0; i < DOMAINS * ENGINES; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "e%d-%d", i / ENGINES, i % ENGINES);
+		fleet_remove(router->fleet, str_from(id), START_MS);
+	}
+	CU_ASSERT_PTR_NOT_NULL(place(3, 200, 600));
+	left = add_engine(1, 1, 0);
+	CU_ASSERT_PTR_EQUAL(place(3, 200, 600), left);
+	fleet_tick(router->fleet, START_MS + FLEET_LINGER_MS);
+	CU_ASSERT_EQUAL(fleet_count(router->fleet), 1);
+	tear_down();
+}
+
+/* Guards ROUTE: an id that starts anew elsewhere is another endpoint. */
+static void test_new_incarnation(void)
+{
+	endpoint_record_t record = {.id = STR_LIT("e0-0"),
+				    .service = STR_LIT("model"),
+				    .address = STR_LIT("127.0.0.1:1"),
+				    .domain = STR_LIT("d0"),
+				    .slots = 64,
+				    .cold_ms = 500,
+				    .incarnation = 5};
+	endpoint_t *before;
+
+	set_up();
+	before = fleet_find(router->fleet, STR_LIT("e0-0"));
+	before->in_flight = 9;
+	endpoint_ref(before);
+	CU_ASSERT_PTR_NOT_EQUAL(fleet_put(router->fleet, &record, START_MS),
+				before);
+	CU_ASSERT_EQUAL(before->state, ENDPOINT_GONE);
+	endpoint_unref(before);
+	CU_ASSERT_EQUAL(fleet_find(router->fleet, STR_LIT("e0-0"))->in_flight,
+			0);
+	CU_ASSERT_TRUE(endpoint_is_cold(
+		fleet_find(router->fleet, STR_LIT("e0-0")), START_MS + 499));
+	tear_down();
+}
+
+/* Guards against a learned speed of zero or a cost that is not a number. */
+static void test_costs(void)
+{
+	balance_rates_t rates = {90.0, 500.0};
+	balance_option_t busy = {.tokens_per_s = 1e9, .service_ms = 45.0};
+	balance_option_t idle = {.service_ms = 45.0};
+	balance_option_t far = {.service_ms = 45.0,
+				.distance = BALANCE_OTHER_REGION};
+
+	CU_ASSERT_TRUE(balance_cost(&busy, &rates) < 1e6);
+	CU_ASSERT_TRUE(balance_cost(&busy, &rates) >
+		       balance_cost(&far, &rates));
+	CU_ASSERT_TRUE(balance_cost(&far, &rates) >
+		       balance_cost(&idle, &rates));
+}
+
+int main(void)
+{
+	CU_TestInfo tests[] = {
+		{"one engine per thing", test_one_engine_per_thing},
+		{"short prompts stay", test_short_prompts_stay},
+		{"lanes", test_lanes},
+		{"hot thing", test_hot_thing},
+		{"load of others", test_load_of_others},
+		{"failing engine", test_failing_engine},
+		{"taken out", test_taken_out},
+		{"back cold", test_back_cold},
+		{"lapsed", test_lapsed},
+		{"new incarnation", test_new_incarnation},
+		{"costs", test_costs},
+		CU_TEST_INFO_NULL};
+
+	return unit_run("choose", tests);
+}
--- /dev/null
+++ b/tests/unit/test_gossip.c
@@ -0,0 +1,167 @@
+#include "unit.h"
+
+#include <stdio.h>
+
+#include "coordination/gossip.h"
+#include "coordination/loadboard.h"
+
+static gossip_t *make(const char *name, const char *domain,
+		      uint64_t incarnation)
+{
+	gossip_self_t self = {name, domain, "127.0.0.1", incarnation};
+
+	return gossip_create(&self, 42);
+}
+
+static err_code_t pass(gossip_t *from, gossip_t *to, int64_t revision,
+		       int64_t now_ms)
+{
+	const member_t *sender;
+	buf_t message = BUF_INIT;
+	err_code_t code;
+
+	gossip_write(from, revision, false, now_ms, &message);
+	code = gossip_read(to, buf_view(&message), now_ms, &sender, NULL);
+	buf_release(&message);
+	return code;
+}
+
+/* Guards FAILBACK and BUDGET: a host heard of through others counts, and goes
+ * on counting while it may be cut off and still sending. */
+static void test_counts(void)
+{
+	gossip_t *a = make("a", "north", 1);
+	gossip_t *b = make("b", "north", 1);
+	gossip_t *c = make("c", "south", 1);
+
+	CU_ASSERT_EQUAL(gossip_count(c, 0), 1);
+	CU_ASSERT_EQUAL(pass(a, b, 1, 100), ERR_OK);
+	CU_ASSERT_EQUAL(pass(b, c, 1, 200), ERR_OK);
+	CU_ASSERT_EQUAL(gossip_count(c, 200), 3);
+	CU_ASSERT_EQUAL(gossip_count_domain(c, 200), 1);
+	CU_ASSERT_EQUAL(gossip_count_domain(b, 200), 2);
+	CU_ASSERT_EQUAL(gossip_count(c, 200 + GOSSIP_LIVE_MS + 1), 3);
+	CU_ASSERT_EQUAL(gossip_count(c, 300 + GOSSIP_COUNT_MS), 1);
+	gossip_free(a);
+	gossip_free(b);
+	gossip_free(c);
+}
+
+/* Guards against messages of a process that has been replaced. */
+static void test_incarnation(void)
+{
+	gossip_t *old = make("a", "north", 1);
+	gossip_t *young = make("a", "north", 2);
+	gossip_t *b = make("b", "north", 1);
+	const member_t *newest;
+
+	CU_ASSERT_EQUAL(pass(old, b, 9, 0), ERR_OK);
+	CU_ASSERT_EQUAL(pass(young, b, 5, 1), ERR_OK);
+	CU_ASSERT_EQUAL(pass(old, b, 9, 2), ERR_BAD_STATE);
+	newest = gossip_newest(b, 4, 2);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(newest);
+	CU_ASSERT_EQUAL(newest->revision, 5);
+	CU_ASSERT_PTR_NULL(gossip_newest(b, 5, 2));
+	gossip_free(old);
+	gossip_free(young);
+	gossip_free(b);
+}
+
+/* Guards against bytes that grow with the fleet. */
+static void test_bounded(void)
+{
+	gossip_t *gossip = make("self", "north", 1);
+	buf_t message = BUF_INIT;
+	const member_t *targets[GOSSIP_FANOUT];
+
+	for (int i = 0; i < 350; i++) {
+		char name[16];
+		gossip_t *other;
+
+		snprintf(name, sizeof(name), "host-%d", i);
+		other = make(name, i % 8 ? "south" : "north", 1);
+		pass(other, gossip, 1, 10);
+		gossip_free(other);
+	}
+	CU_ASSERT_EQUAL(gossip_count(gossip, 10), 351);
+	gossip_write(gossip, 1, false, 10, &message);
+	CU_ASSERT_TRUE(message.len <= GOSSIP_MESSAGE_BYTES);
+	CU_ASSERT_EQUAL(gossip_targets(gossip, 10, targets), GOSSIP_FANOUT);
+	buf_release(&message);
+	gossip_free(gossip);
+}
+
+static void test_malformed(void)
+{
+	static const str_t texts[] = {
+		{"", 0},
+		{"\xc1", 1},
+		{"\x90", 1},
+		{"\xa3xyz", 4},
+		{"\x98\x01\x02\x03\x04\x05\x06\xc2\x90", 9}};
+	gossip_t *gossip = make("self", "north", 1);
+	loadboard_t *board = loadboard_create();
+
+	for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
+		const member_t *sender;
+
+		CU_ASSERT_EQUAL(gossip_read(gossip, texts[i], 0, &sender, NULL),
+				ERR_INVALID);
+		CU_ASSERT_EQUAL(loadboard_read(board, texts[i], 0, NULL),
+				ERR_INVALID);
+	}
+	CU_ASSERT_EQUAL(gossip_count(gossip, 0), 1);
+	loadboard_free(board);
+	gossip_free(gossip);
+}
+
+/* Guards the sums by which engines are chosen: many hosts, few sends each. */
+static void test_load_sums(void)
+{
+	loadboard_t *relay = loadboard_create();
+	loadboard_t *host = loadboard_create();
+	loadboard_entry_t entries[8];
+	size_t count;
+
+	for (uint32_t i = 1; i <= 77; i++) {
+		loadboard_entry_t entry = {7, {1000, 500, 1}};
+		buf_t message = BUF_INIT;
+
+		loadboard_write(LOADBOARD_HOST, i, &entry, 1, &message);
+		CU_ASSERT_EQUAL(
+			loadboard_read(relay, buf_view(&message), 100, NULL),
+			ERR_OK);
+		buf_release(&message);
+	}
+	count = loadboard_sum(relay, 200, entries, 8);
+	CU_ASSERT_EQUAL(count, 1);
+	CU_ASSERT_EQUAL(entries[0].load.backlog_tokens, 77000);
+	{
+		buf_t message = BUF_INIT;
+
+		loadboard_write(LOADBOARD_SUMS, 1, entries, count, &message);
+		loadboard_read(host, buf_view(&message), 200, NULL);
+		buf_release(&message);
+	}
+	CU_ASSERT_EQUAL(loadboard_get(host, 7, 300).in_flight, 77);
+	CU_ASSERT_EQUAL(loadboard_get(host, 8, 300).in_flight, 0);
+	/* Old hints say nothing. */
+	CU_ASSERT_EQUAL(
+		loadboard_get(host, 7, 200 + LOADBOARD_LIFE_MS).in_flight, 0);
+	CU_ASSERT_EQUAL(
+		loadboard_sum(relay, 100 + LOADBOARD_LIFE_MS, entries, 8), 0);
+	loadboard_free(relay);
+	loadboard_free(host);
+}
+
+int main(void)
+{
+	CU_TestInfo tests[] = {{"counts", test_counts},
+			       {"incarnation", test_incarnation},
+			       {"bounded", test_bounded},
+			       {"malformed", test_malformed},
+			       {"load sums", test_load_sums},
+			       CU_TEST_INFO_NULL};
+
+	return unit_run("gossip", tests);
+}
--- /dev/null
+++ b/tests/unit/test_headers.c
@@ -0,0 +1,134 @@
+#include "unit.h"
+
+#include "platform/headers.h"
+
+static void on_body(http1_t *http, str_t data)
+{
+	(void)http;
+	(void)data;
+}
+
+static const http1_ops_t ops = {on_body};
+
+static void read_head(http1_t *http, enum http_parser_type type,
+		      const char *text)
+{
+	size_t consumed;
+
+	http1_init(http, &ops, type, 4096);
+	CU_ASSERT_EQUAL(http1_feed(http, str_from(text), &consumed),
+			HTTP1_MESSAGE);
+}
+
+static const char request_text[] =
+	"POST /p/q?x=1 HTTP/1.1\r\nHost: h.example:80\r\n"
+	"X-Peridotpin-Attempt-Id: abc\r\nX-Peridotpin-Deadline-Ms: 1500\r\n"
+	"X-Peridotpin-Token-Counts: 1460,80\r\n"
+	"X-Peridotpin-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n"
+	"Authorization: bearer key1\r\nX-Peridotpin-Tenant: forged\r\n"
+	"X-Peridotpin-Hold: 1\r\nKv-From: 1.2.3.4:5/x\r\n"
+	"X-Peridotpin-Expect-Instance: other\r\nX-Kept: yes\r\n"
+	"Connection: close, X-Gone\r\nX-Gone: 1\r\nContent-Length: 0\r\n\r\n";
+
+static void test_call(void)
+{
+	const dialect_t *dialect = headers_dialect();
+	http1_t http;
+	call_t call;
+
+	read_head(&http, HTTP_REQUEST, request_text);
+	dialect->ops->read_call(dialect, &http.head, &call);
+	CU_ASSERT_TRUE(str_equals(call.id, STR_LIT("abc")));
+	CU_ASSERT_TRUE(str_equals(call.key, STR_LIT("key1")));
+	CU_ASSERT_TRUE(str_equals(call.host, STR_LIT("h.example")));
+	CU_ASSERT_TRUE(str_equals(call.path, STR_LIT("/p/q")));
+	CU_ASSERT_EQUAL(call.deadline_ms, 1500);
+	CU_ASSERT_EQUAL(call.prompt_tokens, 1460);
+	CU_ASSERT_EQUAL(call.output_tokens, 80);
+	CU_ASSERT_EQUAL(call.parts.count, 3);
+	CU_ASSERT_EQUAL(call.parts.tokens[1], 410);
+	http1_release(&http);
+}
+
+/* Guards UNASKED: no key and none of the router's own headers are passed on,
+ * and each header that is left goes as it came. */
+static void test_send(void)
+{
+	static const char expected[] =
+		"POST /p/q?x=1 HTTP/1.1\r\nHost: h.example:80\r\n"
+		"X-Peridotpin-Attempt-Id: abc\r\n"
+		"X-Peridotpin-Token-Counts: 1460,80\r\n"
+		"X-Peridotpin-Prompt-Prefix: "
+		"5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n"
+		"X-Kept: yes\r\nX-Peridotpin-Deadline-Ms: 1200\r\n"
+		"X-Peridotpin-Expect-Instance: i-1\r\n"
+		"X-Peridotpin-Tenant: t1\r\n"
+		"X-Peridotpin-Request-Priority: 9\r\nLast-Event-Id: 4\r\n"
+		"Content-Length: 0\r\n\r\n";
+	const dialect_t *dialect = headers_dialect();
+	send_terms_t terms = {.endpoint_id = STR_LIT("i-1"),
+			      .customer = STR_LIT("t1"),
+			      .left_ms = 1200,
+			      .priority = 12,
+			      .resume_after = STR_LIT("4")};
+	buf_t out = BUF_INIT;
+	http1_t http;
+	call_t call;
+
+	read_head(&http, HTTP_REQUEST, request_text);
+	dialect->ops->read_call(dialect, &http.head, &call);
+	dialect->ops->write_call(dialect, &http.head, &call, &terms, &out);
+	CU_ASSERT_TRUE(str_equals(buf_view(&out), str_from(expected)));
+	buf_release(&out);
+	http1_release(&http);
+}
+
+static void test_reply(void)
+{
+	const dialect_t *dialect = headers_dialect();
+	http1_t http;
+	reply_t reply;
+
+	read_head(&http, HTTP_RESPONSE,
+		  "HTTP/1.1 503 Service Unavailable\r\n"
+		  "X-Peridotpin-Attempt-Id: abc\r\n"
+		  "X-Peridotpin-Not-Executed: 1\r\n"
+		  "X-Peridotpin-Cold-Ms: 700\r\n"
+		  "Keep-Alive: max=5, timeout=4\r\nContent-Length: 0\r\n\r\n");
+	dialect->ops->read_reply(dialect, &http.head, &reply);
+	CU_ASSERT_TRUE(reply.not_run);
+	CU_ASSERT_FALSE(reply.stamped);
+	CU_ASSERT_FALSE(reply.misdirected);
+	CU_ASSERT_EQUAL(reply.cold_ms, 700);
+	CU_ASSERT_EQUAL(reply.keep_alive_ms, 4000);
+	http1_release(&http);
+}
+
+/* Guards against a time to return that a caller can't read. */
+static void test_own_reply(void)
+{
+	static const char expected[] =
+		"HTTP/1.1 503 Service Unavailable\r\n"
+		"X-Peridotpin-Attempt-Id: abc\r\nRetry-After: 1.050\r\n"
+		"Content-Type: application/json\r\nContent-Length: 16\r\n"
+		"Connection: close\r\n\r\n{\"error\":\"full\"}";
+	const dialect_t *dialect = headers_dialect();
+	own_reply_t reply = {503, "full", 1050, true};
+	call_t call = {.id = STR_LIT("abc")};
+	buf_t out = BUF_INIT;
+
+	dialect->ops->write_own_reply(dialect, &call, &reply, &out);
+	CU_ASSERT_TRUE(str_equals(buf_view(&out), str_from(expected)));
+	buf_release(&out);
+}
+
+int main(void)
+{
+	CU_TestInfo tests[] = {{"call", test_call},
+			       {"send", test_send},
+			       {"reply", test_reply},
+			       {"own reply", test_own_reply},
+			       CU_TEST_INFO_NULL};
+
+	return unit_run("headers", tests);
+}
--- /dev/null
+++ b/tests/unit/test_http1.c
@@ -0,0 +1,183 @@
+#include "unit.h"
+
+#include <stdio.h>
+
+#include "transport/http1.h"
+
+#define HEAD_BYTES 512
+
+static buf_t body;
+
+static void on_body(http1_t *http, str_t data)
+{
+	(void)http;
+	buf_append_str(&body, data);
+}
+
+static const http1_ops_t ops = {on_body};
+
+/* Feeds the text byte by byte; returns the first result other than "more". */
+static http1_result_t feed_slowly(http1_t *http, str_t text, size_t *used)
+{
+	http1_result_t result = HTTP1_MORE;
+
+	buf_reset(&body);
+	for (*used = 0; *used < text.len && result == HTTP1_MORE;) {
+		size_t consumed;
+
+		result = http1_feed(http, (str_t){text.ptr + *used, 1},
+				    &consumed);
+		*used += consumed ? consumed : 1;
+	}
+	return result;
+}
+
+/* Guards against bytes of the next request counted as part of this one. */
+static void test_two_requests(void)
+{
+	static const char text[] =
+		"POST /a/b?c=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"
+		"xyzGET / HTTP/1.1\r\n\r\n";
+	http1_t http;
+	size_t consumed;
+
+	buf_reset(&body);
+	http1_init(&http, &ops, HTTP_REQUEST, HEAD_BYTES);
+	CU_ASSERT_EQUAL(http1_feed(&http, str_from(text), &consumed),
+			HTTP1_MESSAGE);
+	CU_ASSERT_TRUE(str_equals(buf_view(&body), STR_LIT("xyz")));
+	CU_ASSERT_TRUE(
+		str_equals(http1_target(&http.head), STR_LIT("/a/b?c=1")));
+	CU_ASSERT_TRUE(str_equals(http1_find(&http.head, STR_LIT("hOST")),
+				  STR_LIT("h")));
+	http1_next(&http);
+	CU_ASSERT_EQUAL(http1_feed(&http, str_from(text + consumed), &consumed),
+			HTTP1_MESSAGE);
+	CU_ASSERT_EQUAL(http.head.method, HTTP_GET);
+	http1_release(&http);
+}
+
+/* Guards against a field that is split over several reads. */
+static void test_bytewise_chunks(void)
+{
+	str_t text = STR_LIT("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+			     "X-Name: some value\r\n\r\n3\r\nabc\r\n2\r\nde\r\n"
+			     "0\r\nTrailer: no\r\n\r\n");
+	http1_t http;
+	size_t used;
+
+	http1_init(&http, &ops, HTTP_RESPONSE, HEAD_BYTES);
+	CU_ASSERT_EQUAL(feed_slowly(&http, text, &used), HTTP1_MESSAGE);
+	CU_ASSERT_EQUAL(used, text.len);
+	CU_ASSERT_TRUE(str_equals(buf_view(&body), STR_LIT("abcde")));
+	CU_ASSERT_TRUE(str_equals(http1_find(&http.head, STR_LIT("X-Name")),
+				  STR_LIT("some value")));
+	CU_ASSERT_PTR_NULL(http1_find(&http.head, STR_LIT("Trailer")).ptr);
+	http1_release(&http);
+}
+
+typedef struct bad_case {
+	const char *name;
+	const char *text;
+	http1_result_t result;
+} bad_case_t;
+
+/* Guards against smuggling and unbounded heads. */
+static void test_refused(void)
+{
+	static const bad_case_t cases[] = {
+		{"two framings",
+		 "POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+		 "Transfer-Encoding: chunked\r\n\r\n",
+		 HTTP1_MALFORMED},
+		{"two lengths",
+		 "POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+		 "Content-Length: 4\r\n\r\n",
+		 HTTP1_MALFORMED},
+		{"negative length",
+		 "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+		 HTTP1_MALFORMED},
+		{"blank before the colon", "GET / HTTP/1.1\r\nHost : x\r\n\r\n",
+		 HTTP1_MALFORMED},
+		{"no HTTP", "\x16\x03\x01\x02", HTTP1_MALFORMED},
+		{"bad chunk size",
+		 "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+		 HTTP1_MALFORMED}};
+	http1_t http;
+	size_t used;
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		http1_init(&http, &ops, HTTP_REQUEST, HEAD_BYTES);
+		if (feed_slowly(&http, str_from(cases[i].text), &used) !=
+		    cases[i].result) {
+			printf("case %s ", cases[i].name);
+			CU_FAIL("wrong result");
+		}
+		http1_release(&http);
+	}
+}
+
+static void test_long_head(void)
+{
+	buf_t text = BUF_INIT;
+	http1_t http;
+	size_t consumed;
+
+	buf_append_str(&text, STR_LIT("GET / HTTP/1.1\r\nX: "));
+	for (int i = 0; i < HEAD_BYTES; i++)
+		buf_append_str(&text, STR_LIT("y"));
+	http1_init(&http, &ops, HTTP_REQUEST, HEAD_BYTES);
+	CU_ASSERT_EQUAL(http1_feed(&http, buf_view(&text), &consumed),
+			HTTP1_HEAD_TOO_LARGE);
+	http1_release(&http);
+	buf_release(&text);
+}
+
+/* Guards against a broken answer that looks complete. */
+static void test_ends(void)
+{
+	http1_t http;
+	size_t consumed;
+
+	http1_init(&http, &ops, HTTP_RESPONSE, HEAD_BYTES);
+	CU_ASSERT_EQUAL(http1_end(&http), HTTP1_MORE);
+	http1_feed(&http, STR_LIT("HTTP/1.1 200 OK\r\n\r\nabc"), &consumed);
+	CU_ASSERT_EQUAL(http1_end(&http), HTTP1_MESSAGE);
+	http1_next(&http);
+	http1_feed(&http,
+		   STR_LIT("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"),
+		   &consumed);
+	CU_ASSERT_EQUAL(http1_end(&http), HTTP1_MALFORMED);
+	http1_release(&http);
+}
+
+/* Guards against headers of one connection that reach the next. */
+static void test_hop_fields(void)
+{
+	str_t text = STR_LIT("GET / HTTP/1.1\r\nConnection: close, X-Mine\r\n"
+			     "X-Mine: 1\r\nX-Other: 2\r\nTE: trailers\r\n\r\n");
+	http1_t http;
+	size_t consumed;
+
+	http1_init(&http, &ops, HTTP_REQUEST, HEAD_BYTES);
+	CU_ASSERT_EQUAL(http1_feed(&http, text, &consumed), HTTP1_MESSAGE);
+	CU_ASSERT_TRUE(http1_is_hop_field(&http.head, 0));
+	CU_ASSERT_TRUE(http1_is_hop_field(&http.head, 1));
+	CU_ASSERT_FALSE(http1_is_hop_field(&http.head, 2));
+	CU_ASSERT_TRUE(http1_is_hop_field(&http.head, 3));
+	http1_release(&http);
+	buf_release(&body);
+}
+
+int main(void)
+{
+	CU_TestInfo tests[] = {{"two requests", test_two_requests},
+			       {"bytewise chunks", test_bytewise_chunks},
+			       {"refused", test_refused},
+			       {"long head", test_long_head},
+			       {"ends", test_ends},
+			       {"hop fields", test_hop_fields},
+			       CU_TEST_INFO_NULL};
+
+	return unit_run("http1", tests);
+}
--- /dev/null
+++ b/tests/unit/test_limits.c
@@ -0,0 +1,141 @@
+#include "unit.h"
+
+#include <string.h>
+
+#include "coordination/breaker.h"
+#include "coordination/coldgate.h"
+#include "coordination/repeats.h"
+
+#define START_MS 1000000
+
+/* Guards FAILBACK: whatever the hosts know of each other, the sum over all in
+ * any second keeps to the limit, also for a burst at its worst moment. */
+static void test_cold_sum(void)
+{
+	enum { HOSTS = 3, PER_S = 12, SLACK = 5 };
+	const double overshoot = 1.5;
+	unsigned share = coldgate_share(PER_S, overshoot, SLACK, HOSTS);
+	coldgate_t gates[HOSTS];
+	unsigned sent[4000] = {0};
+	unsigned worst = 0;
+
+	memset(gates, 0, sizeof(gates));
+	for (int ms = 0; ms < 4000; ms++)
+		for (int host = 0; host < HOSTS; host++)
+			while (coldgate_allows(&gates[host], share,
+					       START_MS + ms)) {
+				coldgate_on_send(&gates[host], START_MS + ms);
+				sent[ms]++;
+			}
+	for (int from = 0; from + 1000 <= 4000; from++) {
+		unsigned sum = 0;
+
+		for (int ms = from; ms < from + 1000; ms++)
+			sum += sent[ms];
+		if (sum > worst)
+			worst = sum;
+	}
+	CU_ASSERT_TRUE(worst > 0);
+	CU_ASSERT_TRUE(worst <= PER_S * overshoot + SLACK);
+}
+
+/* Guards FAILBACK: too many hosts for the limit means that none sends. */
+static void test_cold_no_share(void)
+{
+	coldgate_t gate;
+
+	memset(&gate, 0, sizeof(gate));
+	CU_ASSERT_EQUAL(coldgate_share(1.0, 1.0, 0.0, 10), 0);
+	CU_ASSERT_FALSE(coldgate_allows(&gate, 0, START_MS));
+}
+
+/* Guards BUDGET under failing servers: every request asks for a repeat. */
+static void test_repeats_ratio(void)
+{
+	repeats_t repeats;
+	unsigned taken = 0;
+	unsigned requests = 0;
+
+	repeats_init(&repeats, 0.2, 10000);
+	repeats_share(&repeats, 52, 6);
+	for (int64_t ms = 0; ms < 10000; ms += 10) {
+		repeats_on_request(&repeats, START_MS + ms);
+		requests++;
+		taken += repeats_take(&repeats, START_MS + ms);
+	}
+	CU_ASSERT_TRUE(taken > requests / 10);
+	CU_ASSERT_TRUE(taken <= 0.2 * requests + 52.0 / 6);
+}
+
+/* Guards against a budget that never comes back, and one that is saved up. */
+static void test_repeats_window(void)
+{
+	repeats_t repeats;
+
+	repeats_init(&repeats, 0.5, 1000);
+	for (int i = 0; i < 10; i++)
+		repeats_on_request(&repeats, START_MS);
+	for (int i = 0; i < 4; i++)
+		CU_ASSERT_TRUE(repeats_take(&repeats, START_MS));
+	CU_ASSERT_FALSE(repeats_take(&repeats, START_MS));
+	CU_ASSERT_FALSE(repeats_take(&repeats, START_MS + 2000));
+	for (int i = 0; i < 10; i++)
+		repeats_on_request(&repeats, START_MS + 2000);
+	CU_ASSERT_TRUE(repeats_take(&repeats, START_MS + 2000));
+	/* The time of day has no part in it, but the clock may seem to jump. */
+	CU_ASSERT_FALSE(repeats_take(&repeats, START_MS + 2000000));
+}
+
+/* Guards against an endpoint without a listener that gets every request. */
+static void test_breaker_unreachable(void)
+{
+	breaker_t breaker;
+
+	memset(&breaker, 0, sizeof(breaker));
+	CU_ASSERT_FALSE(breaker_is_open(&breaker, START_MS));
+	breaker_on_fault(&breaker, BREAKER_UNREACHABLE, START_MS);
+	CU_ASSERT_TRUE(breaker_is_open(&breaker, START_MS + 1));
+	CU_ASSERT_FALSE(
+		breaker_is_open(&breaker, START_MS + BREAKER_MIN_PAUSE_MS));
+	/* One trial closes it for the others until it has ended. */
+	breaker_on_send(&breaker, START_MS + BREAKER_MIN_PAUSE_MS);
+	CU_ASSERT_TRUE(
+		breaker_is_open(&breaker, START_MS + BREAKER_MIN_PAUSE_MS + 1));
+	breaker_on_success(&breaker, START_MS + BREAKER_MIN_PAUSE_MS + 2);
+	CU_ASSERT_FALSE(
+		breaker_is_open(&breaker, START_MS + BREAKER_MIN_PAUSE_MS + 2));
+}
+
+/* Guards against an endpoint that fails some requests while healthy. */
+static void test_breaker_grey(void)
+{
+	breaker_t grey, sound;
+
+	memset(&grey, 0, sizeof(grey));
+	memset(&sound, 0, sizeof(sound));
+	for (int i = 0; i < 40; i++) {
+		if (i % 2)
+			breaker_on_fault(&grey, BREAKER_REQUEST_FAILED,
+					 START_MS + i);
+		else
+			breaker_on_success(&grey, START_MS + i);
+		breaker_on_success(&sound, START_MS + i);
+	}
+	CU_ASSERT_TRUE(breaker_failing(&grey, START_MS + 40) > 0.3);
+	CU_ASSERT_TRUE(breaker_failing(&sound, START_MS + 40) < 0.01);
+	CU_ASSERT_TRUE(breaker_failing(&grey, START_MS + 20000) < 0.01);
+}
+
+int main(void)
+{
+	CU_TestInfo tests[] = {
+		{"cold sum", test_cold_sum},
+		{"cold, no share", test_cold_no_share},
+		{"repeats, ratio", test_repeats_ratio},
+		{"repeats, window", test_repeats_window},
+		{"breaker, unreachable", test_breaker_unreachable},
+		{"breaker, grey", test_breaker_grey},
+		CU_TEST_INFO_NULL};
+
+	return unit_run("limits", tests);
+}
--- /dev/null
+++ b/tests/unit/test_records.c
@@ -0,0 +1,209 @@
+#include "unit.h"
+
+#include "platform/records.h"
+#include "platform/settings.h"
+#include "request/admit.h"
+
+static const char config_text[] =
+	"{\"version\":%d,\"routes\":["
+	"{\"name\":\"r1\",\"hostname\":\"h.example\",\"prefix\":\"/a/\","
+	"\"route_type\":\"streaming\",\"timeout_ms\":15000,"
+	"\"target_latency_ms\":2000,\"priority\":2,"
+	"\"traffic_split\":[{\"service\":\"s1\",\"weight\":3},"
+	"{\"service\":\"s2\",\"weight\":1}],\"max_attempts\":2,"
+	"\"public\":false,\"stream_resume\":true,\"itl_target_ms\":250,"
+	"\"allowed_regions\":[\"east\"]},"
+	"{\"name\":\"r2\",\"hostname\":\"h.example\",\"prefix\":\"/a/b/\","
+	"\"route_type\":\"non_idempotent\",\"timeout_ms\":1000,"
+	"\"target_latency_ms\":300,\"priority\":0,\"service\":\"s2\","
+	"\"max_attempts\":1,\"public\":true}],"
+	"\"services\":[{\"name\":\"s1\",\"health_path\":\"/healthz\","
+	"\"max_connections\":360,\"cold_start_s\":3.0,\"cold_per_s\":12.0,"
+	"\"engine\":{\"slots\":64}}],"
+	"\"limits\":{\"max_header_bytes\":1000,\"max_body_bytes\":2000,"
+	"\"header_timeout_ms\":300,\"idle_timeout_ms\":400},"
+	"\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"k1\",\"k2\"],"
+	"\"priority\":1,\"allowed_regions\":[\"west\"]}]}";
+
+static catalog_t *read_config(int version)
+{
+	buf_t text = BUF_INIT;
+	catalog_t *catalog;
+
+	buf_printf(&text, config_text, version);
+	catalog = records_read_config(buf_view(&text), NULL);
+	buf_release(&text);
+	return catalog;
+}
+
+static void test_config(void)
+{
+	catalog_t *catalog = read_config(7);
+	call_t call = {.host = STR_LIT("H.Example"),
+		       .path = STR_LIT("/a/x"),
+		       .key = STR_LIT("k2")};
+	admission_t admission;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(catalog);
+	CU_ASSERT_EQUAL(catalog_version(catalog), 7);
+	CU_ASSERT_EQUAL(admit_check(catalog, &call, 0, &admission), ADMIT_OK);
+	CU_ASSERT_TRUE(str_equals(admission.route->name, STR_LIT("r1")));
+	CU_ASSERT_TRUE(str_equals(admission.customer->name, STR_LIT("t1")));
+	CU_ASSERT_TRUE(admit_may_repeat(&admission));
+	/* The customer's priority 1 goes before the route's 2 of 0..2. */
+	CU_ASSERT_EQUAL(admission.priority, 5);
+	/* Guards HOME: where both have regions, both bind. */
+	CU_ASSERT_FALSE(admit_region(&admission, STR_LIT("east")));
+	CU_ASSERT_FALSE(admit_region(&admission, STR_LIT("west")));
+	CU_ASSERT_EQUAL(catalog_get_limits(catalog)->idle_timeout_ms, 400);
+	catalog_unref(catalog);
+}
+
+/* Guards ROUTE and DENIED: the longest prefix decides, keys are looked up. */
+static void test_routes_and_keys(void)
+{
+	catalog_t *catalog = read_config(1);
+	admission_t admission;
+	call_t call = {.host = STR_LIT("h.example"), .path = STR_LIT("/a/b/c")};
+
+	CU_ASSERT_EQUAL(admit_check(NULL, &call, 0, &admission),
+			ADMIT_NO_CATALOG);
+	CU_ASSERT_EQUAL(admit_check(catalog, &call, 0, &admission), ADMIT_OK);
+	CU_ASSERT_TRUE(str_equals(admission.route->name, STR_LIT("r2")));
+	CU_ASSERT_FALSE(admit_may_repeat(&admission));
+	call.path = (str_t)STR_LIT("/a/c");
+	CU_ASSERT_EQUAL(admit_check(catalog, &call, 0, &admission),
+			ADMIT_NO_KEY);
+	call.key = (str_t)STR_LIT("k3");
+	CU_ASSERT_EQUAL(admit_check(catalog, &call, 0, &admission),
+			ADMIT_NO_KEY);
+	call.path = (str_t)STR_LIT("/ab");
+	CU_ASSERT_EQUAL(admit_check(catalog, &call, 0, &admission),
+			ADMIT_NO_ROUTE);
+	call.path = (str_t)STR_LIT("/a/b");
+	call.key = (str_t)STR_LIT("k1");
+	CU_ASSERT_EQUAL(admit_check(catalog, &call, 0, &admission), ADMIT_OK);
+	CU_ASSERT_TRUE(str_equals(admission.route->name, STR_LIT("r1")));
+	catalog_unref(catalog);
+}
+
+static void test_split(void)
+{
+	catalog_t *catalog = read_config(1);
+	const catalog_route_t *route = catalog_find_route(
+		catalog, STR_LIT("h.example"), STR_LIT("/a/"));
+	unsigned first = 0;
+
+	for (uint64_t draw = 0; draw < 400; draw++)
+		first += str_equals(catalog_pick_service(route, draw),
+				    STR_LIT("s1"));
+	CU_ASSERT_EQUAL(first, 300);
+	catalog_unref(catalog);
+}
+
+static void test_bad_configs(void)
+{
+	static const char *const texts[] = {
+		"",
+		"[]",
+		"{}",
+		"{\"version\":\"7\"}",
+		"{\"version\":7,\"routes\":[{\"name\":\"r\"}]}",
+		"{\"version\":7,\"routes\":[{\"hostname\":\"h\","
+		"\"prefix\":\"/\",\"route_type\":\"other\"}]}"};
+	err_t err;
+
+	for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++)
+		CU_ASSERT_PTR_NULL(
+			records_read_config(str_from(texts[i]), &err));
+}
+
+/* Guards against entries of another writer that name a server to use. */
+static void test_bad_endpoints(void)
+{
+	static const char *const texts[] = {
+		"",
+		"null",
+		"{\"service\":\"s\"}",
+		"\x80\xff",
+		"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+		"\"state\":\"odd\"}",
+		"{\"service\":7,\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+		"\"state\":\"ready\"}",
+		"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+		"\"state\":\"ready\",\"born\":\"x\"}"};
+	records_endpoint_t endpoint;
+
+	for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++)
+		CU_ASSERT_EQUAL(records_read_endpoint(STR_LIT("i-1"),
+						      str_from(texts[i]),
+						      &endpoint, NULL),
+				ERR_INVALID);
+	CU_ASSERT_EQUAL(
+		records_read_endpoint(
+			STR_LIT("i-1"),
+			STR_LIT("{\"service\":\"s\",\"address\":\"1.2.3.4:5\","
+				"\"zone\":\"z\",\"state\":\"draining\","
+				"\"cold_remaining_ms\":1200,\"born\":99}"),
+			&endpoint, NULL),
+		ERR_OK);
+	CU_ASSERT_TRUE(endpoint.record.leaving);
+	CU_ASSERT_EQUAL(endpoint.record.cold_ms, 1200);
+	CU_ASSERT_EQUAL(endpoint.record.incarnation, 99);
+	records_release(&endpoint);
+}
+
+static const char settings_text[] =
+	"node_name=edge-1\nip=127.0.0.1\nzone=z1\nregion=east\n"
+	"zones.z1=east\nzones.z2=west\nlisten.front=127.0.0.1:1\n"
+	"listen.readiness=127.0.0.1:2\nlisten.control_plane=127.0.0.1:3\n"
+	"internal_port_range=7340,7355\nseed_nodes=127.0.0.1:3,127.0.0.2:3\n"
+	"bounds.grace_s=6\nbounds.retry_budget_ratio=0.25\nunknown.field=1\n"
+	"platform.address=127.0.0.1:4\r\n";
+
+static void test_settings(void)
+{
+	buf_t report = BUF_INIT;
+	psettings_t *settings =
+		psettings_parse(str_from(settings_text), &report);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(settings);
+	CU_ASSERT_EQUAL(settings->domain_count, 2);
+	CU_ASSERT_EQUAL(settings->seed_count, 2);
+	CU_ASSERT_TRUE(str_equals(settings->seeds[1], STR_LIT("127.0.0.2:3")));
+	CU_ASSERT_EQUAL(settings->last_port, 7355);
+	CU_ASSERT_EQUAL(settings->grace_ms, 6000);
+	CU_ASSERT_TRUE(str_equals(settings->store, STR_LIT("127.0.0.1:4")));
+	psettings_free(settings);
+	buf_release(&report);
+}
+
+static void test_bad_settings(void)
+{
+	buf_t report = BUF_INIT;
+
+	CU_ASSERT_PTR_NULL(
+		psettings_parse(STR_LIT("node_name=x\ninternal_port_range=9,1\n"
+					"bounds.grace_s=soon\n"),
+				&report));
+	buf_append(&report, "", 1);
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(report.ptr, "internal_port_range: \"9,1\""));
+	CU_ASSERT_PTR_NOT_NULL(strstr(report.ptr, "bounds.grace_s: \"soon\""));
+	CU_ASSERT_PTR_NOT_NULL(strstr(report.ptr, "platform.address: missing"));
+	buf_release(&report);
+}
+
+int main(void)
+{
+	CU_TestInfo tests[] = {{"config", test_config},
+			       {"routes and keys", test_routes_and_keys},
+			       {"split", test_split},
+			       {"bad configs", test_bad_configs},
+			       {"bad endpoints", test_bad_endpoints},
+			       {"settings", test_settings},
+			       {"bad settings", test_bad_settings},
+			       CU_TEST_INFO_NULL};
+
+	return unit_run("records", tests);
+}
--- /dev/null
+++ b/tests/unit/test_replica.c
@@ -0,0 +1,128 @@
+#include "unit.h"
+
+#include <stdio.h>
+
+#include "base/buf.h"
+#include "state/replica.h"
+
+static buf_t changes;
+
+static void on_change(void *user, str_t key, str_t value)
+{
+	(void)user;
+	buf_printf(&changes, "%" STR_FMT "=%" STR_FMT " ", STR_ARG(key),
+		   STR_ARG(value.ptr ? value : (str_t)STR_LIT("-")));
+}
+
+static replica_t *make(void)
+{
+	replica_observer_t observer = {on_change, NULL};
+
+	buf_reset(&changes);
+	return replica_create(&observer);
+}
+
+static bool changes_are(const char *expected)
+{
+	bool same = str_equals(buf_view(&changes), str_from(expected));
+
+	if (!same)
+		fprintf(stderr, "got \"%" STR_FMT "\"\n",
+			STR_ARG(buf_view(&changes)));
+	buf_reset(&changes);
+	return same;
+}
+
+/* Guards CONFIG: a peer's or a late answer's older record must not return. */
+static void test_never_back(void)
+{
+	replica_t *replica = make();
+
+	replica_put(replica, STR_LIT("a"), STR_LIT("2"), 20);
+	replica_put(replica, STR_LIT("a"), STR_LIT("1"), 10);
+	replica_remove(replica, STR_LIT("a"), 30);
+	replica_put(replica, STR_LIT("a"), STR_LIT("2"), 20);
+	replica_remove(replica, STR_LIT("a"), 30);
+	CU_ASSERT_TRUE(changes_are("a=2 a=- "));
+	CU_ASSERT_EQUAL(replica_count(replica), 0);
+	replica_free(replica);
+}
+
+/* Guards against records that were removed between two pages of a listing, and
+ * against losing those that are newer than its start. */
+static void test_listing(void)
+{
+	replica_t *replica = make();
+
+	replica_put(replica, STR_LIT("a"), STR_LIT("1"), 1);
+	replica_put(replica, STR_LIT("b"), STR_LIT("1"), 2);
+	replica_put(replica, STR_LIT("c"), STR_LIT("1"), 9);
+	buf_reset(&changes);
+	replica_begin(replica);
+	replica_put(replica, STR_LIT("b"), STR_LIT("1"), 2);
+	replica_end(replica, 8);
+	CU_ASSERT_TRUE(changes_are("a=- "));
+	CU_ASSERT_EQUAL(replica_revision(replica), 8);
+	CU_ASSERT_EQUAL(replica_count(replica), 2);
+	replica_free(replica);
+}
+
+static void copy_record(void *user, str_t key, str_t value, int64_t revision)
+{
+	if (value.ptr)
+		replica_put(user, key, value, revision);
+	else
+		replica_remove(user, key, revision);
+}
+
+/* Guards against a host that follows a peer and misses removals. */
+static void test_changes(void)
+{
+	replica_t *from = make();
+	replica_t *to = make();
+
+	replica_put(from, STR_LIT("a"), STR_LIT("1"), 1);
+	replica_put(from, STR_LIT("b"), STR_LIT("1"), 2);
+	replica_advance(from, 2);
+	CU_ASSERT_FALSE(replica_changes(from, 0, copy_record, to));
+	replica_advance(to, 2);
+	replica_remove(from, STR_LIT("a"), 3);
+	replica_advance(from, 3);
+	buf_reset(&changes);
+	CU_ASSERT_TRUE(replica_changes(from, 2, copy_record, to));
+	CU_ASSERT_TRUE(changes_are("a=- "));
+	replica_free(from);
+	replica_free(to);
+}
+
+/* Guards against a peer that is told only a part of old removals. */
+static void test_dropped_tombstones(void)
+{
+	replica_t *replica = make();
+	replica_t *to = make();
+	char key[16];
+
+	for (int i = 0; i < REPLICA_MAX_TOMBSTONES + 10; i++) {
+		int len = snprintf(key, sizeof(key), "k%d", i);
+		str_t name = {key, (size_t)len};
+
+		replica_put(replica, name, STR_LIT("1"), 2 * i + 1);
+		replica_remove(replica, name, 2 * i + 2);
+	}
+	CU_ASSERT_FALSE(replica_changes(replica, 1, copy_record, to));
+	CU_ASSERT_TRUE(replica_changes(replica, 400, copy_record, to));
+	replica_free(replica);
+	replica_free(to);
+	buf_release(&changes);
+}
+
+int main(void)
+{
+	CU_TestInfo tests[] = {{"never back", test_never_back},
+			       {"listing", test_listing},
+			       {"changes", test_changes},
+			       {"dropped tombstones", test_dropped_tombstones},
+			       CU_TEST_INFO_NULL};
+
+	return unit_run("replica", tests);
+}
