--- a/lib/transport/monitor.c
+++ b/lib/transport/monitor.c
@@ -170,10 +170,9 @@
 {
 	if (!monitor)
 		return;
-	while (monitor->clients) {
-		client_t *client = monitor->clients;
-
-		client->prev = NULL;
+	for (client_t *client = monitor->clients, *next; client;
+	     client = next) {
+		next = client->next;
 		destroy(client);
 	}
 	loop_unwatch(monitor->loop, monitor->listen_fd);
