--- /dev/null
+++ b/tests/session/test_host.sh
@@ -0,0 +1,100 @@
+#!/bin/bash
+# One host process between callers and the platform's stand-ins: what callers
+# and servers see for each way in which a server can answer or fail. Guards the
+# promises "not run is true", "at most once" and "whole answers only".
+build=$1
+. "$(dirname "$0")/lib.sh"
+. "$(dirname "$0")/hosts.sh"
+
+start_store
+start_server s1 101
+put_config 3 '"k1"'
+put_server s1 101 plain d1 ready
+# An entry of another writer names no server.
+put servers/odd '{"service":"plain","state":7}'
+start_host h1 1 d1
+s1=$net.101:8000
+
+# try MODES REQUEST...: one request while the server is in the modes.
+try()
+{
+	local modes=$1
+	shift
+	control "$s1" "/control/mode?next=$modes"
+	ask h1 "$@"
+	control "$s1" /control/seen
+}
+
+{
+	echo "== served"
+	try ok plain-1 /once/a?b=1 -d 12345
+	try ok chunked-1 /once/a -H 'Transfer-Encoding: chunked' -d 123
+	try ok stream-1 /stream/x
+	try close-after close-1 /once/a
+	echo "== refused by configuration"
+	try ok no-route /none/a
+	key=wrong try ok no-key /once/a
+	echo "== not run is true"
+	try shed shed-once /once/a
+	try misdirected moved-once /once/a
+	echo "== at most once"
+	try reset reset-once /once/a
+	try garbage garbage-once /once/a
+	try truncate truncate-once /once/a
+	try unstamped unstamped-once /once/a
+	try error error-once /once/a
+	try silent silent-once /once/a
+	sleep 1 # the breaker of the silent server
+	echo "== whole answers only"
+	try foreign foreign-1 /once/a
+	try extra extra-1 /once/a
+	try ok after-extra /once/a
+	try half-stream half-single /single/stream/x
+	echo "== limits"
+	head -c 20000 /dev/zero >"$work/large"
+	try ok large-body /once/a --data-binary "@$work/large"
+	try ok large-head /once/a -H "X-Long: $(head -c 6000 /dev/zero | tr '\0' x)"
+} >"$work/transcript" 2>&1
+golden=$(dirname "$0")/golden/host.txt
+compare_golden "transcript of a host" "$golden" "$work/transcript"
+
+# A second server takes what may be repeated.
+start_server s2 102
+put_server s2 102 plain d1 ready
+wait_until 5 grep -q 'endpoint=s2' "$work/h1.out"
+repeats_elsewhere()
+{
+	control "$s1" "/control/mode?next=$1,$1,$1"
+	control "$net.102:8000" "/control/mode?next=ok,ok,ok"
+	case $(ask h1 "repeat-$1" "$2") in
+	*": 200 "*"[curl 0]") return 0 ;;
+	esac
+	return 1
+}
+for mode in reset truncate error shed
+do
+	for try in 1 2 3 4
+	do
+		pass_or_fail "a repeatable request survives $mode ($try)" \
+			repeats_elsewhere "$mode" /again/a
+	done
+done
+
+# A stream goes on at another server after its last whole event. A new host has
+# no opinion of the servers yet.
+start_host h2 2 d1
+resumed=0
+for try in 1 2 3 4 5 6
+do
+	control "$s1" "/control/mode?next=half-stream"
+	ask h2 "resumed-$try" /stream/y >"$work/resumed"
+	expect_equal "a broken stream goes on after its last event ($try)" \
+		"id: 1 id: 2 id: 3 id: 4 id: 5" \
+		"$(grep -o 'id: [1-5]' "$work/resumed" | tr '\n' ' ' |
+			sed 's/ $//')"
+	control "$s1" /control/seen | grep -q half-stream &&
+		resumed=$((resumed + 1))
+done
+pass_or_fail "at least one of the streams was broken" test $resumed -gt 0
+
+finish
