--- a/tests/session/test_hosts.sh
+++ b/tests/session/test_hosts.sh
@@ -84,6 +84,18 @@
 	expect_until "$host: a domain that is back is used" served_by $host s1
 done
 
+# The store falls silent and forgets the watches; a change right after it is
+# back must be in force in time (it was missed for 13 s once).
+change_store "/control/silent?on=1"
+sleep 4
+change_store "/control/silent?on=0"
+put_config 12 '"k2","k3"'
+for host in h1 h2
+do
+	pass_or_fail "$host: a change after a silence holds in time" \
+		wait_until 5 answers $host k3 200
+done
+
 # The history is dropped while a server goes away.
 change_store "/control/delete?key=servers/s1"
 change_store "/control/forget"
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -9,6 +9,8 @@
   store:  /control/put?key=K&value=V   writes a record
           /control/delete?key=K        removes a record
           /control/refuse?on=1         answers 503 to every call
+          /control/silent?on=1         answers nothing, and forgets the calls
+                                       that it had when it answers again
           /control/forget              drops the history: watches get 410
   server: /control/mode?next=M         how the next requests are answered, see
                                        MODES; several separated by commas
@@ -89,6 +91,8 @@
         self.first = 0
         self.revision = 1
         self.refusing = False
+        self.silent = False
+        self.silences = 0
 
     def change(self, key, value):
         with self.lock:
@@ -128,6 +132,10 @@
         if path == "/control/refuse":
             self.refusing = query["on"] == "1"
             return 200, {}
+        if path == "/control/silent":
+            self.silent = query["on"] == "1"
+            self.silences += self.silent
+            return 200, {}
         if path == "/control/forget":
             with self.lock:
                 self.first = self.revision + 1
@@ -160,7 +168,12 @@
             url = urllib.parse.urlsplit(request[1])
             query = dict(urllib.parse.parse_qsl(url.query,
                                                 keep_blank_values=True))
+            silences = self.silences
             status, body = self.handle(url.path, query)
+            if not url.path.startswith("/control/") and (
+                    self.silent or self.silences != silences):
+                connection.read_request()  # until the caller gives up
+                return
             connection.answer(status, [("Content-Type", "application/json")],
                               json.dumps(body).encode())
 
