--- a/lib/coordination/balance.c
+++ b/lib/coordination/balance.c
@@ -16,7 +16,7 @@
 #define MS_PER_S 1000.0
 /* Reading a shared part of a prompt once more takes capacity from others and
  * is billed: a longer wait is preferred. */
-#define REPEATED_CHARGE_MS_PER_TOKEN 0.4
+#define REPEATED_CHARGE_MS_PER_TOKEN 1.2
 /* A long prompt on an express endpoint, by its length; any other one beside
  * long prompts. */
 #define EXPRESS_CHARGE_MS_PER_TOKEN 0.1
