Tell loads more often

Cause: sums of loads were up to 0.46 s old with 77 hosts. Change: a round for each ms a host, 100 ms at least.

--- a/lib/request/loadsync.h
+++ b/lib/request/loadsync.h
@@ -15,7 +15,7 @@
  * further apart when there are more hosts.
  */
 #define LOADSYNC_MIN_ROUND_MS 100
-#define LOADSYNC_ROUND_MS_PER_HOST 3
+#define LOADSYNC_ROUND_MS_PER_HOST 1
 #define LOADSYNC_MAX_REGIONS 16
 
 typedef struct loadsync loadsync_t;
