Take sums of loads from one relay; hold long prompts before full engines

Cause: with 77 hosts two hosts took themselves for a region's relay while gossip was behind, and hosts used sums of a few hosts (0.46 M of 2.4 M tokens a second, logged); long prompts went to engines that read all the time. Change: the highest relay number heard lately counts; gossip samples 14 hosts; a long prompt waits up to 0.7 of its target for an engine that reads for more than 0.6 of its time. request-sent logs unread tokens and reading share.

--- a/lib/coordination/balance.c
+++ b/lib/coordination/balance.c
@@ -45,11 +45,17 @@
 	return option->service_ms * (1.0 + (double)option->in_flight / slots);
 }
 
+double balance_reading_share(const balance_option_t *option,
+			     const balance_rates_t *rates)
+{
+	return option->tokens_per_s / (rates->tokens_per_ms * MS_PER_S);
+}
+
 /* Charge by the share of its time that the engine reads prompts. */
 static double reading_ms(const balance_option_t *option,
 			 const balance_rates_t *rates)
 {
-	double share = option->tokens_per_s / (rates->tokens_per_ms * MS_PER_S);
+	double share = balance_reading_share(option, rates);
 
 	if (share <= READING_FREE_SHARE)
 		return 0.0;
--- a/lib/coordination/balance.h
+++ b/lib/coordination/balance.h
@@ -41,6 +41,10 @@
 	double fail_cost_ms;  /* what a failed request loses */
 } balance_rates_t;
 
+/* Share of its time that an engine reads prompts, by what was sent lately. */
+double balance_reading_share(const balance_option_t *option,
+			     const balance_rates_t *rates);
+
 /*
  * Lanes: some engines are kept free of long prompts, since a prompt that is
  * read lengthens the pauses of all streams beside it.
--- a/lib/coordination/gossip.h
+++ b/lib/coordination/gossip.h
@@ -17,7 +17,7 @@
  */
 #define GOSSIP_MAX_MEMBERS 1024
 #define GOSSIP_FANOUT 3
-#define GOSSIP_SAMPLE 6
+#define GOSSIP_SAMPLE 14
 #define GOSSIP_ROUND_MS 400
 /* A host not heard of for this long is not sent to. */
 #define GOSSIP_LIVE_MS 5000
--- a/lib/coordination/loadboard.c
+++ b/lib/coordination/loadboard.c
@@ -15,6 +15,10 @@
 struct loadboard {
 	slot_t *slots;
 	size_t count, cap;
+	/* The relay whose sums are used: the highest number heard lately. Two
+	 * hosts may take themselves for the relay of a region for a while. */
+	uint32_t relay;
+	int64_t relay_ms;
 };
 
 loadboard_t *loadboard_create(void)
@@ -112,6 +116,16 @@
 	return true;
 }
 
+static bool accept_relay(loadboard_t *board, uint32_t relay, int64_t now_ms)
+{
+	if (relay < board->relay &&
+	    now_ms - board->relay_ms < LOADBOARD_LIFE_MS)
+		return false;
+	board->relay = relay;
+	board->relay_ms = now_ms;
+	return true;
+}
+
 static bool read_message(loadboard_t *board, const msgpack_object *root,
 			 int64_t now_ms)
 {
@@ -123,6 +137,9 @@
 	    !read_numbers(fields, head, 2) || head[0] > LOADBOARD_SUMS ||
 	    head[1] > UINT32_MAX || fields[2].type != MSGPACK_OBJECT_ARRAY)
 		return false;
+	if (head[0] == LOADBOARD_SUMS &&
+	    !accept_relay(board, (uint32_t)head[1], now_ms))
+		return true;
 	return read_entries(board,
 			    head[0] == LOADBOARD_SUMS ? 0 : (uint32_t)head[1],
 			    &fields[2].via.array, now_ms);
--- a/lib/request/choose.c
+++ b/lib/request/choose.c
@@ -9,6 +9,10 @@
 #define CHOOSE_EXCESS_HALF_LIFE_MS 1500.0
 /* A failed request loses this part of its target. */
 #define CHOOSE_FAIL_PART 1.5
+/* An engine that reads for more of its time than this gets no long prompt for
+ * a while: beyond it streams there take so long that they miss their end. */
+#define CHOOSE_SATURATED_SHARE 0.6
+
 /*
  * All hosts rank the endpoints for a prompt in the same way. What the first
  * ones can't take goes to the next in rank, so that few endpoints read a shared
@@ -213,6 +217,12 @@
 	return option;
 }
 
+bool choose_is_saturated(const request_t *request, const choice_t *choice)
+{
+	return request->call.prompt_tokens >= BALANCE_LONG_PROMPT_TOKENS &&
+	       choice->reading_share > CHOOSE_SATURATED_SHARE;
+}
+
 choose_result_t choose_endpoint(const request_t *request, choice_t *choice)
 {
 	router_t *router = request->router;
@@ -250,6 +260,7 @@
 		result = CHOOSE_OK;
 		choice->endpoint = endpoint;
 		choice->unread_tokens = option.unread_tokens;
+		choice->reading_share = balance_reading_share(&option, &rates);
 		choice->alone = !option.backlog_tokens;
 		choice->trip_ms = balance_trip_ms(option.distance);
 		choice->expected_ms =
--- a/lib/request/choose.h
+++ b/lib/request/choose.h
@@ -17,9 +17,16 @@
 	uint64_t unread_tokens; /* that it will have to read */
 	bool alone;		/* it has nothing else to read */
 	double trip_ms;		/* to it and back */
+	double reading_share;	/* of its time that it reads prompts */
 	double expected_ms;	/* until the first token or answer */
 } choice_t;
 
+/*
+ * True when the endpoint reads prompts for so much of its time that one more
+ * long prompt would slow all streams there: it had better wait a little.
+ */
+bool choose_is_saturated(const request_t *request, const choice_t *choice);
+
 choose_result_t choose_endpoint(const request_t *request, choice_t *choice);
 
 #endif
--- a/lib/request/loadsync.c
+++ b/lib/request/loadsync.c
@@ -16,7 +16,7 @@
 /* The relay of a region; `member` is NULL for this host. */
 typedef struct relay {
 	str_t region;
-	uint64_t weight;
+	uint32_t weight;
 	const member_t *member;
 } relay_t;
 
@@ -50,11 +50,17 @@
 	return &loadsync->relays[loadsync->relay_count++];
 }
 
+/* A host's number in messages; the highest of a region is its relay. */
+static uint32_t number_of(const char *name)
+{
+	return (uint32_t)XXH64(name, strlen(name), 0) | 1;
+}
+
 static void propose(loadsync_t *loadsync, str_t region, const char *name,
 		    const member_t *member)
 {
 	relay_t *relay = get_relay(loadsync, region);
-	uint64_t weight = XXH64(name, strlen(name), 1) | 1;
+	uint32_t weight = number_of(name);
 
 	if (relay && weight > relay->weight) {
 		relay->weight = weight;
@@ -247,7 +253,7 @@
 	loadsync->router = router;
 	loadsync->peersync = peersync;
 	loadsync->board = loadboard_create();
-	loadsync->host = (uint32_t)XXH64(name, strlen(name), 0) | 1;
+	loadsync->host = number_of(name);
 	loadsync->port = port;
 	loadsync->fd = fd;
 	loop_watch(router->loop, fd, EPOLLIN, on_datagram, loadsync);
--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -16,7 +16,9 @@
 /* Sends of one request that failed in any way before it is given up. */
 #define REQUEST_MAX_FAILURES 4
 /* Part of the target that a request may wait for an endpoint to have room. */
-#define REQUEST_WAIT_PART 8
+#define REQUEST_WAIT_PART 0.125
+/* The same for an engine that reads too much; then it is sent all the same. */
+#define REQUEST_SATURATED_WAIT_PART 0.7
 /* Time to return that a refused caller gets, spread by as much again. */
 #define REQUEST_RETRY_MS 250
 /* The same while no configuration is known: it takes longer to come. */
@@ -227,14 +229,13 @@
 	return false;
 }
 
-/* Lets the request wait for room, if it still has time for that. */
-static bool may_wait(const request_t *request)
+/* True while the request may still wait for this part of its target. */
+static bool may_wait(const request_t *request, double part)
 {
-	int64_t waited_ms = now_of(request) - request->arrived_ms;
+	double waited_ms = (double)(now_of(request) - request->arrived_ms);
 
 	return request->state != REQUEST_ANSWERING &&
-	       waited_ms < (int64_t)request->admission.route->target_ms /
-				   REQUEST_WAIT_PART;
+	       waited_ms < part * request->admission.route->target_ms;
 }
 
 static void start_send(request_t *request, const choice_t *choice)
@@ -247,6 +248,7 @@
 	request->backlog_tokens = choice->unread_tokens;
 	request->alone = choice->alone;
 	request->trip_ms = choice->trip_ms;
+	request->reading_share = choice->reading_share;
 	request->unread_tokens = choice->unread_tokens;
 	endpoint->backlog_tokens += choice->unread_tokens;
 	endpoint_count_tokens(endpoint, choice->unread_tokens, now_of(request));
@@ -282,7 +284,9 @@
 	if (!admit(request))
 		return;
 	result = choose_endpoint(request, &choice);
-	if (result == CHOOSE_LATER && may_wait(request)) {
+	if ((result == CHOOSE_LATER && may_wait(request, REQUEST_WAIT_PART)) ||
+	    (result == CHOOSE_OK && choose_is_saturated(request, &choice) &&
+	     may_wait(request, REQUEST_SATURATED_WAIT_PART))) {
 		waiting_add(request);
 		return;
 	}
@@ -359,14 +363,16 @@
 	metrics_add(METRIC_SENDS, request->admission.service_name, 1);
 	plog_write(PLOG_REQUEST_SENT,
 		   "id=%" STR_FMT " endpoint=%s send=%u wait_ms=%lld "
-		   "left_ms=%lld expected_ms=%.0f in_flight=%u backlog=%llu "
-		   "cold=%d version=%lld",
+		   "left_ms=%lld expected_ms=%.0f in_flight=%u unread=%llu "
+		   "backlog=%llu reading=%.2f cold=%d version=%lld",
 		   STR_ARG(request->call.id), request->endpoint->id,
 		   request->sends,
 		   (long long)(request->sent_ms - request->arrived_ms),
 		   (long long)(request->ends_ms - request->sent_ms),
 		   request->expected_ms, request->endpoint->in_flight,
+		   (unsigned long long)request->unread_tokens,
 		   (unsigned long long)request->endpoint->backlog_tokens,
+		   request->reading_share,
 		   endpoint_is_cold(request->endpoint, request->sent_ms),
 		   (long long)catalog_version(request->catalog));
 }
--- a/lib/request/request.h
+++ b/lib/request/request.h
@@ -60,6 +60,7 @@
 	uint64_t unread_tokens;	 /* that the endpoint had to read at the send */
 	bool alone;		 /* it had nothing else to read then */
 	double trip_ms;		 /* to the endpoint and back */
+	double reading_share;	 /* of its time that it read prompts then */
 	double expected_ms;
 	int64_t progress_ms; /* when the endpoint last sent something */
 	/* The answer. */
--- a/tests/unit/test_gossip.c
+++ b/tests/unit/test_gossip.c
@@ -114,6 +114,17 @@
 	gossip_free(gossip);
 }
 
+static void tell_sums(loadboard_t *board, uint32_t relay,
+		      const loadboard_entry_t *entry, int64_t now_ms)
+{
+	buf_t message = BUF_INIT;
+
+	loadboard_write(LOADBOARD_SUMS, relay, entry, 1, &message);
+	CU_ASSERT_EQUAL(loadboard_read(board, buf_view(&message), now_ms, NULL),
+			ERR_OK);
+	buf_release(&message);
+}
+
 /* Guards the sums by which engines are chosen: many hosts, few sends each. */
 static void test_load_sums(void)
 {
@@ -135,18 +146,26 @@
 	count = loadboard_sum(relay, 200, entries, 8);
 	CU_ASSERT_EQUAL(count, 1);
 	CU_ASSERT_EQUAL(entries[0].load.backlog_tokens, 77000);
-	{
-		buf_t message = BUF_INIT;
-
-		loadboard_write(LOADBOARD_SUMS, 1, entries, count, &message);
-		loadboard_read(host, buf_view(&message), 200, NULL);
-		buf_release(&message);
-	}
+	tell_sums(host, 1, entries, 200);
 	CU_ASSERT_EQUAL(loadboard_get(host, 7, 300).in_flight, 77);
 	CU_ASSERT_EQUAL(loadboard_get(host, 8, 300).in_flight, 0);
+	/* A host that takes itself for the relay has heard of few others. */
+	entries[0].load.in_flight = 3;
+	tell_sums(host, 5, entries, 300);
+	CU_ASSERT_EQUAL(loadboard_get(host, 7, 300).in_flight, 3);
+	entries[0].load.in_flight = 77;
+	tell_sums(host, 9, entries, 310);
+	entries[0].load.in_flight = 3;
+	tell_sums(host, 5, entries, 320);
+	CU_ASSERT_EQUAL(loadboard_get(host, 7, 320).in_flight, 77);
+	/* The better one is gone. */
+	tell_sums(host, 5, entries, 310 + LOADBOARD_LIFE_MS);
+	CU_ASSERT_EQUAL(
+		loadboard_get(host, 7, 310 + LOADBOARD_LIFE_MS).in_flight, 3);
 	/* Old hints say nothing. */
 	CU_ASSERT_EQUAL(
-		loadboard_get(host, 7, 200 + LOADBOARD_LIFE_MS).in_flight, 0);
+		loadboard_get(host, 7, 310 + 2 * LOADBOARD_LIFE_MS).in_flight,
+		0);
 	CU_ASSERT_EQUAL(
 		loadboard_sum(relay, 100 + LOADBOARD_LIFE_MS, entries, 8), 0);
 	loadboard_free(relay);
