--- a/tests/session/lib.sh
+++ b/tests/session/lib.sh
@@ -167,10 +167,11 @@
 # finish: prints the result and ends the script with it.
 finish()
 {
-	if grep -lE 'AddressSanitizer|runtime error:' "$work"/*.err
+	if grep -rlE --include='*.err' 'AddressSanitizer|runtime error:' "$work"
 	then
 		echo "FAILED: a sanitizer found something"
-		grep -hE -A12 'AddressSanitizer|runtime error:' "$work"/*.err
+		grep -rhE -A12 --include='*.err' \
+			'AddressSanitizer|runtime error:' "$work"
 		failures=$((failures + 1))
 	fi
 	echo "$failures checks failed"
