--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: all, check, soak, bench, bench-load, demo, format, format-check,
+# Targets: all, check, soak, soak-daemons, bench, bench-load, demo, format, format-check,
 # lint, clean.
 # SAN=address,undefined or SAN=thread builds into its own directory.
 
@@ -41,7 +41,7 @@
 SOURCES := $(wildcard lib/*/*.[ch] platform/*.[ch] programs/*.[ch] programs/*/*.[ch] \
 	tests/*/*.[ch] lib/*/*.cpp)
 
-.PHONY: all check soak bench bench-load demo format format-check lint clean \
+.PHONY: all check soak soak-daemons bench bench-load demo format format-check lint clean \
 	deps programs deploy
 
 all: programs $(STANDINS) $(UNITS) $(BENCHES) $(BENCH_TOOLS)
@@ -118,10 +118,16 @@
 	$(MAKE) all
 	scripts/run-tests.sh $(BUILD)
 
-# One run of random faults; a breach is repeated with its seed.
+# One run of random faults; a breach is repeated with its seed. soak takes the
+# host process, soak-daemons the two daemons.
 SEED ?= 1
 DURATION ?= 60
+HOSTS ?= 3
 soak: deps
+	$(MAKE) $(BUILD)/peridot-hostd
+	python3 tests/soak/hosts.py $(BUILD) $(SEED) $(DURATION) $(HOSTS)
+
+soak-daemons: deps
 	$(MAKE) all
 	bash tests/soak/soak.sh $(BUILD) $(SEED) $(DURATION)
 
