--- a/lib/request/caller.c
+++ b/lib/request/caller.c
@@ -2,9 +2,15 @@
 
 #include <stdlib.h>
 #include <sys/epoll.h>
+#include <unistd.h>
 
+#include "base/metrics.h"
 #include "base/plog.h"
 
+/* Connections of callers, within the descriptors of a small host. */
+#define CALLER_MAX 2500
+/* Bodies of all requests together, within the memory of a small host. */
+#define CALLER_MAX_BODY_BYTES (48 * 1024 * 1024)
 /* Limits before a catalog is known. */
 #define CALLER_HEAD_BYTES 16384
 #define CALLER_BODY_BYTES (4 * 1024 * 1024)
@@ -61,6 +67,7 @@
 	if (caller->next)
 		caller->next->prev = caller->prev;
 	http1_release(&caller->http);
+	router->body_bytes -= caller->body.len;
 	buf_release(&caller->body);
 	buf_release(&caller->pending);
 	router->caller_count--;
@@ -121,16 +128,31 @@
 	caller_t *caller =
 		(caller_t *)((char *)http - offsetof(caller_t, http));
 
+	router_t *router = caller->router;
+
 	if (caller->too_large ||
 	    caller->body.len + data.len > limits_of(caller).body_bytes) {
 		caller->too_large = true;
 		return;
 	}
+	if (router->body_bytes + data.len > CALLER_MAX_BODY_BYTES) {
+		caller->no_room = true;
+		return;
+	}
+	router->body_bytes += data.len;
 	buf_append_str(&caller->body, data);
 }
 
 static const http1_ops_t http_ops = {on_body};
 
+static void clear_body(caller_t *caller)
+{
+	caller->router->body_bytes -= caller->body.len;
+	buf_reset(&caller->body);
+	if (caller->body.cap > CALLER_KEEP_BODY_BYTES)
+		buf_release(&caller->body);
+}
+
 /* A part of a message has been read. */
 static void on_partial(caller_t *caller)
 {
@@ -167,6 +189,10 @@
 		reject(caller, 413, "the body is too large");
 		return;
 	}
+	if (caller->no_room) {
+		reject(caller, 503, "no room for the body");
+		return;
+	}
 	loop_timer_cancel(caller->router->loop, &caller->timer);
 	request_start(caller->router, caller);
 }
@@ -270,8 +296,14 @@
 {
 	int fd;
 
-	while ((fd = tcp_accept(listen_fd)) >= 0)
-		adopt(router, fd);
+	while ((fd = tcp_accept(listen_fd)) >= 0) {
+		if (router->caller_count < CALLER_MAX) {
+			adopt(router, fd);
+			continue;
+		}
+		metrics_inc(METRIC_CALLERS_REFUSED);
+		close(fd);
+	}
 }
 
 void caller_send(caller_t *caller, str_t data)
@@ -293,9 +325,7 @@
 {
 	caller->request = NULL;
 	caller->continued = false;
-	buf_reset(&caller->body);
-	if (caller->body.cap > CALLER_KEEP_BODY_BYTES)
-		buf_release(&caller->body);
+	clear_body(caller);
 	if (close) {
 		begin_close(caller);
 		return;
--- a/lib/request/caller.h
+++ b/lib/request/caller.h
@@ -21,6 +21,7 @@
 	bool closing;	    /* no further request is read */
 	bool lingering;	    /* reads off what the caller still sends */
 	bool too_large;
+	bool no_room;	/* the bodies of all requests are too many */
 	bool continued; /* 100 Continue was sent */
 	struct caller *next, *prev;
 } caller_t;
--- a/lib/request/router.c
+++ b/lib/request/router.c
@@ -70,6 +70,7 @@
 	router->read_buffer = malloc(ROUTER_READ_BYTES);
 	if (!router->read_buffer)
 		abort();
+	router->started_ms = router_now_ms(router);
 	router->random =
 		(uint64_t)mclock_now_us(router->clock) ^ (uintptr_t)router;
 	router_set_hosts(router, ROUTER_DEFAULT_DOMAIN_HOSTS,
--- a/lib/request/router.h
+++ b/lib/request/router.h
@@ -66,6 +66,8 @@
 	unsigned domain_hosts; /* hosts of this domain, this one included */
 	unsigned all_hosts;
 	bool stopping;
+	int64_t started_ms;
+	size_t body_bytes; /* of requests, kept until they are answered */
 	size_t caller_count;
 	size_t request_count;
 	struct caller *callers;
--- a/tests/unit/test_records.c
+++ b/tests/unit/test_records.c
@@ -1,5 +1,6 @@
 #include "unit.h"
 
+#include "platform/headers.h"
 #include "platform/records.h"
 #include "platform/settings.h"
 #include "request/admit.h"
@@ -156,6 +157,59 @@
 	records_release(&endpoint);
 }
 
+static void apply_server(router_t *router, const char *id, const char *born)
+{
+	buf_t key = BUF_INIT;
+	buf_t value = BUF_INIT;
+
+	buf_printf(&key, "servers/%s", id);
+	buf_printf(&value,
+		   "{\"service\":\"s1\",\"address\":\"127.0.0.1:5\","
+		   "\"zone\":\"z\",\"state\":\"ready\",\"born\":%s}",
+		   born);
+	records_apply(router, buf_view(&key), buf_view(&value));
+	buf_release(&key);
+	buf_release(&value);
+}
+
+static bool is_cold(const router_t *router, const char *id)
+{
+	const endpoint_t *endpoint = fleet_find(router->fleet, str_from(id));
+
+	return endpoint && endpoint_is_cold(endpoint, router_now_ms(router));
+}
+
+/* Guards FAILBACK: an endpoint may be cold although nothing says so. */
+static void test_unsaid_cold(void)
+{
+	mclock_manual_t clock_now;
+	router_options_t options = {.dialect = headers_dialect(),
+				    .domain = STR_LIT("z"),
+				    .region = STR_LIT("r")};
+	catalog_t *catalog = read_config(1);
+	router_t *router;
+
+	mclock_manual_init(&clock_now, 1000);
+	options.loop = loop_create(&clock_now.base);
+	router = router_create(&options);
+	router_set_catalog(router, catalog);
+	apply_server(router, "old", "1");
+	CU_ASSERT_FALSE(is_cold(router, "old"));
+	mclock_manual_advance(&clock_now, 10000);
+	apply_server(router, "old", "1");
+	apply_server(router, "new", "1");
+	CU_ASSERT_FALSE(is_cold(router, "old"));
+	CU_ASSERT_TRUE(is_cold(router, "new"));
+	/* The same id with another start is another process. */
+	apply_server(router, "old", "2");
+	CU_ASSERT_TRUE(is_cold(router, "old"));
+	mclock_manual_advance(&clock_now, 3000);
+	CU_ASSERT_FALSE(is_cold(router, "new"));
+	router_free(router);
+	loop_free(options.loop);
+	catalog_unref(catalog);
+}
+
 static const char settings_text[] =
 	"node_name=edge-1\nip=127.0.0.1\nzone=z1\nregion=east\n"
 	"zones.z1=east\nzones.z2=west\nlisten.front=127.0.0.1:1\n"
@@ -206,6 +260,7 @@
 			       {"split", test_split},
 			       {"bad configs", test_bad_configs},
 			       {"bad endpoints", test_bad_endpoints},
+			       {"unsaid cold", test_unsaid_cold},
 			       {"settings", test_settings},
 			       {"bad settings", test_bad_settings},
 			       CU_TEST_INFO_NULL};
