--- a/tests/session/test_host.sh
+++ b/tests/session/test_host.sh
@@ -58,6 +58,15 @@
 golden=$(dirname "$0")/golden/host.txt
 compare_golden "transcript of a host" "$golden" "$work/transcript"
 
+# A caller that leaves ends what runs for it (GONE).
+control "$s1" /control/seen >"$work/seen"
+control "$s1" "/control/mode?next=silent"
+ask h1 leaving-caller /once/a -m 0.3 >"$work/left"
+sleep 0.3
+control "$s1" /control/seen >"$work/seen"
+pass_or_fail "a caller's close reaches the server" \
+	grep -q 'closed id=leaving-caller' "$work/seen"
+
 # A second server takes what may be repeated.
 start_server s2 102
 put_server s2 102 plain d1 ready
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -31,6 +31,7 @@
 )
 EVENTS = 5
 POLL_S = 0.01
+SILENT_S = 30
 
 
 class Connection:
@@ -254,7 +255,10 @@
             connection.reset()
             return False
         elif mode == "silent":
-            time.sleep(30)
+            connection.sock.settimeout(SILENT_S)
+            if not connection.sock.recv(1):
+                with self.lock:
+                    self.seen.append("closed id=%s" % own[0][1])
             return False
         elif mode == "garbage":
             connection.sock.sendall(b"\x00\x01 no answer")
