Split the answer's part off the life of a request

Change: reply.c takes endpoints' answers; no behaviour is changed. Result: test_host and test_hosts pass.

--- /dev/null
+++ b/lib/request/reply.c
@@ -0,0 +1,211 @@
+#include "request/request_internal.h"
+
+#include "request/answer.h"
+#include "request/caller.h"
+#include "request/channel.h"
+
+/* Answers up to this size are held until they are whole. */
+#define REPLY_HOLD_BYTES (256 * 1024)
+/* Weight of the newest answer in mean times. */
+#define REPLY_MEAN_WEIGHT 0.1
+#define REPLY_EXCESS_WEIGHT 0.3
+#define REPLY_SPEED_WEIGHT 0.05
+/* Prompts that tell an engine's speed, and the bounds of it in tokens a ms. */
+#define REPLY_SPEED_MIN_TOKENS 3000
+#define REPLY_SPEED_MIN 10.0
+#define REPLY_SPEED_MAX 1000.0
+
+static bool is_event_stream(const request_t *request, const reply_t *reply)
+{
+	return request->admission.route->kind == CATALOG_STREAM &&
+	       reply->status == 200;
+}
+
+void request_on_reply_head(request_t *request, const http1_head_t *head,
+			   const reply_t *reply)
+{
+	endpoint_t *endpoint = request->endpoint;
+	int64_t now_ms = request_now_ms(request);
+
+	(void)head;
+	request->progress_ms = now_ms;
+	request->reply = *reply;
+	request->reply_head = head;
+	if (reply->cold_ms > 0 &&
+	    now_ms + reply->cold_ms > endpoint->cold_until_ms)
+		endpoint->cold_until_ms = now_ms + reply->cold_ms;
+}
+
+static double mean(double before, double sample, double weight)
+{
+	return before > 0.0 ? before + weight * (sample - before) : sample;
+}
+
+/* A long prompt that nothing else was read beside tells the engine's speed. */
+static void learn_speed(const request_t *request, double taken_ms)
+{
+	service_stats_t *stats = request_stats(request);
+	double reading_ms = taken_ms - request->trip_ms - ROUTER_ENGINE_BASE_MS;
+	double speed;
+
+	if (!request->alone || request->unread_tokens < REPLY_SPEED_MIN_TOKENS)
+		return;
+	speed = reading_ms > 1.0 ? (double)request->unread_tokens / reading_ms :
+				   REPLY_SPEED_MAX;
+	if (speed < REPLY_SPEED_MIN)
+		speed = REPLY_SPEED_MIN;
+	if (speed > REPLY_SPEED_MAX)
+		speed = REPLY_SPEED_MAX;
+	stats->tokens_per_ms =
+		mean(stats->tokens_per_ms, speed, REPLY_SPEED_WEIGHT);
+}
+
+/* The first event or the answer has come: what it tells of the endpoint. */
+static void learn(request_t *request)
+{
+	endpoint_t *endpoint = request->endpoint;
+	service_stats_t *stats = request_stats(request);
+	int64_t now_ms = request_now_ms(request);
+	double taken_ms = (double)(now_ms - request->sent_ms);
+	double excess_ms = taken_ms - request->expected_ms;
+
+	if (request->admission.route->kind != CATALOG_STREAM)
+		stats->service_ms =
+			mean(stats->service_ms, taken_ms, REPLY_MEAN_WEIGHT);
+	else
+		learn_speed(request, taken_ms);
+	endpoint->excess_ms +=
+		REPLY_EXCESS_WEIGHT *
+		((excess_ms > 0.0 ? excess_ms : 0.0) - endpoint->excess_ms);
+	endpoint->excess_set_ms = now_ms;
+	request_release_backlog(request, endpoint);
+}
+
+static void note_pause(request_t *request)
+{
+	int64_t now_ms = request_now_ms(request);
+	int64_t pause_ms = now_ms - request->last_event_ms;
+
+	if (request->last_event_ms && pause_ms > request->longest_pause_ms)
+		request->longest_pause_ms = pause_ms;
+	request->last_event_ms = now_ms;
+}
+
+static void pass_event(request_t *request, const event_t *event)
+{
+	if (event->id.ptr &&
+	    !event_id_is_after(event->id, str_from(request->last_event_id)))
+		return;
+	if (!request->event_count) {
+		request->first_event_ms = request_now_ms(request);
+		learn(request);
+	}
+	note_pause(request);
+	request->event_count++;
+	if (event->id.ptr)
+		str_copy(request->last_event_id, sizeof(request->last_event_id),
+			 event->id);
+	buf_append_str(&request->answer, event->text);
+}
+
+static void pass_events(request_t *request, str_t data)
+{
+	event_t event;
+
+	events_feed(&request->events, data);
+	buf_reset(&request->answer);
+	while (events_next(&request->events, &event))
+		pass_event(request, &event);
+	if (!request->answer.len)
+		return;
+	if (request->state != REQUEST_ANSWERING)
+		answer_begin(request, request->reply_head);
+	answer_part(request, buf_view(&request->answer));
+	if (caller_is_slow(request->caller))
+		channel_set_reading(request->channel, false);
+}
+
+void request_on_reply_body(request_t *request, str_t data)
+{
+	const reply_t *reply = &request->reply;
+
+	request->progress_ms = request_now_ms(request);
+	if (reply->not_run || reply->misdirected)
+		return;
+	if (is_event_stream(request, reply)) {
+		pass_events(request, data);
+		return;
+	}
+	if (request->state == REQUEST_ANSWERING) {
+		answer_part(request, data);
+		if (caller_is_slow(request->caller))
+			channel_set_reading(request->channel, false);
+		return;
+	}
+	buf_append_str(&request->answer, data);
+	if (request->answer.len > REPLY_HOLD_BYTES) {
+		answer_begin(request, request->reply_head);
+		answer_part(request, buf_view(&request->answer));
+		buf_release(&request->answer);
+	}
+}
+
+void request_resume_reading(request_t *request)
+{
+	request->progress_ms = request_now_ms(request);
+	channel_set_reading(request->channel, true);
+}
+
+static void on_success(request_t *request)
+{
+	breaker_on_success(&request->endpoint->breaker,
+			   request_now_ms(request));
+	if (!request->event_count)
+		learn(request);
+}
+
+static void end_stream(request_t *request, const http1_head_t *head)
+{
+	if (events_rest(&request->events).len) {
+		request_on_failure(request, SEND_LOST);
+		return;
+	}
+	on_success(request);
+	if (request->state != REQUEST_ANSWERING)
+		answer_begin(request, head);
+	answer_end(request);
+}
+
+void request_on_reply_end(request_t *request, const http1_head_t *head,
+			  const reply_t *reply)
+{
+	if (reply->not_run || reply->misdirected) {
+		request_on_failure(request, SEND_NOT_RUN);
+		return;
+	}
+	if (is_event_stream(request, reply)) {
+		end_stream(request, head);
+		return;
+	}
+	if (request->state == REQUEST_ANSWERING && request->event_count) {
+		/* A resumed stream got an answer that isn't a stream. */
+		request_on_failure(request, SEND_FAILED);
+		return;
+	}
+	if (reply->status >= 500 && request_may_send_again(request) &&
+	    repeats_left(&request_stats(request)->repeats, 0,
+			 request_now_ms(request))) {
+		request_on_failure(request, SEND_FAILED);
+		return;
+	}
+	if (reply->status >= 500)
+		breaker_on_fault(&request->endpoint->breaker,
+				 BREAKER_REQUEST_FAILED,
+				 request_now_ms(request));
+	else
+		on_success(request);
+	if (request->state == REQUEST_ANSWERING)
+		answer_end(request);
+	else
+		answer_whole(request, head, reply);
+}
--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -1,4 +1,4 @@
-#include "request/request.h"
+#include "request/request_internal.h"
 
 #include <stdlib.h>
 #include <xxhash.h>
@@ -23,8 +23,6 @@
 #define REQUEST_RETRY_MS 250
 /* The same while no configuration is known: it takes longer to come. */
 #define REQUEST_START_RETRY_MS 800
-/* Answers up to this size are held until they are whole. */
-#define REQUEST_HOLD_BYTES (256 * 1024)
 /* A repeatable request is sent again when its answer takes this many times the
  * usual one, or this part of its target. */
 #define REQUEST_SILENCE_TIMES 4.0
@@ -34,24 +32,16 @@
 #define REQUEST_FIRST_EVENT_TARGETS 2
 #define REQUEST_PAUSE_TARGETS 4
 #define REQUEST_MIN_PAUSE_MS 700
-/* Weight of the newest answer in mean times. */
-#define REQUEST_MEAN_WEIGHT 0.1
-#define REQUEST_EXCESS_WEIGHT 0.3
-#define REQUEST_SPEED_WEIGHT 0.05
-/* Prompts that tell an engine's speed, and the bounds of it in tokens a ms. */
-#define REQUEST_SPEED_MIN_TOKENS 3000
-#define REQUEST_SPEED_MIN 10.0
-#define REQUEST_SPEED_MAX 1000.0
 
 static void on_end_timer(void *user);
 static void on_progress_timer(void *user);
 
-static int64_t now_of(const request_t *request)
+int64_t request_now_ms(const request_t *request)
 {
 	return router_now_ms(request->router);
 }
 
-static service_stats_t *stats_of(const request_t *request)
+service_stats_t *request_stats(const request_t *request)
 {
 	return router_service(request->router, request->admission.service_name);
 }
@@ -105,8 +95,7 @@
 	router_free_later(router, request);
 }
 
-/* The endpoint has read the prompt, or never will. */
-static void release_backlog(request_t *request, endpoint_t *endpoint)
+void request_release_backlog(request_t *request, endpoint_t *endpoint)
 {
 	endpoint->backlog_tokens -= request->backlog_tokens;
 	request->backlog_tokens = 0;
@@ -119,7 +108,7 @@
 	if (!endpoint)
 		return;
 	loop_timer_cancel(request->router->loop, &request->progress_timer);
-	release_backlog(request, endpoint);
+	request_release_backlog(request, endpoint);
 	endpoint->in_flight--;
 	request->endpoint = NULL;
 	endpoint_unref(endpoint);
@@ -144,7 +133,7 @@
 	plog_write(PLOG_REQUEST_ABANDONED,
 		   "id=%" STR_FMT " ms=%lld sends=%u endpoint=%s",
 		   STR_ARG(request->call.id),
-		   (long long)(now_of(request) - request->arrived_ms),
+		   (long long)(request_now_ms(request) - request->arrived_ms),
 		   request->sends,
 		   request->endpoint ? request->endpoint->id : "-");
 	metrics_inc(METRIC_ABANDONED);
@@ -181,9 +170,10 @@
 	else if (!request->runs)
 		answer_not_run(request, reason, retry_after(request));
 	else
-		answer_failed(request,
-			      now_of(request) >= request->ends_ms ? 504 : 502,
-			      reason);
+		answer_failed(
+			request,
+			request_now_ms(request) >= request->ends_ms ? 504 : 502,
+			reason);
 }
 
 static void on_end_timer(void *user)
@@ -210,8 +200,8 @@
 	if (verdict == ADMIT_OK) {
 		if (first) {
 			set_end(request);
-			repeats_on_request(&stats_of(request)->repeats,
-					   now_of(request));
+			repeats_on_request(&request_stats(request)->repeats,
+					   request_now_ms(request));
 		}
 		return true;
 	}
@@ -232,7 +222,8 @@
 /* True while the request may still wait for this part of its target. */
 static bool may_wait(const request_t *request, double part)
 {
-	double waited_ms = (double)(now_of(request) - request->arrived_ms);
+	double waited_ms =
+		(double)(request_now_ms(request) - request->arrived_ms);
 
 	return request->state != REQUEST_ANSWERING &&
 	       waited_ms < part * request->admission.route->target_ms;
@@ -251,13 +242,14 @@
 	request->reading_share = choice->reading_share;
 	request->unread_tokens = choice->unread_tokens;
 	endpoint->backlog_tokens += choice->unread_tokens;
-	endpoint_count_tokens(endpoint, choice->unread_tokens, now_of(request));
+	endpoint_count_tokens(endpoint, choice->unread_tokens,
+			      request_now_ms(request));
 	request->expected_ms = choice->expected_ms;
 	request->state = request->state == REQUEST_ANSWERING ?
 				 REQUEST_ANSWERING :
 				 REQUEST_SENT;
-	coldgate_on_send(&endpoint->gate, now_of(request));
-	breaker_on_send(&endpoint->breaker, now_of(request));
+	coldgate_on_send(&endpoint->gate, request_now_ms(request));
+	breaker_on_send(&endpoint->breaker, request_now_ms(request));
 	prefixmap_on_send(&request->router->prefixes, endpoint->hash,
 			  &request->call.parts);
 }
@@ -293,7 +285,8 @@
 	if (result != CHOOSE_OK)
 		conclude(request, "no endpoint may take the request");
 	else if (request->sends &&
-		 !repeats_take(&stats_of(request)->repeats, now_of(request)))
+		 !repeats_take(&request_stats(request)->repeats,
+			       request_now_ms(request)))
 		conclude(request, "no further send is allowed");
 	else
 		send_to(request, &choice);
@@ -303,7 +296,7 @@
 static int64_t patience(const request_t *request)
 {
 	const catalog_route_t *route = request->admission.route;
-	double usual_ms = stats_of(request)->service_ms;
+	double usual_ms = request_stats(request)->service_ms;
 	int64_t ms;
 
 	if (!admit_may_repeat(&request->admission) ||
@@ -332,7 +325,7 @@
 {
 	request_t *request = user;
 	int64_t limit_ms = patience(request);
-	int64_t silent_ms = now_of(request) - request->progress_ms;
+	int64_t silent_ms = request_now_ms(request) - request->progress_ms;
 
 	if (!limit_ms)
 		return;
@@ -342,7 +335,8 @@
 						limit_ms);
 		return;
 	}
-	if (!repeats_left(&stats_of(request)->repeats, 0, now_of(request)))
+	if (!repeats_left(&request_stats(request)->repeats, 0,
+			  request_now_ms(request)))
 		return;
 	channel_cancel(request->channel);
 	request->channel = NULL;
@@ -355,7 +349,7 @@
 
 	request->sends++;
 	request->runs++;
-	request->sent_ms = now_of(request);
+	request->sent_ms = request_now_ms(request);
 	request->progress_ms = request->sent_ms;
 	limit_ms = patience(request);
 	if (limit_ms)
@@ -377,215 +371,21 @@
 		   (long long)catalog_version(request->catalog));
 }
 
-static bool is_event_stream(const request_t *request, const reply_t *reply)
-{
-	return request->admission.route->kind == CATALOG_STREAM &&
-	       reply->status == 200;
-}
-
-void request_on_reply_head(request_t *request, const http1_head_t *head,
-			   const reply_t *reply)
-{
-	endpoint_t *endpoint = request->endpoint;
-	int64_t now_ms = now_of(request);
-
-	(void)head;
-	request->progress_ms = now_ms;
-	request->reply = *reply;
-	request->reply_head = head;
-	if (reply->cold_ms > 0 &&
-	    now_ms + reply->cold_ms > endpoint->cold_until_ms)
-		endpoint->cold_until_ms = now_ms + reply->cold_ms;
-}
-
-static double mean(double before, double sample, double weight)
-{
-	return before > 0.0 ? before + weight * (sample - before) : sample;
-}
-
-/* A long prompt that nothing else was read beside tells the engine's speed. */
-static void learn_speed(const request_t *request, double taken_ms)
-{
-	service_stats_t *stats = stats_of(request);
-	double reading_ms = taken_ms - request->trip_ms - ROUTER_ENGINE_BASE_MS;
-	double speed;
-
-	if (!request->alone ||
-	    request->unread_tokens < REQUEST_SPEED_MIN_TOKENS)
-		return;
-	speed = reading_ms > 1.0 ? (double)request->unread_tokens / reading_ms :
-				   REQUEST_SPEED_MAX;
-	if (speed < REQUEST_SPEED_MIN)
-		speed = REQUEST_SPEED_MIN;
-	if (speed > REQUEST_SPEED_MAX)
-		speed = REQUEST_SPEED_MAX;
-	stats->tokens_per_ms =
-		mean(stats->tokens_per_ms, speed, REQUEST_SPEED_WEIGHT);
-}
-
-/* The first event or the answer has come: what it tells of the endpoint. */
-static void learn(request_t *request)
-{
-	endpoint_t *endpoint = request->endpoint;
-	service_stats_t *stats = stats_of(request);
-	int64_t now_ms = now_of(request);
-	double taken_ms = (double)(now_ms - request->sent_ms);
-	double excess_ms = taken_ms - request->expected_ms;
-
-	if (request->admission.route->kind != CATALOG_STREAM)
-		stats->service_ms =
-			mean(stats->service_ms, taken_ms, REQUEST_MEAN_WEIGHT);
-	else
-		learn_speed(request, taken_ms);
-	endpoint->excess_ms +=
-		REQUEST_EXCESS_WEIGHT *
-		((excess_ms > 0.0 ? excess_ms : 0.0) - endpoint->excess_ms);
-	endpoint->excess_set_ms = now_ms;
-	release_backlog(request, endpoint);
-}
-
-static void note_pause(request_t *request)
-{
-	int64_t now_ms = now_of(request);
-	int64_t pause_ms = now_ms - request->last_event_ms;
-
-	if (request->last_event_ms && pause_ms > request->longest_pause_ms)
-		request->longest_pause_ms = pause_ms;
-	request->last_event_ms = now_ms;
-}
-
-static void pass_event(request_t *request, const event_t *event)
-{
-	if (event->id.ptr &&
-	    !event_id_is_after(event->id, str_from(request->last_event_id)))
-		return;
-	if (!request->event_count) {
-		request->first_event_ms = now_of(request);
-		learn(request);
-	}
-	note_pause(request);
-	request->event_count++;
-	if (event->id.ptr)
-		str_copy(request->last_event_id, sizeof(request->last_event_id),
-			 event->id);
-	buf_append_str(&request->answer, event->text);
-}
-
-static void pass_events(request_t *request, str_t data)
-{
-	event_t event;
-
-	events_feed(&request->events, data);
-	buf_reset(&request->answer);
-	while (events_next(&request->events, &event))
-		pass_event(request, &event);
-	if (!request->answer.len)
-		return;
-	if (request->state != REQUEST_ANSWERING)
-		answer_begin(request, request->reply_head);
-	answer_part(request, buf_view(&request->answer));
-	if (caller_is_slow(request->caller))
-		channel_set_reading(request->channel, false);
-}
-
-void request_on_reply_body(request_t *request, str_t data)
-{
-	const reply_t *reply = &request->reply;
-
-	request->progress_ms = now_of(request);
-	if (reply->not_run || reply->misdirected)
-		return;
-	if (is_event_stream(request, reply)) {
-		pass_events(request, data);
-		return;
-	}
-	if (request->state == REQUEST_ANSWERING) {
-		answer_part(request, data);
-		if (caller_is_slow(request->caller))
-			channel_set_reading(request->channel, false);
-		return;
-	}
-	buf_append_str(&request->answer, data);
-	if (request->answer.len > REQUEST_HOLD_BYTES) {
-		answer_begin(request, request->reply_head);
-		answer_part(request, buf_view(&request->answer));
-		buf_release(&request->answer);
-	}
-}
-
-void request_resume_reading(request_t *request)
-{
-	request->progress_ms = now_of(request);
-	channel_set_reading(request->channel, true);
-}
-
-static void on_success(request_t *request)
-{
-	breaker_on_success(&request->endpoint->breaker, now_of(request));
-	if (!request->event_count)
-		learn(request);
-}
-
-static void end_stream(request_t *request, const http1_head_t *head)
-{
-	if (events_rest(&request->events).len) {
-		request_on_failure(request, SEND_LOST);
-		return;
-	}
-	on_success(request);
-	if (request->state != REQUEST_ANSWERING)
-		answer_begin(request, head);
-	answer_end(request);
-}
-
-/* True when a request that an endpoint failed may be sent to another one. */
-static bool may_send_again(const request_t *request)
+bool request_may_send_again(const request_t *request)
 {
 	const catalog_route_t *route = request->admission.route;
 
-	if (now_of(request) >= request->ends_ms ||
+	if (request_now_ms(request) >= request->ends_ms ||
 	    request->failures >= REQUEST_MAX_FAILURES)
 		return false;
 	return !request->runs || (admit_may_repeat(&request->admission) &&
 				  request->runs < route->max_attempts);
 }
 
-void request_on_reply_end(request_t *request, const http1_head_t *head,
-			  const reply_t *reply)
-{
-	if (reply->not_run || reply->misdirected) {
-		request_on_failure(request, SEND_NOT_RUN);
-		return;
-	}
-	if (is_event_stream(request, reply)) {
-		end_stream(request, head);
-		return;
-	}
-	if (request->state == REQUEST_ANSWERING && request->event_count) {
-		/* A resumed stream got an answer that isn't a stream. */
-		request_on_failure(request, SEND_FAILED);
-		return;
-	}
-	if (reply->status >= 500 && may_send_again(request) &&
-	    repeats_left(&stats_of(request)->repeats, 0, now_of(request))) {
-		request_on_failure(request, SEND_FAILED);
-		return;
-	}
-	if (reply->status >= 500)
-		breaker_on_fault(&request->endpoint->breaker,
-				 BREAKER_REQUEST_FAILED, now_of(request));
-	else
-		on_success(request);
-	if (request->state == REQUEST_ANSWERING)
-		answer_end(request);
-	else
-		answer_whole(request, head, reply);
-}
-
 static void judge_endpoint(request_t *request, send_failure_t failure)
 {
 	breaker_t *breaker = &request->endpoint->breaker;
-	int64_t now_ms = now_of(request);
+	int64_t now_ms = request_now_ms(request);
 
 	switch (failure) {
 	case SEND_NOT_CONNECTED:
@@ -628,13 +428,13 @@
 			   request->reply.status :
 			   0,
 		   request->sends, request->runs,
-		   (long long)(now_of(request) - request->arrived_ms));
+		   (long long)(request_now_ms(request) - request->arrived_ms));
 	judge_endpoint(request, failure);
 	add_tried(request, request->endpoint);
 	release_send(request);
 	events_clear(&request->events);
 	buf_reset(&request->answer);
-	if (may_send_again(request))
+	if (request_may_send_again(request))
 		request_dispatch(request);
 	else
 		conclude(request, failure_name(failure));
