Split the messages of a pull off peersync

Change: pullcodec.c reads and writes the messages and checks an answer whole before it changes the replica; test_replica has round trips and cut messages.

--- a/Makefile
+++ b/Makefile
@@ -76,7 +76,8 @@
 	platform/*.c lib/request/*.c) \
 	$(patsubst %,lib/base/%.c,buf err mclock metrics plog str) \
 	$(patsubst %,lib/coordination/%.c,balance breaker coldgate gossip \
-	loadboard peersync prefixmap repeats) \
+	loadboard peersync prefixmap \
+	pullcodec repeats) \
 	$(patsubst %,lib/state/%.c,catalog fleet replica) \
 	$(patsubst %,lib/transport/%.c,address frame http1 loop monitor tcp \
 	udp)
--- a/lib/coordination/peersync.c
+++ b/lib/coordination/peersync.c
@@ -1,7 +1,6 @@
 #include "coordination/peersync.h"
 
 #include <arpa/inet.h>
-#include <msgpack.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
@@ -9,6 +8,7 @@
 
 #include "base/metrics.h"
 #include "base/plog.h"
+#include "coordination/pullcodec.h"
 #include "transport/address.h"
 #include "transport/frame.h"
 #include "transport/tcp.h"
@@ -23,8 +23,6 @@
 #define MIN_DOMAIN_HOSTS 4
 #define MIN_ALL_HOSTS 12
 #define LEARN_MS 3000
-#define ANSWER_FIELDS 3
-#define RECORD_FIELDS 3
 
 /* A connection over which a pull is asked for or answered. */
 typedef struct pull {
@@ -81,136 +79,38 @@
 	end_pull(user);
 }
 
-static int append_packed(void *user, const char *data, size_t len)
-{
-	buf_append(user, data, len);
-	return 0;
-}
-
-/* Records are packed into a buffer of their own, to be counted first. */
-typedef struct pack {
-	msgpack_packer packer;
-	buf_t records;
-	size_t count;
-} pack_t;
-
-static void pack_record(void *user, str_t key, str_t value, int64_t revision)
-{
-	pack_t *pack = user;
-
-	msgpack_pack_array(&pack->packer, RECORD_FIELDS);
-	msgpack_pack_str_with_body(&pack->packer, key.ptr, key.len);
-	msgpack_pack_int64(&pack->packer, revision);
-	if (value.ptr)
-		msgpack_pack_bin_with_body(&pack->packer, value.ptr, value.len);
-	else
-		msgpack_pack_nil(&pack->packer);
-	pack->count++;
-}
-
-/* Writes [revision, whether these are changes, records]. */
-static void write_answer(const peersync_t *peersync, int64_t after, buf_t *out)
-{
-	pack_t pack = {.records = BUF_INIT};
-	msgpack_packer packer;
-	bool changes;
-
-	msgpack_packer_init(&pack.packer, &pack.records, append_packed);
-	changes = replica_changes(peersync->replica, after, pack_record, &pack);
-	msgpack_packer_init(&packer, out, append_packed);
-	msgpack_pack_array(&packer, ANSWER_FIELDS);
-	msgpack_pack_int64(&packer, replica_revision(peersync->replica));
-	if (changes)
-		msgpack_pack_true(&packer);
-	else
-		msgpack_pack_false(&packer);
-	msgpack_pack_array(&packer, pack.count);
-	buf_append_str(out, buf_view(&pack.records));
-	buf_release(&pack.records);
-}
-
-static void apply_record(replica_t *replica, const msgpack_object *item)
+static void on_answer(pull_t *pull, str_t content)
 {
-	const msgpack_object *fields = item->via.array.ptr;
-	str_t key;
+	peersync_t *peersync = pull->peersync;
 	int64_t revision;
+	err_t err;
 
-	if (item->type != MSGPACK_OBJECT_ARRAY ||
-	    item->via.array.size != RECORD_FIELDS ||
-	    fields[0].type != MSGPACK_OBJECT_STR ||
-	    fields[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
-		metrics_inc(METRIC_RECORDS_INVALID);
+	if (pullcodec_apply_answer(peersync->replica, content, &revision,
+				   &err)) {
+		plog_write(PLOG_MESSAGE_INVALID, "peer=%s step=%s", pull->peer,
+			   err.step);
 		return;
 	}
-	key = (str_t){fields[0].via.str.ptr, fields[0].via.str.size};
-	revision = (int64_t)fields[1].via.u64;
-	if (fields[2].type == MSGPACK_OBJECT_BIN)
-		replica_put(
-			replica, key,
-			(str_t){fields[2].via.bin.ptr, fields[2].via.bin.size},
-			revision);
-	else
-		replica_remove(replica, key, revision);
-}
-
-static bool apply_answer(pull_t *pull, const msgpack_object *root)
-{
-	peersync_t *peersync = pull->peersync;
-	const msgpack_object *fields = root->via.array.ptr;
-	int64_t before = replica_revision(peersync->replica);
-	int64_t revision;
-
-	if (root->type != MSGPACK_OBJECT_ARRAY ||
-	    root->via.array.size != ANSWER_FIELDS ||
-	    fields[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-	    fields[1].type != MSGPACK_OBJECT_BOOLEAN ||
-	    fields[2].type != MSGPACK_OBJECT_ARRAY)
-		return false;
-	revision = (int64_t)fields[0].via.u64;
-	if (revision <= before)
-		return true;
-	if (!fields[1].via.boolean)
-		replica_begin(peersync->replica);
-	for (uint32_t i = 0; i < fields[2].via.array.size; i++)
-		apply_record(peersync->replica, &fields[2].via.array.ptr[i]);
-	if (!fields[1].via.boolean)
-		replica_end(peersync->replica, revision);
-	replica_advance(peersync->replica, revision);
-	peersync->observer.pulled(peersync->observer.user, pull->peer,
-				  revision);
-	return true;
-}
-
-static void on_answer(pull_t *pull, str_t content)
-{
-	msgpack_unpacked unpacked;
-
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, content.ptr, content.len, NULL) !=
-		    MSGPACK_UNPACK_SUCCESS ||
-	    !apply_answer(pull, &unpacked.data))
-		plog_write(PLOG_MESSAGE_INVALID, "peer=%s step=read-pull",
-			   pull->peer);
-	msgpack_unpacked_destroy(&unpacked);
+	if (revision)
+		peersync->observer.pulled(peersync->observer.user, pull->peer,
+					  revision);
 }
 
 static void on_question(pull_t *pull, str_t content)
 {
-	msgpack_unpacked unpacked;
 	buf_t answer = BUF_INIT;
 	buf_t out = BUF_INIT;
+	int64_t after;
+	err_t err;
 
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, content.ptr, content.len, NULL) ==
-		    MSGPACK_UNPACK_SUCCESS &&
-	    unpacked.data.type == MSGPACK_OBJECT_POSITIVE_INTEGER) {
-		write_answer(pull->peersync, (int64_t)unpacked.data.via.u64,
-			     &answer);
-		frame_append(&out, buf_view(&answer));
-		tcp_send(&pull->tcp, buf_view(&out));
-		pull->answered = true;
+	if (pullcodec_read_question(content, &after, &err)) {
+		plog_write(PLOG_MESSAGE_INVALID, "peer=- step=%s", err.step);
+		return;
 	}
-	msgpack_unpacked_destroy(&unpacked);
+	pullcodec_write_answer(pull->peersync->replica, after, &answer);
+	frame_append(&out, buf_view(&answer));
+	tcp_send(&pull->tcp, buf_view(&out));
+	pull->answered = true;
 	buf_release(&answer);
 	buf_release(&out);
 }
@@ -238,12 +138,11 @@
 
 static void ask(pull_t *pull)
 {
-	msgpack_packer packer;
 	buf_t question = BUF_INIT;
 	buf_t out = BUF_INIT;
 
-	msgpack_packer_init(&packer, &question, append_packed);
-	msgpack_pack_int64(&packer, replica_revision(pull->peersync->replica));
+	pullcodec_write_question(replica_revision(pull->peersync->replica),
+				 &question);
 	frame_append(&out, buf_view(&question));
 	tcp_send(&pull->tcp, buf_view(&out));
 	buf_release(&question);
--- a/tests/unit/test_replica.c
+++ b/tests/unit/test_replica.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 
 #include "base/buf.h"
+#include "coordination/pullcodec.h"
 #include "state/replica.h"
 
 static buf_t changes;
@@ -116,12 +117,57 @@
 	buf_release(&changes);
 }
 
+/* Guards against a pull that loses or changes records on its way. */
+static void test_pull(void)
+{
+	replica_t *from = make();
+	replica_t *to = make();
+	buf_t message = BUF_INIT;
+	int64_t revision;
+
+	replica_put(from, STR_LIT("a"), STR_LIT("x\0y"), 1);
+	replica_put(from, STR_LIT("b"), STR_LIT(""), 2);
+	replica_put(to, STR_LIT("gone"), STR_LIT("1"), 1);
+	replica_advance(from, 5);
+	buf_reset(&changes);
+	pullcodec_write_answer(from, 0, &message);
+	CU_ASSERT_EQUAL(
+		pullcodec_apply_answer(to, buf_view(&message), &revision, NULL),
+		ERR_OK);
+	CU_ASSERT_EQUAL(revision, 5);
+	CU_ASSERT_EQUAL(replica_count(to), 2);
+	CU_ASSERT_EQUAL(
+		pullcodec_apply_answer(to, buf_view(&message), &revision, NULL),
+		ERR_OK);
+	CU_ASSERT_EQUAL(revision, 0);
+	/* A message that was cut changes nothing. */
+	for (size_t len = 0; len < message.len; len++)
+		CU_ASSERT_EQUAL(
+			pullcodec_apply_answer(to, (str_t){message.ptr, len},
+					       &revision, NULL),
+			ERR_INVALID);
+	CU_ASSERT_EQUAL(replica_count(to), 2);
+	buf_reset(&message);
+	pullcodec_write_question(77, &message);
+	CU_ASSERT_EQUAL(
+		pullcodec_read_question(buf_view(&message), &revision, NULL),
+		ERR_OK);
+	CU_ASSERT_EQUAL(revision, 77);
+	CU_ASSERT_EQUAL(
+		pullcodec_read_question(STR_LIT("\xa1z"), &revision, NULL),
+		ERR_INVALID);
+	buf_release(&message);
+	replica_free(from);
+	replica_free(to);
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {{"never back", test_never_back},
 			       {"listing", test_listing},
 			       {"changes", test_changes},
 			       {"dropped tombstones", test_dropped_tombstones},
+			       {"pull", test_pull},
 			       CU_TEST_INFO_NULL};
 
 	return unit_run("replica", tests);
