--- a/programs/peridot-hostd.c
+++ b/programs/peridot-hostd.c
@@ -19,7 +19,7 @@
 
 static const struct argp_option options[] = {
 	{"settings", 's', "FILE", 0,
-	 "Settings file; default: the file that PERIDOTPIN_BOOT names", 0},
+	 "Settings file; default: the file that the environment names", 0},
 	{"log-level", 'l', "LEVEL", 0,
 	 "debug, info, warn or error; default info", 0},
 	{"check", 'c', NULL, 0, "Check the settings and exit", 0},
