--- a/Makefile
+++ b/Makefile
@@ -74,7 +74,8 @@
 # each shared one costs memory on a small host.
 HOSTD_C := programs/peridot-hostd.c $(wildcard programs/hostd/*.c \
 	platform/*.c lib/request/*.c) \
-	$(patsubst %,lib/base/%.c,buf err mclock metrics plog str) \
+	$(patsubst %,lib/base/%.c,buf err histogram mclock metrics \
+	plog str) \
 	$(patsubst %,lib/coordination/%.c,balance breaker coldgate gossip \
 	loadboard peersync prefixmap \
 	pullcodec repeats) \
--- a/lib/request/answer.c
+++ b/lib/request/answer.c
@@ -3,6 +3,7 @@
 #include <assert.h>
 #include <stdio.h>
 
+#include "base/histogram.h"
 #include "base/metrics.h"
 #include "base/plog.h"
 #include "request/caller.h"
@@ -20,6 +21,11 @@
 
 	snprintf(text, sizeof(text), "%u", status);
 	metrics_add(METRIC_ANSWERS, str_from(text), 1);
+	histogram_observe(HISTOGRAM_ANSWER, now_ms - request->arrived_ms);
+	if (request->first_event_ms)
+		histogram_observe(HISTOGRAM_FIRST_EVENT,
+				  request->first_event_ms -
+					  request->arrived_ms);
 	plog_write(PLOG_REQUEST_ENDED,
 		   "id=%" STR_FMT " route=%" STR_FMT
 		   " status=%u reason=\"%s\" ms=%lld first_ms=%lld "
--- a/programs/hostd/host.c
+++ b/programs/hostd/host.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 #include <xxhash.h>
 
+#include "base/histogram.h"
 #include "base/metrics.h"
 #include "base/plog.h"
 #include "platform/headers.h"
@@ -225,6 +226,7 @@
 		return;
 	page->status = 200;
 	metrics_render(&page->body);
+	histogram_render(&page->body);
 }
 
 static void on_callers(void *user, uint32_t events)
--- a/tests/session/test_host.sh
+++ b/tests/session/test_host.sh
@@ -106,4 +106,12 @@
 done
 pass_or_fail "at least one of the streams was broken" test $resumed -gt 0
 
+# What on-call engineers look at first.
+curl -s -m 2 "http://${host_ip[h1]}:9464/metrics" >"$work/metrics"
+for name in 'peridot_answers_total{status="502"}' peridot_answer_ms_count \
+	'peridot_first_event_ms_bucket{le="+Inf"}'
+do
+	pass_or_fail "metrics have $name" grep -qF "$name " "$work/metrics"
+done
+
 finish
