--- a/programs/hostd/host.c
+++ b/programs/hostd/host.c
@@ -52,9 +52,8 @@
 				 .cold_slack = settings->cold_slack};
 }
 
-static void read_seeds(host_t *host)
+static void read_seeds(host_t *host, const psettings_t *settings)
 {
-	const psettings_t *settings = host->settings;
 	str_t ips[PSETTINGS_MAX_SEEDS];
 	size_t count = 0;
 
@@ -99,15 +98,11 @@
 	return host->settings_path ? ERR_OK : ERR_FULL;
 }
 
-/* Puts changed settings in force, but for addresses this host listens on. */
+/* Puts changed settings in force, but for the host's own names and addresses,
+ * of which the router and the listeners keep views. */
 static void apply_settings(host_t *host, psettings_t *settings)
 {
-	/* The router and the listeners keep views of the first settings. */
-	host->settings->seed_count = settings->seed_count;
-	for (size_t i = 0; i < settings->seed_count; i++)
-		host->settings->seeds[i] = settings->seeds[i];
-	read_seeds(host);
-	host->settings->seed_count = 0;
+	read_seeds(host, settings);
 	host->router->bounds = bounds_of(settings);
 	host->settings->grace_ms = settings->grace_ms;
 	for (size_t i = 0; i < settings->domain_count; i++)
@@ -329,7 +324,7 @@
 
 	if (code)
 		return code;
-	read_seeds(host);
+	read_seeds(host, settings);
 	if (settings->last_port == settings->first_port)
 		return ERR_OK;
 	host->loadsync = loadsync_create(host->router, host->peersync,
--- a/tests/session/test_hosts.sh
+++ b/tests/session/test_hosts.sh
@@ -123,6 +123,15 @@
 pass_or_fail "a stop is logged" grep -q 'E1003 stopped callers=0' \
 	"$work/h1.out"
 
+# The settings file changes without a signal: the service has moved.
+pass_or_fail "a host without the store has not reached it" \
+	eval '! grep -q store-reached "$work/h2.out"'
+sed -i "s/^platform.address=.*/platform.address=$reachable/" "$work/h2.conf"
+expect_until "a changed settings file is in force" \
+	grep -q settings-reloaded "$work/h2.out"
+expect_until "the service is reached at its new address" \
+	grep -q store-reached "$work/h2.out"
+
 # Lost for good: the other host goes on without store and peer.
 stop_program store KILL
 sleep 0.5
