--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -16,6 +16,7 @@
   whole   a 200 has the server's whole body, its stamp and the request's id;
           a stream that ends has all its events in order
   leaving a server gets nothing 3 s after its entry said draining
+  alive   no host ends by itself, and no sanitizer reports anything
 Prints counts and every breach; exits with 1 after a breach.
 """
 
@@ -133,6 +134,10 @@
     def stop(self, name, number):
         process = self.processes.pop(name, None)
         if process:
+            if process.poll() is not None:
+                self.breaches.append("%s ended by itself with %d" % (
+                    name, process.returncode))
+                return
             process.send_signal(signal.SIGCONT)
             process.send_signal(number)
             process.wait(20)
@@ -419,6 +424,11 @@
     def close(self):
         for name in list(self.processes):
             self.stop(name, signal.SIGKILL)
+        for index in range(self.hosts):
+            path = os.path.join(self.work.name, "h%d.log" % index)
+            with open(path, errors="replace") as log:
+                if re.search("Sanitizer|runtime error:", log.read()):
+                    self.breaches.append("sanitizer report in h%d.log" % index)
 
     def report(self):
         statuses = {}
