--- a/Makefile
+++ b/Makefile
@@ -77,7 +77,7 @@
 	$(patsubst %,lib/base/%.c,buf err histogram mclock metrics \
 	plog str) \
 	$(patsubst %,lib/coordination/%.c,balance breaker coldgate gossip \
-	loadboard peersync prefixmap \
+	loadboard peersync policy prefixmap \
 	pullcodec repeats) \
 	$(patsubst %,lib/state/%.c,catalog fleet replica) \
 	$(patsubst %,lib/transport/%.c,address frame http1 loop monitor tcp \
--- a/lib/coordination/balance.h
+++ b/lib/coordination/balance.h
@@ -28,6 +28,10 @@
 	/* Of these, tokens that another endpoint has already read. */
 	uint64_t repeated_tokens;
 	unsigned in_flight; /* requests at the endpoint */
+	/* For the baselines of policy.h: sends of this host since its last one
+	 * to the endpoint; requests there as the hosts told last. */
+	uint64_t sends_since;
+	unsigned reported_in_flight;
 	unsigned slots;	    /* requests that it runs at once */
 	double excess_ms;   /* recent answers' time over what was expected */
 	double service_ms;  /* plain services: usual time of an answer */
--- a/lib/request/choose.c
+++ b/lib/request/choose.c
@@ -195,6 +195,9 @@
 	balance_option_t option = {
 		.distance = distance_of(request->router, endpoint),
 		.in_flight = load.in_flight,
+		.sends_since =
+			request->router->send_count - endpoint->last_send,
+		.reported_in_flight = endpoint->total.in_flight,
 		.slots = endpoint->slots,
 		.excess_ms = excess_now(endpoint, now_ms),
 		.failing = breaker_failing(&endpoint->breaker, now_ms),
@@ -219,13 +222,15 @@
 
 bool choose_is_saturated(const request_t *request, const choice_t *choice)
 {
-	return request->call.prompt_tokens >= BALANCE_LONG_PROMPT_TOKENS &&
+	return request->router->policy->ops->holds_long_prompts &&
+	       request->call.prompt_tokens >= BALANCE_LONG_PROMPT_TOKENS &&
 	       choice->reading_share > CHOOSE_SATURATED_SHARE;
 }
 
 choose_result_t choose_endpoint(const request_t *request, choice_t *choice)
 {
 	router_t *router = request->router;
+	const policy_t *policy = router->policy;
 	int64_t now_ms = router_now_ms(router);
 	balance_rates_t rates = {
 		.tokens_per_ms =
@@ -253,7 +258,7 @@
 			continue;
 		}
 		option = describe(request, &ranking, endpoint, now_ms);
-		cost = balance_cost(&option, &rates);
+		cost = policy->ops->cost(policy, &option, &rates);
 		if (choice->endpoint && cost >= best_cost)
 			continue;
 		best_cost = cost;
--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -240,6 +240,7 @@
 	request->endpoint = endpoint;
 	endpoint_ref(endpoint);
 	endpoint->in_flight++;
+	endpoint->last_send = ++request->router->send_count;
 	request->backlog_tokens = choice->unread_tokens;
 	request->alone = choice->alone;
 	request->trip_ms = choice->trip_ms;
--- a/lib/request/router.c
+++ b/lib/request/router.c
@@ -63,6 +63,7 @@
 	router->loop = options->loop;
 	router->clock = loop_clock(options->loop);
 	router->dialect = options->dialect;
+	router->policy = options->policy ? options->policy : policy_default();
 	router->domain = options->domain;
 	router->region = options->region;
 	router->bounds = options->bounds;
--- a/lib/request/router.h
+++ b/lib/request/router.h
@@ -1,6 +1,7 @@
 #ifndef REQUEST_ROUTER_H
 #define REQUEST_ROUTER_H
 
+#include "coordination/policy.h"
 #include "coordination/prefixmap.h"
 #include "coordination/repeats.h"
 #include "request/dialect.h"
@@ -29,6 +30,7 @@
 typedef struct router_options {
 	loop_t *loop;
 	const dialect_t *dialect;
+	const policy_t *policy; /* NULL: policy_default() */
 	str_t domain;
 	str_t region;
 	router_bounds_t bounds;
@@ -56,6 +58,7 @@
 	loop_t *loop;
 	const mclock_t *clock;
 	const dialect_t *dialect;
+	const policy_t *policy;
 	str_t domain;
 	str_t region;
 	router_bounds_t bounds;
@@ -70,6 +73,7 @@
 	size_t body_bytes; /* of requests, kept until they are answered */
 	size_t caller_count;
 	size_t request_count;
+	uint64_t send_count;
 	struct caller *callers;
 	struct request *waiting; /* no endpoint may be used now, by urgency */
 	loop_timer_t wait_timer;
--- a/lib/state/fleet.h
+++ b/lib/state/fleet.h
@@ -57,6 +57,7 @@
 	coldgate_t gate;
 	breaker_t breaker;
 	unsigned in_flight;
+	uint64_t last_send; /* its number among the sends of this host */
 	uint64_t backlog_tokens;
 	double tokens_per_s; /* of prompts sent; faded since `rate_ms` */
 	int64_t rate_ms;
--- a/programs/hostd/host.c
+++ b/programs/hostd/host.c
@@ -367,6 +367,7 @@
 	host->router = router_create(
 		&(router_options_t){.loop = host->loop,
 				    .dialect = headers_dialect(),
+				    .policy = host->policy,
 				    .domain = settings->domain,
 				    .region = settings->region,
 				    .bounds = bounds_of(settings)});
--- a/programs/hostd/host.h
+++ b/programs/hostd/host.h
@@ -18,6 +18,7 @@
 typedef struct host {
 	loop_t *loop;
 	char *settings_path;
+	const policy_t *policy; /* NULL: the usual one */
 	buf_t settings_text;
 	psettings_t *settings;
 	router_t *router;
--- a/programs/peridot-hostd.c
+++ b/programs/peridot-hostd.c
@@ -14,6 +14,7 @@
 typedef struct arguments {
 	const char *settings;
 	plog_level_t level;
+	const policy_t *policy; /* NULL: the usual one */
 	bool check;
 } arguments_t;
 
@@ -22,6 +23,10 @@
 	 "Settings file; default: the file that the environment names", 0},
 	{"log-level", 'l', "LEVEL", 0,
 	 "debug, info, warn or error; default info", 0},
+	{"policy", 'p', "NAME", 0,
+	 "Choose endpoints by a baseline, to compare: round-robin, "
+	 "fewest-in-flight or least-reported",
+	 0},
 	{"check", 'c', NULL, 0, "Check the settings and exit", 0},
 	{0}};
 
@@ -37,6 +42,11 @@
 		if (plog_parse_level(value, &arguments->level))
 			argp_error(state, "unknown log level \"%s\"", value);
 		return 0;
+	case 'p':
+		arguments->policy = policy_find(str_from(value));
+		if (!arguments->policy)
+			argp_error(state, "unknown policy \"%s\"", value);
+		return 0;
 	case 'c':
 		arguments->check = true;
 		return 0;
@@ -79,6 +89,7 @@
 	memset(&host, 0, sizeof(host));
 	host.listen_fd = host.signal_fd = -1;
 	argp_parse(&argp, argc, argv, 0, NULL, &arguments);
+	host.policy = arguments.policy;
 	if (!arguments.settings) {
 		fprintf(stderr, "no settings file was given\n");
 		return EXIT_SETTINGS_INVALID;
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -349,6 +349,48 @@
 		       balance_cost(&idle, &rates));
 }
 
+static void use_policy(const char *name)
+{
+	router->policy = policy_find(str_from(name));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(router->policy);
+}
+
+/* Guards the comparison of policies: a baseline must go by its own figure, and
+ * by nothing that the policy in use knows besides. */
+static void test_baselines(void)
+{
+	unsigned sends[ENGINES] = {0};
+	endpoint_t *first;
+
+	set_up();
+	use_policy("round-robin");
+	for (int i = 0; i < 2 * ENGINES; i++) {
+		endpoint_t *endpoint = must_place(1, 4000, 100);
+
+		CU_ASSERT_STRING_EQUAL(endpoint->domain, "d0");
+		sends[endpoint->id[3] - '0']++;
+		endpoint->last_send = ++router->send_count;
+	}
+	for (int i = 0; i < ENGINES; i++)
+		CU_ASSERT_EQUAL(sends[i], 2);
+
+	use_policy("fewest-in-flight");
+	first = must_place(1, 4000, 100);
+	first->in_flight = 1;
+	CU_ASSERT_PTR_NOT_EQUAL(must_place(1, 4000, 100), first);
+
+	use_policy("least-reported");
+	first = must_place(1, 4000, 100);
+	first->in_flight = 9; /* not told yet */
+	CU_ASSERT_PTR_EQUAL(must_place(1, 4000, 100), first);
+	first->total.in_flight = 9;
+	CU_ASSERT_PTR_NOT_EQUAL(must_place(1, 4000, 100), first);
+
+	CU_ASSERT_PTR_NULL(policy_find(STR_LIT("none")));
+	CU_ASSERT_PTR_EQUAL(policy_find(STR_LIT("weighed")), policy_default());
+	tear_down();
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {
@@ -363,6 +405,7 @@
 		{"lapsed", test_lapsed},
 		{"new incarnation", test_new_incarnation},
 		{"costs", test_costs},
+		{"baselines", test_baselines},
 		CU_TEST_INFO_NULL};
 
 	return unit_run("choose", tests);
