--- a/Makefile
+++ b/Makefile
@@ -72,15 +72,16 @@
 
 # The host process has its own list of modules and links libraries in, since
 # each shared one costs memory on a small host.
-HOSTD_C := programs/peridot-hostd.c $(wildcard programs/hostd/*.c \
-	platform/*.c lib/request/*.c) \
+HOSTD_C := programs/peridot-hostd.c \
+	$(wildcard programs/host/*.c programs/hostd/*.c platform/*.c) \
+	$(filter-out lib/request/tracer.c,$(wildcard lib/request/*.c)) \
 	$(patsubst %,lib/base/%.c,buf err histogram mclock metrics \
 	plog str) \
-	$(patsubst %,lib/coordination/%.c,balance breaker coldgate gossip \
+	$(patsubst %,lib/coordination/%.c,balance breaker coldgate floors gossip \
 	loadboard peersync policy prefixmap \
-	pullcodec repeats) \
-	$(patsubst %,lib/state/%.c,catalog fleet replica) \
-	$(patsubst %,lib/transport/%.c,address frame http1 loop monitor tcp \
+	pullcodec repeats warmth) \
+	$(patsubst %,lib/state/%.c,catalog fleet hostsettings replica) \
+	$(patsubst %,lib/transport/%.c,address frame http1 httptext loop monitor tcp \
 	udp)
 HOSTD_LIBS := http_parser jansson b64 msgpackc xxhash
 $(BUILD)/peridot-hostd: $(HOSTD_C:%.c=$(BUILD)/%.o)
--- a/lib/request/admit.c
+++ b/lib/request/admit.c
@@ -1,5 +1,42 @@
 #include "request/admit.h"
 
+/* The service that the call asks for, if the route has it. */
+static str_t pick_service(const catalog_route_t *route, const call_t *call,
+			  uint64_t draw)
+{
+	if (!call->service.ptr)
+		return catalog_pick_service(route, draw);
+	for (size_t i = 0; i < route->split_count; i++)
+		if (str_equals(route->splits[i].service, call->service))
+			return route->splits[i].service;
+	return (str_t){NULL, 0};
+}
+
+static bool is_own_key(const catalog_customer_t *customer, const call_t *call)
+{
+	return !call->customer.ptr ||
+	       str_equals(customer->name, call->customer);
+}
+
+static bool may_use(const catalog_customer_t *customer,
+		    const catalog_route_t *route)
+{
+	return !customer->groups || (customer->groups >> route->group & 1);
+}
+
+static unsigned priority_of(const catalog_t *catalog,
+			    const admission_t *admission)
+{
+	const catalog_customer_t *customer = admission->customer;
+
+	/* The customer's priority goes first, the route's orders its
+	 * requests. */
+	if (!customer || !customer->has_priority)
+		return admission->route->priority;
+	return admission->route->priority +
+	       customer->priority * catalog_priority_levels(catalog);
+}
+
 admit_verdict_t admit_check(const catalog_t *catalog, const call_t *call,
 			    uint64_t draw, admission_t *admission)
 {
@@ -14,15 +51,17 @@
 	if (catalog_requires_keys(catalog) && !admission->customer &&
 	    !admission->route->is_public)
 		return ADMIT_NO_KEY;
-	admission->service_name = catalog_pick_service(admission->route, draw);
+	if (admission->customer && !is_own_key(admission->customer, call))
+		return ADMIT_NO_KEY;
+	if (admission->customer &&
+	    !may_use(admission->customer, admission->route))
+		return ADMIT_FORBIDDEN;
+	admission->service_name = pick_service(admission->route, call, draw);
+	if (call->service.ptr && !admission->service_name.ptr)
+		return ADMIT_NO_SERVICE;
 	admission->service =
 		catalog_find_service(catalog, admission->service_name);
-	admission->priority = admission->route->priority;
-	/* The customer's priority goes first, the route's orders its requests.
-	 */
-	if (admission->customer && admission->customer->has_priority)
-		admission->priority += admission->customer->priority *
-				       catalog_priority_levels(catalog);
+	admission->priority = priority_of(catalog, admission);
 	return ADMIT_OK;
 }
 
--- a/lib/request/admit.h
+++ b/lib/request/admit.h
@@ -11,7 +11,9 @@
 	ADMIT_OK,
 	ADMIT_NO_CATALOG, /* nothing is known yet; says nothing of the call */
 	ADMIT_NO_ROUTE,
-	ADMIT_NO_KEY /* missing or unknown */
+	ADMIT_NO_SERVICE, /* the route doesn't serve what the call asks for */
+	ADMIT_NO_KEY,	  /* missing, unknown, or of another customer */
+	ADMIT_FORBIDDEN	  /* the customer may not use the route */
 } admit_verdict_t;
 
 typedef struct admission {
--- a/lib/request/answer.c
+++ b/lib/request/answer.c
@@ -14,13 +14,16 @@
 #define ANSWER_STATUS_BYTES 8
 
 static void log_end(const request_t *request, unsigned status,
-		    const char *reason)
+		    outcome_t outcome, const char *reason)
 {
 	int64_t now_ms = router_now_ms(request->router);
 	char text[ANSWER_STATUS_BYTES];
 
 	snprintf(text, sizeof(text), "%u", status);
 	metrics_add(METRIC_ANSWERS, str_from(text), 1);
+	metrics_add(METRIC_OUTCOMES, str_from(outcome_name(outcome)), 1);
+	if (outcome == OUTCOME_NOT_RUN && request->admission.route)
+		metrics_add(METRIC_REFUSED, request->admission.route->name, 1);
 	histogram_observe(HISTOGRAM_ANSWER, now_ms - request->arrived_ms);
 	if (request->first_event_ms)
 		histogram_observe(HISTOGRAM_FIRST_EVENT,
@@ -47,51 +50,91 @@
 				       -1));
 }
 
-static void finish(request_t *request, bool close)
+static void finish(request_t *request, bool close, outcome_t outcome,
+		   const char *reason)
 {
 	caller_t *caller = request->caller;
 
-	request_finish(request);
+	request_finish(request, outcome, reason);
 	caller_answered(caller, close);
 }
 
+/* Where in its life the request ended. */
+static const char *step_of(const request_t *request)
+{
+	if (!request->admission.route)
+		return "admit";
+	return request->sends ? "send" : "place";
+}
+
+/* What may have become of a request that no endpoint answered. */
+static outcome_t outcome_of(const request_t *request)
+{
+	if (!request->runs)
+		return OUTCOME_NOT_RUN;
+	return request->last_failure == SEND_FAILED ? OUTCOME_FAILED :
+						      OUTCOME_UNKNOWN;
+}
+
+static own_reply_t make_reply(const request_t *request, unsigned status,
+			      const char *reason)
+{
+	return (own_reply_t){.status = status,
+			     .outcome = outcome_of(request),
+			     .step = step_of(request),
+			     .peer = request->last_endpoint,
+			     .reason = reason,
+			     .retry_after_ms = -1,
+			     .close = caller_must_close(request->caller)};
+}
+
 static void send_own(request_t *request, const own_reply_t *reply)
 {
 	const dialect_t *dialect = request->router->dialect;
 	buf_t out = BUF_INIT;
 
 	assert(request->state != REQUEST_ANSWERING);
-	log_end(request, reply->status, reply->reason);
+	log_end(request, reply->status, reply->outcome, reply->reason);
 	dialect->ops->write_own_reply(dialect, &request->call, reply, &out);
 	caller_send(request->caller, buf_view(&out));
 	buf_release(&out);
-	finish(request, reply->close);
+	finish(request, reply->close, reply->outcome, reply->reason);
 }
 
-void answer_not_run(request_t *request, const char *reason,
+void answer_health(request_t *request, bool is_ready)
+{
+	own_reply_t reply =
+		make_reply(request, is_ready ? 200 : 503,
+			   is_ready ? "ready" : "leaving or not configured");
+
+	if (is_ready)
+		reply.outcome = OUTCOME_COMPLETED;
+	send_own(request, &reply);
+}
+
+void answer_not_run(request_t *request, unsigned status, const char *reason,
 		    int64_t retry_after_ms)
 {
 	int64_t left_ms = request->ends_ms - router_now_ms(request->router);
 	int64_t most_ms = left_ms / ANSWER_RETRY_PART;
-	own_reply_t reply = {.status = 503,
-			     .reason = reason,
-			     .retry_after_ms = retry_after_ms,
-			     .close = caller_must_close(request->caller)};
+	const catalog_route_t *route = request->admission.route;
+	own_reply_t reply = make_reply(request, status, reason);
 
 	assert(!request->runs);
-	if (reply.retry_after_ms > most_ms)
-		reply.retry_after_ms = most_ms;
-	if (reply.retry_after_ms < ANSWER_MIN_RETRY_MS)
-		reply.retry_after_ms = -1;
+	reply.retry_after_ms = retry_after_ms;
+	/* A caller of a route that queues comes back with a new time limit. */
+	if (!route || !route->waits_to_end) {
+		if (reply.retry_after_ms > most_ms)
+			reply.retry_after_ms = most_ms;
+		if (reply.retry_after_ms < ANSWER_MIN_RETRY_MS)
+			reply.retry_after_ms = -1;
+	}
 	send_own(request, &reply);
 }
 
 void answer_failed(request_t *request, unsigned status, const char *reason)
 {
-	own_reply_t reply = {.status = status,
-			     .reason = reason,
-			     .retry_after_ms = -1,
-			     .close = caller_must_close(request->caller)};
+	own_reply_t reply = make_reply(request, status, reason);
 
 	send_own(request, &reply);
 }
@@ -113,11 +156,14 @@
 {
 	reply_terms_t terms = {.framing = REPLY_LENGTH,
 			       .body_len = request->answer.len,
-			       .close = caller_must_close(request->caller)};
+			       .close = caller_must_close(request->caller),
+			       .outcome = reply->status >= 500 ?
+						  OUTCOME_FAILED :
+						  OUTCOME_COMPLETED};
 
-	log_end(request, reply->status, "answered");
+	log_end(request, reply->status, terms.outcome, "answered");
 	send_head(request, head, &terms, buf_view(&request->answer));
-	finish(request, terms.close);
+	finish(request, terms.close, terms.outcome, "answered");
 }
 
 void answer_begin(request_t *request, const http1_head_t *head)
@@ -125,7 +171,8 @@
 	bool chunked = request->head->minor >= 1;
 	reply_terms_t terms = {
 		.framing = chunked ? REPLY_CHUNKED : REPLY_UNTIL_CLOSE,
-		.close = !chunked || caller_must_close(request->caller)};
+		.close = !chunked || caller_must_close(request->caller),
+		.outcome = OUTCOME_STREAMING};
 
 	request->state = REQUEST_ANSWERING;
 	request->chunked = chunked;
@@ -152,10 +199,27 @@
 
 void answer_end(request_t *request)
 {
-	log_end(request, 200, "answered");
+	log_end(request, 200, OUTCOME_COMPLETED, "answered");
 	if (request->chunked)
 		caller_send(request->caller, STR_LIT("0\r\n\r\n"));
-	finish(request, request->closes || request->router->stopping);
+	finish(request, request->closes || request->router->stopping,
+	       OUTCOME_COMPLETED, "answered");
+}
+
+/* The last event of a stream of a wire format that has one for this. */
+static void send_break(request_t *request, outcome_t outcome,
+		       const char *reason)
+{
+	const dialect_t *dialect = request->router->dialect;
+	own_reply_t reply = make_reply(request, 0, reason);
+	buf_t event = BUF_INIT;
+
+	if (!dialect->ops->write_break || !request->event_count)
+		return;
+	reply.outcome = outcome;
+	dialect->ops->write_break(dialect, &reply, &event);
+	answer_part(request, buf_view(&event));
+	buf_release(&event);
 }
 
 void answer_break_off(request_t *request, const char *reason)
@@ -163,7 +227,9 @@
 	caller_t *caller = request->caller;
 	bool chunked = request->chunked;
 
-	log_end(request, 0, reason);
-	request_finish(request);
+	/* A part was delivered: whatever runs on, the answer has failed. */
+	log_end(request, 0, OUTCOME_FAILED, reason);
+	send_break(request, OUTCOME_FAILED, reason);
+	request_finish(request, OUTCOME_FAILED, reason);
 	caller_break_off(caller, !chunked);
 }
--- a/lib/request/answer.h
+++ b/lib/request/answer.h
@@ -10,9 +10,12 @@
  * ends the request.
  */
 
+/* Whether the host takes requests: 200 or 503. */
+void answer_health(request_t *request, bool is_ready);
+
 /* A promise that the request has not run and never will; `retry_after_ms` is
  * cut to a part of the time that the caller has left. */
-void answer_not_run(request_t *request, const char *reason,
+void answer_not_run(request_t *request, unsigned status, const char *reason,
 		    int64_t retry_after_ms);
 
 /* The request may have run, or can't be served whatever the load is. */
--- a/lib/request/caller.c
+++ b/lib/request/caller.c
@@ -99,6 +99,8 @@
 {
 	buf_t out = BUF_INIT;
 	own_reply_t reply = {.status = status,
+			     .outcome = OUTCOME_NOT_RUN,
+			     .step = "read",
 			     .reason = reason,
 			     .retry_after_ms = -1,
 			     .close = true};
--- a/lib/request/channel.c
+++ b/lib/request/channel.c
@@ -1,5 +1,6 @@
 #include "request/channel.h"
 
+#include <limits.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
 
@@ -135,6 +136,7 @@
 {
 	request_t *request = channel->request;
 	bool kept = !rest && !at_end && channel->http.head.keep_alive &&
+		    (channel->reply.id.ptr || !request->call.id.ptr) &&
 		    !tcp_unsent(&channel->tcp) &&
 		    channel->endpoint->state != ENDPOINT_GONE;
 
@@ -290,6 +292,8 @@
 {
 	unsigned limit = service ? service->max_connections : 0;
 
+	if (service && service->bounded)
+		return UINT_MAX; /* bounded by requests */
 	limit /= router->all_hosts ? router->all_hosts : 1;
 	return limit > CHANNEL_MIN_LIMIT ? limit : CHANNEL_MIN_LIMIT;
 }
@@ -337,7 +341,11 @@
 		.left_ms = request->ends_ms - router_now_ms(router),
 		.priority = request->admission.priority,
 		.resume_after = str_from(request->last_event_id),
-		.body_len = request->body.len};
+		.body_len = request->body.len,
+		.max_output_tokens =
+			request->admission.route->max_output_tokens,
+		.trace = str_from(request->trace_context),
+		.boot = str_from(endpoint->warmth.boot)};
 
 	buf_reset(&router->scratch);
 	dialect->ops->write_call(dialect, request->head, &request->call, &terms,
--- a/lib/request/choose.c
+++ b/lib/request/choose.c
@@ -4,6 +4,7 @@
 
 #include "coordination/balance.h"
 #include "request/channel.h"
+#include "request/probe.h"
 
 /* Excess times are forgotten, so that a slow endpoint is tried again. */
 #define CHOOSE_EXCESS_HALF_LIFE_MS 1500.0
@@ -54,6 +55,24 @@
 	return coldgate_allows(&endpoint->gate, share, now_ms);
 }
 
+/* True when the endpoint is warm, or this host has a part of its cold limit
+ * left. An engine that isn't known to be warm is asked. */
+static bool may_send_now(const request_t *request, endpoint_t *endpoint,
+			 int64_t now_ms)
+{
+	const catalog_service_t *service = request->admission.service;
+	const warmth_t *warmth = &endpoint->warmth;
+
+	if (!service || !service->proves_warmth)
+		return !endpoint_is_cold(endpoint, now_ms) ||
+		       may_send_cold(request, endpoint, now_ms);
+	if (warmth_is_proven(warmth, now_ms))
+		return true;
+	probe_start(request->router, endpoint);
+	return endpoint->in_flight + warmth_lost(warmth, now_ms) <
+	       endpoint->cold_units;
+}
+
 static bool is_candidate(const request_t *request, const endpoint_t *endpoint)
 {
 	const fleet_t *fleet = request->router->fleet;
@@ -67,8 +86,14 @@
 	       !request_was_tried(request, endpoint);
 }
 
-static bool has_room(const request_t *request, const endpoint_t *endpoint)
+static bool has_room(const request_t *request, const endpoint_t *endpoint,
+		     int64_t now_ms)
 {
+	const catalog_service_t *service = request->admission.service;
+
+	if (service && service->bounded &&
+	    endpoint_load(endpoint, now_ms).in_flight >= endpoint->slots)
+		return false;
 	return endpoint->idle ||
 	       endpoint->channel_count <
 		       channel_limit(request->router,
@@ -250,9 +275,8 @@
 
 		if (!is_candidate(request, endpoint))
 			continue;
-		if (!has_room(request, endpoint) ||
-		    (endpoint_is_cold(endpoint, now_ms) &&
-		     !may_send_cold(request, endpoint, now_ms))) {
+		if (!has_room(request, endpoint, now_ms) ||
+		    !may_send_now(request, endpoint, now_ms)) {
 			if (result == CHOOSE_NONE)
 				result = CHOOSE_LATER;
 			continue;
--- /dev/null
+++ b/lib/request/customers.c
@@ -0,0 +1,93 @@
+#include "request/customers.h"
+
+#include <stdlib.h>
+
+/* A customer with requests in progress. */
+typedef struct customer_load {
+	char *name;
+	unsigned in_progress;
+	double next_turn; /* of its next request, among those that wait */
+	struct customer_load *next;
+} customer_load_t;
+
+static customer_load_t **find(router_t *router, str_t name)
+{
+	customer_load_t **at = &router->customers;
+
+	while (*at && !str_equals(str_from((*at)->name), name))
+		at = &(*at)->next;
+	return at;
+}
+
+static customer_load_t *get(router_t *router, str_t name)
+{
+	customer_load_t **at = find(router, name);
+	customer_load_t *load = *at;
+
+	if (load)
+		return load;
+	load = calloc(1, sizeof(*load));
+	if (!load || !(load->name = str_dup(name)))
+		abort();
+	*at = load;
+	return load;
+}
+
+bool customers_enter(request_t *request)
+{
+	const catalog_customer_t *customer = request->admission.customer;
+	customer_load_t *load;
+
+	if (!customer || (!customer->max_in_progress && !customer->weight))
+		return true;
+	load = get(request->router, customer->name);
+	if (customer->max_in_progress &&
+	    load->in_progress >= customer->max_in_progress)
+		return false;
+	load->in_progress++;
+	request->customer_load = load;
+	return true;
+}
+
+void customers_leave(request_t *request)
+{
+	customer_load_t *load = request->customer_load;
+	customer_load_t **at;
+
+	request->customer_load = NULL;
+	if (!load || --load->in_progress)
+		return;
+	at = find(request->router, str_from(load->name));
+	*at = load->next;
+	free(load->name);
+	free(load);
+}
+
+void customers_queue(request_t *request)
+{
+	const catalog_customer_t *customer = request->admission.customer;
+	customer_load_t *load = request->customer_load;
+	double now = request->router->turn;
+
+	if (!load || !customer || !customer->weight)
+		return;
+	request->turn = load->next_turn > now ? load->next_turn : now;
+	load->next_turn = request->turn + 1.0 / customer->weight;
+}
+
+void customers_on_send(const request_t *request)
+{
+	if (request->turn > request->router->turn)
+		request->router->turn = request->turn;
+}
+
+void customers_free(router_t *router)
+{
+	while (router->customers) {
+		customer_load_t *load = router->customers;
+
+		router->customers = load->next;
+		free(load->name);
+		free(load);
+	}
+}
--- a/lib/request/reply.c
+++ b/lib/request/reply.c
@@ -18,7 +18,7 @@
 static bool is_event_stream(const request_t *request, const reply_t *reply)
 {
 	return request->admission.route->kind == CATALOG_STREAM &&
-	       reply->status == 200;
+	       reply->status == 200 && reply->is_events;
 }
 
 void request_on_reply_head(request_t *request, const http1_head_t *head,
@@ -34,6 +34,9 @@
 	if (reply->cold_ms > 0 &&
 	    now_ms + reply->cold_ms > endpoint->cold_until_ms)
 		endpoint->cold_until_ms = now_ms + reply->cold_ms;
+	if (reply->boot.len)
+		warmth_on_answer(&endpoint->warmth, reply->boot,
+				 reply->cold_ms > 0, request->sent_ms, now_ms);
 }
 
 static double mean(double before, double sample, double weight)
@@ -72,7 +75,7 @@
 	if (request->admission.route->kind != CATALOG_STREAM)
 		stats->service_ms =
 			mean(stats->service_ms, taken_ms, REPLY_MEAN_WEIGHT);
-	else
+	else if (!request->call.wants_whole)
 		learn_speed(request, taken_ms);
 	endpoint->excess_ms +=
 		REPLY_EXCESS_WEIGHT *
--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -1,5 +1,6 @@
 #include "request/request_internal.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <xxhash.h>
 
@@ -9,6 +10,7 @@
 #include "request/caller.h"
 #include "request/channel.h"
 #include "request/choose.h"
+#include "request/customers.h"
 #include "request/waiting.h"
 
 /* Used when neither the caller nor the route says how long to wait. */
@@ -32,6 +34,10 @@
 #define REQUEST_FIRST_EVENT_TARGETS 2
 #define REQUEST_PAUSE_TARGETS 4
 #define REQUEST_MIN_PAUSE_MS 700
+/* Weight of the newest request in the mean time at an endpoint. */
+#define REQUEST_BUSY_WEIGHT 0.1
+/* An endpoint may run a request so much longer after its caller left. */
+#define REQUEST_CANCEL_MS 500
 
 static void on_end_timer(void *user);
 static void on_progress_timer(void *user);
@@ -60,6 +66,24 @@
 		       on_end_timer, request);
 }
 
+static void give_id(request_t *request)
+{
+	router_t *router = request->router;
+
+	snprintf(request->id, sizeof(request->id), "%016llx%016llx",
+		 (unsigned long long)router_random(router),
+		 (unsigned long long)router_random(router));
+	request->call.id = str_from(request->id);
+}
+
+static int64_t retry_after(const request_t *request)
+{
+	int64_t ms = request->router->catalog ? REQUEST_RETRY_MS :
+						REQUEST_START_RETRY_MS;
+
+	return ms + (int64_t)(router_random(request->router) % (uint64_t)ms);
+}
+
 void request_start(router_t *router, caller_t *caller)
 {
 	request_t *request = calloc(1, sizeof(*request));
@@ -72,7 +96,9 @@
 	request->body = buf_view(&caller->body);
 	request->arrived_ms = router_now_ms(router);
 	router->dialect->ops->read_call(router->dialect, request->head,
-					&request->call);
+					request->body, &request->call);
+	if (router->dialect->ops->names_requests && !request->call.id.len)
+		give_id(request);
 	/* Until the route's timeout is known. */
 	request->ends_ms =
 		request->arrived_ms + (request->call.deadline_ms >= 0 ?
@@ -81,7 +107,19 @@
 	request->draw = XXH64(request->call.id.ptr, request->call.id.len, 0);
 	caller->request = request;
 	router->request_count++;
-	request_dispatch(request);
+	if (router->tracer)
+		request->span = router->tracer->ops->begin_request(
+			router->tracer, &request->call);
+	if (request->call.is_health_check)
+		answer_health(request, router_is_ready(router));
+	else if (request->call.fault)
+		answer_failed(request, request->call.fault_status,
+			      request->call.fault);
+	else if (router->leaving)
+		answer_not_run(request, 503, "the host is leaving",
+			       retry_after(request));
+	else
+		request_dispatch(request);
 }
 
 static void release(request_t *request)
@@ -91,6 +129,7 @@
 	loop_timer_cancel(router->loop, &request->end_timer);
 	loop_timer_cancel(router->loop, &request->progress_timer);
 	waiting_remove(request);
+	customers_leave(request);
 	catalog_unref(request->catalog);
 	buf_release(&request->answer);
 	events_release(&request->events);
@@ -105,17 +144,46 @@
 	request->backlog_tokens = 0;
 }
 
+/* How long requests of the service stay at an endpoint. */
+static void learn_busy(const request_t *request)
+{
+	service_stats_t *stats = request_stats(request);
+	double ms = (double)(request_now_ms(request) - request->sent_ms);
+
+	if (!request->sent_ms)
+		return;
+	stats->busy_ms =
+		stats->busy_ms > 0.0 ?
+			stats->busy_ms +
+				REQUEST_BUSY_WEIGHT * (ms - stats->busy_ms) :
+			ms;
+}
+
+static void end_span(const request_t *request, trace_span_t **span,
+		     outcome_t outcome, const char *reason)
+{
+	const tracer_t *tracer = request->router->tracer;
+
+	if (*span)
+		tracer->ops->end(tracer, *span, outcome, reason);
+	*span = NULL;
+}
+
 static void release_send(request_t *request)
 {
 	endpoint_t *endpoint = request->endpoint;
 
 	if (!endpoint)
 		return;
+	/* A send that did not answer the request has ended by a failure. */
+	end_span(request, &request->send_span, OUTCOME_UNKNOWN, "cancelled");
 	loop_timer_cancel(request->router->loop, &request->progress_timer);
 	request_release_backlog(request, endpoint);
 	endpoint->in_flight--;
+	learn_busy(request);
 	request->endpoint = NULL;
 	endpoint_unref(endpoint);
+	waiting_on_room(request->router);
 }
 
 static void cancel_send(request_t *request)
@@ -126,8 +194,10 @@
 	release_send(request);
 }
 
-void request_finish(request_t *request)
+void request_finish(request_t *request, outcome_t outcome, const char *reason)
 {
+	end_span(request, &request->send_span, outcome, reason);
+	end_span(request, &request->span, outcome, reason);
 	cancel_send(request);
 	release(request);
 }
@@ -141,7 +211,11 @@
 		   request->sends,
 		   request->endpoint ? request->endpoint->id : "-");
 	metrics_inc(METRIC_ABANDONED);
-	request_finish(request);
+	if (request->endpoint)
+		warmth_on_lost(&request->endpoint->warmth,
+			       request_now_ms(request),
+			       request_now_ms(request) + REQUEST_CANCEL_MS);
+	request_finish(request, OUTCOME_UNKNOWN, "the caller left");
 }
 
 bool request_was_tried(const request_t *request, const endpoint_t *endpoint)
@@ -158,21 +232,13 @@
 		request->tried[request->tried_count++] = endpoint->hash;
 }
 
-static int64_t retry_after(request_t *request)
-{
-	int64_t ms = request->router->catalog ? REQUEST_RETRY_MS :
-						REQUEST_START_RETRY_MS;
-
-	return ms + (int64_t)(router_random(request->router) % (uint64_t)ms);
-}
-
 /* Gives the final answer of a request that no endpoint answered. */
 static void conclude(request_t *request, const char *reason)
 {
 	if (request->state == REQUEST_ANSWERING)
 		answer_break_off(request, reason);
 	else if (!request->runs)
-		answer_not_run(request, reason, retry_after(request));
+		answer_not_run(request, 503, reason, retry_after(request));
 	else
 		answer_failed(
 			request,
@@ -188,6 +254,18 @@
 	conclude(request, "time is over");
 }
 
+/* Counts the request for its customer; false when it was answered. */
+static bool enter(request_t *request)
+{
+	if (customers_enter(request)) {
+		customers_queue(request);
+		return true;
+	}
+	answer_not_run(request, 429, "the customer has too many in progress",
+		       retry_after(request));
+	return false;
+}
+
 /* Looks the request up in the newest catalog; false when it was answered. */
 static bool admit(request_t *request)
 {
@@ -207,17 +285,21 @@
 			repeats_on_request(&request_stats(request)->repeats,
 					   request_now_ms(request));
 		}
-		return true;
+		return !first || enter(request);
 	}
 	if (request->state == REQUEST_ANSWERING)
 		answer_break_off(request, "no longer allowed");
 	else if (request->runs)
 		answer_failed(request, 502, "no longer allowed");
 	else if (verdict == ADMIT_NO_CATALOG)
-		answer_not_run(request, "no configuration yet",
+		answer_not_run(request, 503, "no configuration yet",
 			       retry_after(request));
 	else if (verdict == ADMIT_NO_ROUTE)
 		answer_failed(request, 404, "no such route");
+	else if (verdict == ADMIT_NO_SERVICE)
+		answer_failed(request, 404, "no such service");
+	else if (verdict == ADMIT_FORBIDDEN)
+		answer_failed(request, 403, "the customer may not use this");
 	else
 		answer_failed(request, 401, "unknown key");
 	return false;
@@ -239,7 +321,14 @@
 
 	request->endpoint = endpoint;
 	endpoint_ref(endpoint);
+	str_copy(request->last_endpoint, sizeof(request->last_endpoint),
+		 str_from(endpoint->id));
+	if (request->span)
+		request->send_span = request->router->tracer->ops->begin_send(
+			request->router->tracer, request->span, endpoint->id,
+			request->trace_context);
 	endpoint->in_flight++;
+	waiting_on_send(request);
 	endpoint->last_send = ++request->router->send_count;
 	request->backlog_tokens = choice->unread_tokens;
 	request->alone = choice->alone;
@@ -273,31 +362,91 @@
 	request_on_failure(request, SEND_NOT_CONNECTED);
 }
 
+/* True when the endpoint isn't known to be warm any more, and has more of this
+ * host's requests than this host's share of its cold limit. */
+static bool is_above_cold_units(const request_t *request)
+{
+	const catalog_service_t *service = request->admission.service;
+	const endpoint_t *endpoint = request->endpoint;
+	int64_t now_ms = request_now_ms(request);
+
+	return service && service->proves_warmth &&
+	       !warmth_is_proven(&endpoint->warmth, now_ms) &&
+	       endpoint->in_flight + warmth_lost(&endpoint->warmth, now_ms) >
+		       endpoint->cold_units;
+}
+
 bool request_is_outdated(const request_t *request)
 {
 	const router_t *router = request->router;
 	const endpoint_t *endpoint = request->endpoint;
 
 	return request->catalog != router->catalog ||
+	       is_above_cold_units(request) ||
 	       (endpoint->state != ENDPOINT_READY &&
 		endpoint->state != ENDPOINT_LINGERING) ||
 	       fleet_is_evacuated(router->fleet, str_from(endpoint->domain));
 }
 
+/* Lets a request wait that may do so until its end, unless others fill the
+ * queue or it would wait too long; then it had better return later. */
+static void queue_up(request_t *request)
+{
+	int64_t expected_ms = waiting_expected_ms(request);
+	int64_t left_ms = request->ends_ms - request_now_ms(request);
+	bool is_full = waiting_is_full(request);
+
+	if (request->was_queued || request->runs ||
+	    (!is_full && expected_ms <= left_ms)) {
+		request->was_queued = true;
+		waiting_add(request, true);
+		return;
+	}
+	if (expected_ms < REQUEST_RETRY_MS)
+		expected_ms = retry_after(request);
+	answer_not_run(request, 503,
+		       is_full ? "too many requests of the class wait" :
+				 "the expected wait is too long",
+		       expected_ms);
+}
+
+/* True when the request waits or was answered instead of being sent. */
+static bool hold(request_t *request, choose_result_t result,
+		 const choice_t *choice)
+{
+	if (result == CHOOSE_LATER && request->admission.route->waits_to_end &&
+	    request->state != REQUEST_ANSWERING)
+		queue_up(request);
+	else if (result == CHOOSE_LATER && may_wait(request, REQUEST_WAIT_PART))
+		waiting_add(request, true);
+	else if (result == CHOOSE_OK && choose_is_saturated(request, choice) &&
+		 may_wait(request, REQUEST_SATURATED_WAIT_PART))
+		waiting_add(request, false);
+	else
+		return false;
+	return true;
+}
+
+/* Requests that wait for the same room go first, if they are more urgent. */
+static bool is_behind_others(const request_t *request)
+{
+	const catalog_service_t *service = request->admission.service;
+
+	return service && service->bounded && !request->is_due &&
+	       request->state != REQUEST_ANSWERING && waiting_blocks(request);
+}
+
 void request_dispatch(request_t *request)
 {
-	choose_result_t result;
-	choice_t choice;
+	choose_result_t result = CHOOSE_LATER;
+	choice_t choice = {.endpoint = NULL};
 
 	if (!admit(request))
 		return;
-	result = choose_endpoint(request, &choice);
-	if ((result == CHOOSE_LATER && may_wait(request, REQUEST_WAIT_PART)) ||
-	    (result == CHOOSE_OK && choose_is_saturated(request, &choice) &&
-	     may_wait(request, REQUEST_SATURATED_WAIT_PART))) {
-		waiting_add(request);
+	if (!is_behind_others(request))
+		result = choose_endpoint(request, &choice);
+	if (hold(request, result, &choice))
 		return;
-	}
 	if (result != CHOOSE_OK)
 		conclude(request, "no endpoint may take the request");
 	else if (request->sends &&
@@ -316,7 +465,7 @@
 	int64_t ms;
 
 	if (!admit_may_repeat(&request->admission) ||
-	    request->runs >= route->max_attempts)
+	    request->call.wants_whole || request->runs >= route->max_attempts)
 		return 0;
 	if (route->kind == CATALOG_REPEATABLE) {
 		ms = (int64_t)(usual_ms * REQUEST_SILENCE_TIMES);
@@ -424,6 +573,18 @@
 	}
 }
 
+/* What a failure tells of an endpoint that may have started anew. */
+static void judge_warmth(request_t *request, send_failure_t failure)
+{
+	warmth_t *warmth = &request->endpoint->warmth;
+	int64_t now_ms = request_now_ms(request);
+
+	if (failure == SEND_NOT_CONNECTED || failure == SEND_LOST)
+		warmth_void(warmth, now_ms);
+	if (failure == SEND_LOST || failure == SEND_SILENT)
+		warmth_on_lost(warmth, now_ms, request->ends_ms);
+}
+
 static const char *failure_name(send_failure_t failure)
 {
 	static const char *const names[] = {"not connected", "outdated",
@@ -448,7 +609,15 @@
 			   0,
 		   request->sends, request->runs,
 		   (long long)(request_now_ms(request) - request->arrived_ms));
+	request->last_failure = failure;
+	end_span(request, &request->send_span,
+		 failure == SEND_LOST || failure == SEND_SILENT ?
+			 OUTCOME_UNKNOWN :
+		 failure == SEND_FAILED ? OUTCOME_FAILED :
+					  OUTCOME_NOT_RUN,
+		 failure_name(failure));
 	judge_endpoint(request, failure);
+	judge_warmth(request, failure);
 	if (failure != SEND_OUTDATED)
 		add_tried(request, request->endpoint);
 	release_send(request);
--- a/lib/request/request.h
+++ b/lib/request/request.h
@@ -13,6 +13,8 @@
  */
 #define REQUEST_MAX_TRIED 8
 #define REQUEST_EVENT_ID_BYTES 32
+#define REQUEST_ID_BYTES 33 /* of an id given here */
+#define REQUEST_PEER_BYTES 64
 
 struct caller;
 struct channel;
@@ -39,6 +41,12 @@
 	const http1_head_t *head; /* the caller's */
 	str_t body;
 	call_t call;
+	char id[REQUEST_ID_BYTES];		/* when the caller gave none */
+	trace_span_t *span;			/* NULL without a tracer */
+	trace_span_t *send_span;		/* of the present send */
+	char trace_context[TRACE_PARENT_BYTES]; /* for its endpoint */
+	struct customer_load *customer_load;	/* NULL: not counted */
+	double turn; /* in the order of its class; 0: by arrival */
 	uint64_t draw;
 	request_state_t state;
 	int64_t arrived_ms;
@@ -51,6 +59,8 @@
 	unsigned failures;		   /* of any kind */
 	uint64_t tried[REQUEST_MAX_TRIED]; /* hashes of endpoints */
 	unsigned tried_count;
+	char last_endpoint[REQUEST_PEER_BYTES]; /* empty: none yet */
+	send_failure_t last_failure;
 	/* The present send. */
 	endpoint_t *endpoint; /* NULL while nothing is sent */
 	struct channel *channel;
@@ -79,6 +89,9 @@
 	loop_timer_t progress_timer;
 	struct request *next, *prev; /* in the waiting list */
 	bool in_waiting;
+	bool waits_for_room;
+	bool is_due; /* its class's floor is due: it goes before others */
+	bool was_queued;
 } request_t;
 
 /* Begins the life of a request that has been read as a whole. */
@@ -106,7 +119,7 @@
 void request_on_failure(request_t *request, send_failure_t failure);
 
 /* Called by answer.c once the final answer has been handed to the caller. */
-void request_finish(request_t *request);
+void request_finish(request_t *request, outcome_t outcome, const char *reason);
 
 bool request_was_tried(const request_t *request, const endpoint_t *endpoint);
 
--- a/lib/request/router.c
+++ b/lib/request/router.c
@@ -4,6 +4,8 @@
 
 #include "base/plog.h"
 #include "request/channel.h"
+#include "request/customers.h"
+#include "request/probe.h"
 #include "request/request.h"
 
 #define ROUTER_TICK_MS 250
@@ -63,6 +65,7 @@
 	router->loop = options->loop;
 	router->clock = loop_clock(options->loop);
 	router->dialect = options->dialect;
+	router->tracer = options->tracer;
 	router->policy = options->policy ? options->policy : policy_default();
 	router->domain = options->domain;
 	router->region = options->region;
@@ -97,6 +100,8 @@
 		free(service->name);
 		free(service);
 	}
+	probe_stop_all(router);
+	customers_free(router);
 	free_garbage(router);
 	free(router->garbage);
 	free(router->read_buffer);
@@ -161,6 +166,12 @@
 	return x ^ (x >> 31);
 }
 
+bool router_is_ready(const router_t *router)
+{
+	return !router->stopping && !router->leaving && router->catalog &&
+	       fleet_count(router->fleet);
+}
+
 void router_stop(router_t *router)
 {
 	router->stopping = true;
--- a/lib/request/router.h
+++ b/lib/request/router.h
@@ -1,10 +1,12 @@
 #ifndef REQUEST_ROUTER_H
 #define REQUEST_ROUTER_H
 
+#include "coordination/floors.h"
 #include "coordination/policy.h"
 #include "coordination/prefixmap.h"
 #include "coordination/repeats.h"
 #include "request/dialect.h"
+#include "request/tracer.h"
 #include "state/catalog.h"
 #include "state/fleet.h"
 #include "transport/loop.h"
@@ -31,6 +33,7 @@
 	loop_t *loop;
 	const dialect_t *dialect;
 	const policy_t *policy; /* NULL: policy_default() */
+	const tracer_t *tracer; /* NULL: no spans */
 	str_t domain;
 	str_t region;
 	router_bounds_t bounds;
@@ -41,12 +44,15 @@
 	char *name;
 	repeats_t repeats;
 	double service_ms;    /* plain services: mean time of an answer */
+	double busy_ms;	      /* mean time that a request is at an endpoint */
 	double tokens_per_ms; /* engines: prompt tokens read in a ms */
 	struct service_stats *next;
 } service_stats_t;
 
 struct request;
 struct caller;
+struct customer_load;
+struct probe;
 
 #define ROUTER_READ_BYTES 16384
 /* Until an engine's first token, besides reading the prompt. */
@@ -59,6 +65,7 @@
 	const mclock_t *clock;
 	const dialect_t *dialect;
 	const policy_t *policy;
+	const tracer_t *tracer;
 	str_t domain;
 	str_t region;
 	router_bounds_t bounds;
@@ -69,6 +76,7 @@
 	unsigned domain_hosts; /* hosts of this domain, this one included */
 	unsigned all_hosts;
 	bool stopping;
+	bool leaving; /* refuses new requests */
 	int64_t started_ms;
 	size_t body_bytes; /* of requests, kept until they are answered */
 	size_t caller_count;
@@ -76,6 +84,10 @@
 	uint64_t send_count;
 	struct caller *callers;
 	struct request *waiting; /* no endpoint may be used now, by urgency */
+	floors_t floors;
+	struct probe *probes;		 /* questions on their way */
+	struct customer_load *customers; /* with requests in progress */
+	double turn; /* of the last sent request that had one */
 	loop_timer_t wait_timer;
 	loop_timer_t tick_timer;
 	uint64_t random;
@@ -108,6 +120,9 @@
  */
 void router_free_later(router_t *router, void *object);
 
+/* True when the host can serve requests. */
+bool router_is_ready(const router_t *router);
+
 /* Marks the router as stopping: answers close their connections. */
 void router_stop(router_t *router);
 
--- a/lib/request/waiting.c
+++ b/lib/request/waiting.c
@@ -1,7 +1,38 @@
 #include "request/waiting.h"
 
+#include <xxhash.h>
+
+#include "request/customers.h"
+
 #define WAITING_RETRY_MS 20
 
+static uint64_t class_id(const request_t *request)
+{
+	str_t name = request->admission.route->name;
+
+	return XXH64(name.ptr, name.len, 0);
+}
+
+/* The row of a class that has a floor or a bound; NULL for any other. */
+static floors_class_t *find_class(const request_t *request)
+{
+	const catalog_route_t *route = request->admission.route;
+
+	if (!route->floor_percent && !route->max_waiting)
+		return NULL;
+	return floors_get(&request->router->floors, class_id(request),
+			  route->floor_percent);
+}
+
+static void count_waiting(const request_t *request, int step)
+{
+	floors_class_t *class = find_class(request);
+
+	if (class)
+		class->waiting += (unsigned)step;
+}
+
+/* Takes the request off a list, and out of the counts. */
 static void unlink_request(request_t *request)
 {
 	router_t *router = request->router;
@@ -14,14 +45,37 @@
 		request->next->prev = request->prev;
 	request->prev = request->next = NULL;
 	request->in_waiting = false;
+	count_waiting(request, -1);
+}
+
+static request_t *find_due(const router_t *router)
+{
+	const floors_class_t *due = floors_due(&router->floors);
+	request_t *at = router->waiting;
+
+	while (due && at && (!at->waits_for_room || class_id(at) != due->id))
+		at = at->next;
+	return due ? at : NULL;
+}
+
+static void try_again(request_t *request)
+{
+	unlink_request(request);
+	request_dispatch(request);
 }
 
 static void on_retry(void *user)
 {
 	router_t *router = user;
-	request_t *list = router->waiting;
+	request_t *due = find_due(router);
+	request_t *list;
 
+	if (due) {
+		due->is_due = true;
+		try_again(due);
+	}
 	/* Those that must wait on add themselves to a new list, in order. */
+	list = router->waiting;
 	router->waiting = NULL;
 	while (list) {
 		request_t *request = list;
@@ -31,6 +85,7 @@
 			list->prev = NULL;
 		request->prev = request->next = NULL;
 		request->in_waiting = false;
+		count_waiting(request, -1);
 		request_dispatch(request);
 	}
 }
@@ -39,15 +94,18 @@
 {
 	if (a->admission.priority != b->admission.priority)
 		return a->admission.priority < b->admission.priority;
+	if (a->turn != b->turn)
+		return a->turn < b->turn;
 	return a->arrived_ms < b->arrived_ms;
 }
 
-void waiting_add(request_t *request)
+void waiting_add(request_t *request, bool for_room)
 {
 	router_t *router = request->router;
 	request_t *before = NULL;
 	request_t *at = router->waiting;
 
+	request->waits_for_room = for_room;
 	while (at && !goes_before(request, at)) {
 		before = at;
 		at = at->next;
@@ -61,6 +119,7 @@
 	if (at)
 		at->prev = request;
 	request->in_waiting = true;
+	count_waiting(request, 1);
 	if (!router->wait_timer.due_ms)
 		loop_timer_set(router->loop, &router->wait_timer,
 			       WAITING_RETRY_MS, on_retry, router);
@@ -71,3 +130,74 @@
 	if (request->in_waiting)
 		unlink_request(request);
 }
+
+static bool is_same_service(const request_t *a, const request_t *b)
+{
+	return str_equals(a->admission.service_name, b->admission.service_name);
+}
+
+bool waiting_blocks(const request_t *request)
+{
+	for (const request_t *at = request->router->waiting;
+	     at && goes_before(at, request); at = at->next)
+		if (at->waits_for_room && is_same_service(at, request))
+			return true;
+	return false;
+}
+
+bool waiting_is_full(const request_t *request)
+{
+	const floors_class_t *class = find_class(request);
+	unsigned max = request->admission.route->max_waiting;
+
+	return class && max && class->waiting >= max;
+}
+
+/* Requests that the service's endpoints run at once. */
+static unsigned count_slots(const request_t *request)
+{
+	const fleet_t *fleet = request->router->fleet;
+	unsigned slots = 0;
+
+	for (size_t i = 0; i < fleet_count(fleet); i++) {
+		const endpoint_t *endpoint = fleet_at(fleet, i);
+
+		if (endpoint->state == ENDPOINT_READY &&
+		    str_equals(str_from(endpoint->service),
+			       request->admission.service_name))
+			slots += endpoint->slots;
+	}
+	return slots;
+}
+
+int64_t waiting_expected_ms(const request_t *request)
+{
+	router_t *router = request->router;
+	double busy_ms = router_service(router, request->admission.service_name)
+				 ->busy_ms;
+	unsigned slots = count_slots(request);
+	unsigned ahead = 0;
+
+	for (const request_t *at = router->waiting; at; at = at->next)
+		if (is_same_service(at, request) && goes_before(at, request))
+			ahead++;
+	/* All hosts wait for the same slots. */
+	return (int64_t)(busy_ms * ahead * router->all_hosts /
+			 (slots ? slots : 1));
+}
+
+void waiting_on_room(router_t *router)
+{
+	for (const request_t *at = router->waiting; at; at = at->next)
+		if (at->waits_for_room) {
+			loop_timer_set(router->loop, &router->wait_timer, 0,
+				       on_retry, router);
+			return;
+		}
+}
+
+void waiting_on_send(const request_t *request)
+{
+	floors_on_send(&request->router->floors, class_id(request));
+	customers_on_send(request);
+}
--- a/lib/state/catalog.h
+++ b/lib/state/catalog.h
@@ -44,6 +44,13 @@
 	unsigned pause_target_ms; /* between events */
 	unsigned priority;	  /* 0 is the highest */
 	unsigned max_attempts;	  /* endpoints that may run one request */
+	unsigned group;		  /* customers may be kept to some groups */
+	/* Waiting for room: how long, how many, and how often against more
+	 * urgent requests. */
+	bool waits_to_end;	    /* else for a part of the target only */
+	unsigned max_waiting;	    /* 0: no bound */
+	unsigned floor_percent;	    /* share of the sends while it waits */
+	unsigned max_output_tokens; /* 0: no bound */
 	const catalog_split_t *splits;
 	size_t split_count;
 	catalog_regions_t regions;
@@ -56,6 +63,9 @@
 	unsigned slots;		  /* of one model engine; 0: a plain service */
 	int64_t cold_ms;	  /* how long an endpoint stays cold */
 	double cold_per_s;	  /* requests that a cold endpoint bears */
+	bool bounded;		  /* an endpoint takes no more than its slots */
+	bool proves_warmth;	  /* endpoints are cold unless warmth.h knows
+				   * better; each host has units of the limit */
 } catalog_service_t;
 
 typedef struct catalog_customer {
@@ -63,6 +73,9 @@
 	bool has_priority;
 	unsigned priority; /* goes before the route's */
 	catalog_regions_t regions;
+	uint32_t groups;	  /* of routes, a bit each; 0: all */
+	unsigned max_in_progress; /* requests at one host; 0: no bound */
+	unsigned weight; /* of its turns among those that wait; 0: none */
 } catalog_customer_t;
 
 typedef struct catalog_limits {
--- a/lib/state/fleet.h
+++ b/lib/state/fleet.h
@@ -4,6 +4,7 @@
 #include "coordination/breaker.h"
 #include "coordination/coldgate.h"
 #include "coordination/loadboard.h"
+#include "coordination/warmth.h"
 #include "state/catalog.h"
 
 /*
@@ -53,6 +54,11 @@
 	int64_t incarnation;
 	int64_t cold_until_ms;
 	int64_t lingers_until_ms;
+	/* Of services that prove warmth: this host's units of the cold limit,
+	 * and what it knows. */
+	unsigned cold_units;
+	warmth_t warmth;
+	int64_t probed_ms; /* when it was last asked for its state */
 	/* What this host has sent and seen. */
 	coldgate_t gate;
 	breaker_t breaker;
--- /dev/null
+++ b/lib/state/hostsettings.c
@@ -0,0 +1,52 @@
+#include "state/hostsettings.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#define READ_BYTES 4096
+#define GRACE_MS 8000
+/* Balancers take this long to stop sending to a host that isn't ready. */
+#define ACCEPT_MS 2600
+#define REPEAT_RATIO 0.1
+#define REPEAT_WINDOW_MS 10000
+
+void hostsettings_init(hostsettings_t *settings, str_t text)
+{
+	*settings = (hostsettings_t){.text = str_dup(text),
+				     .grace_ms = GRACE_MS,
+				     .accept_ms = ACCEPT_MS,
+				     .repeat_ratio = REPEAT_RATIO,
+				     .repeat_window_ms = REPEAT_WINDOW_MS,
+				     .cold_overshoot = 1.0};
+	if (!settings->text)
+		abort();
+}
+
+void hostsettings_release(hostsettings_t *settings)
+{
+	free(settings->text);
+	settings->text = NULL;
+}
+
+err_code_t hostsettings_read_file(const char *path, buf_t *text, err_t *err)
+{
+	int fd = open(path, O_RDONLY | O_CLOEXEC);
+	ssize_t got;
+
+	if (fd < 0)
+		return err_set(err, ERR_IO, "open-settings", path, "%s",
+			       strerror(errno));
+	do {
+		buf_reserve(text, READ_BYTES);
+		got = read(fd, text->ptr + text->len, READ_BYTES);
+		if (got > 0)
+			text->len += (size_t)got;
+	} while (got > 0);
+	close(fd);
+	if (got < 0)
+		return err_set(err, ERR_IO, "read-settings", path, "%s",
+			       strerror(errno));
+	return ERR_OK;
+}
--- /dev/null
+++ b/lib/state/hostsettings.h
@@ -0,0 +1,54 @@
+#ifndef STATE_HOSTSETTINGS_H
+#define STATE_HOSTSETTINGS_H
+
+#include <stdint.h>
+
+#include "base/buf.h"
+#include "base/err.h"
+
+/*
+ * hostsettings - what every host process is told by its settings file
+ *
+ * The readers of the file formats fill it in: platform/settings.h for the
+ * users' platform, state/settings.h for TOML.
+ */
+#define HOSTSETTINGS_MAX_DOMAINS 64
+#define HOSTSETTINGS_MAX_SEEDS 8
+
+typedef struct hostsettings_domain {
+	str_t name;
+	str_t region;
+} hostsettings_domain_t;
+
+typedef struct hostsettings {
+	char *text; /* backs the views below; each ends in NUL */
+	str_t host;
+	str_t ip;
+	str_t domain;
+	str_t region; /* empty: the configuration tells it */
+	hostsettings_domain_t domains[HOSTSETTINGS_MAX_DOMAINS];
+	size_t domain_count;
+	str_t listen_callers;
+	str_t listen_peers;
+	unsigned first_port, last_port;	     /* for traffic between hosts */
+	str_t seeds[HOSTSETTINGS_MAX_SEEDS]; /* addresses of listen_peers */
+	size_t seed_count;
+	/* A stop: from SIGTERM to SIGKILL, and how long new connections still
+	 * come after readiness has ended. */
+	int64_t grace_ms;
+	int64_t accept_ms;
+	double repeat_ratio;
+	int64_t repeat_window_ms;
+	double repeat_slack;
+	double cold_overshoot;
+	double cold_slack;
+} hostsettings_t;
+
+/* Settings with the usual values and a copy of `text`. */
+void hostsettings_init(hostsettings_t *settings, str_t text);
+void hostsettings_release(hostsettings_t *settings);
+
+/* Reads a whole file. */
+err_code_t hostsettings_read_file(const char *path, buf_t *text, err_t *err);
+
+#endif
--- /dev/null
+++ b/lib/transport/httptext.c
@@ -0,0 +1,129 @@
+#include "transport/httptext.h"
+
+#include <stdio.h>
+
+#define MS_PER_S 1000
+
+str_t httptext_trim(str_t s)
+{
+	while (s.len && (s.ptr[0] == ' ' || s.ptr[0] == '\t'))
+		s = (str_t){s.ptr + 1, s.len - 1};
+	while (s.len && (s.ptr[s.len - 1] == ' ' || s.ptr[s.len - 1] == '\t'))
+		s.len--;
+	return s;
+}
+
+str_t httptext_value(const http1_head_t *head, str_t name)
+{
+	return httptext_trim(http1_find(head, name));
+}
+
+bool httptext_take_number(str_t *s, unsigned base, uint64_t *number)
+{
+	size_t at = 0;
+
+	*number = 0;
+	for (; at < s->len; at++) {
+		char c = s->ptr[at];
+		unsigned digit =
+			c >= '0' && c <= '9' ? (unsigned)(c - '0') :
+			c >= 'a' && c <= 'f' ? (unsigned)(c - 'a' + 10) :
+			c >= 'A' && c <= 'F' ? (unsigned)(c - 'A' + 10) :
+					       base;
+
+		if (digit >= base || *number > UINT64_MAX / base / 2)
+			break;
+		*number = *number * base + digit;
+	}
+	*s = (str_t){s->ptr + at, s->len - at};
+	return at > 0;
+}
+
+int64_t httptext_read_ms(const http1_head_t *head, str_t name)
+{
+	str_t value = httptext_value(head, name);
+	uint64_t number;
+
+	if (!value.ptr || !httptext_take_number(&value, 10, &number) ||
+	    number > INT32_MAX)
+		return -1;
+	return (int64_t)number;
+}
+
+str_t httptext_bearer(const http1_head_t *head)
+{
+	str_t value = httptext_value(head, STR_LIT("Authorization"));
+	str_t scheme = STR_LIT("Bearer ");
+
+	if (value.len < scheme.len ||
+	    !http1_name_equals((str_t){value.ptr, scheme.len}, scheme))
+		return (str_t){NULL, 0};
+	return httptext_trim(
+		(str_t){value.ptr + scheme.len, value.len - scheme.len});
+}
+
+int64_t httptext_keep_alive_ms(const http1_head_t *head)
+{
+	str_t value = http1_find(head, STR_LIT("Keep-Alive"));
+	str_t name = STR_LIT("timeout=");
+
+	for (size_t i = 0; i + name.len <= value.len; i++) {
+		str_t rest = {value.ptr + i, value.len - i};
+		uint64_t seconds;
+
+		if (!str_starts_with(rest, name))
+			continue;
+		rest = (str_t){rest.ptr + name.len, rest.len - name.len};
+		if (httptext_take_number(&rest, 10, &seconds) &&
+		    seconds < INT32_MAX)
+			return (int64_t)seconds * MS_PER_S;
+	}
+	return -1;
+}
+
+bool httptext_is_encoded(const http1_head_t *head)
+{
+	str_t coding = httptext_value(head, STR_LIT("Content-Encoding"));
+
+	return coding.len && !http1_name_equals(coding, STR_LIT("identity"));
+}
+
+str_t httptext_path(const http1_head_t *head)
+{
+	str_t target = http1_target(head);
+	const char *query =
+		target.len ? memchr(target.ptr, '?', target.len) : NULL;
+
+	return query ? (str_t){target.ptr, (size_t)(query - target.ptr)} :
+		       target;
+}
+
+void httptext_append_request(buf_t *out, const http1_head_t *head, str_t target)
+{
+	buf_append_str(
+		out, str_from(http_method_str((enum http_method)head->method)));
+	buf_append_str(out, STR_LIT(" "));
+	buf_append_str(out, target);
+	buf_append_str(out, STR_LIT(" HTTP/1.1\r\n"));
+}
+
+void httptext_append_status(buf_t *out, unsigned status)
+{
+	buf_printf(out, "HTTP/1.1 %u %s\r\n", status, http1_reason(status));
+}
+
+void httptext_append_field(buf_t *out, str_t name, str_t value)
+{
+	buf_append_str(out, name);
+	buf_append_str(out, STR_LIT(": "));
+	buf_append_str(out, value);
+	buf_append_str(out, STR_LIT("\r\n"));
+}
+
+void httptext_append_number(buf_t *out, str_t name, int64_t number)
+{
+	char text[24];
+	int len = snprintf(text, sizeof(text), "%lld", (long long)number);
+
+	httptext_append_field(out, name, (str_t){text, (size_t)len});
+}
--- a/lib/transport/monitor.c
+++ b/lib/transport/monitor.c
@@ -4,7 +4,7 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
-#include "transport/http1.h"
+#include "transport/httptext.h"
 #include "transport/tcp.h"
 
 #define HEAD_BYTES 8192
@@ -17,12 +17,15 @@
 	tcp_t tcp;
 	http1_t http;
 	loop_timer_t timer;
+	buf_t body;
+	bool too_large;
 	struct client *next, *prev;
 } client_t;
 
 struct monitor {
 	loop_t *loop;
 	int listen_fd;
+	size_t max_body_bytes;
 	monitor_handler_t handler;
 	void *user;
 	client_t *clients;
@@ -36,6 +39,7 @@
 	loop_timer_cancel(monitor->loop, &client->timer);
 	tcp_close(&client->tcp);
 	http1_release(&client->http);
+	buf_release(&client->body);
 	if (client->prev)
 		client->prev->next = client->next;
 	else
@@ -53,29 +57,51 @@
 
 static void on_body(http1_t *http, str_t data)
 {
-	(void)http;
-	(void)data;
+	client_t *client =
+		(client_t *)((char *)http - offsetof(client_t, http));
+
+	if (client->body.len + data.len > client->monitor->max_body_bytes)
+		client->too_large = true;
+	else
+		buf_append_str(&client->body, data);
 }
 
 static const http1_ops_t http_ops = {on_body};
 
-static void answer(client_t *client)
+static void write_page(client_t *client, const monitor_page_t *page)
 {
-	monitor_t *monitor = client->monitor;
-	const http1_head_t *head = &client->http.head;
-	monitor_page_t page = {.status = 404, .body = BUF_INIT};
 	buf_t out = BUF_INIT;
 
-	if (head->method == HTTP_GET)
-		monitor->handler(monitor->user, http1_target(head), &page);
-	buf_printf(&out,
-		   "HTTP/1.1 %u %s\r\nContent-Type: text/plain\r\n"
-		   "Content-Length: %zu\r\n\r\n",
-		   page.status, http1_reason(page.status), page.body.len);
-	buf_append_str(&out, buf_view(&page.body));
+	httptext_append_status(&out, page->status);
+	httptext_append_field(&out, STR_LIT("Content-Type"),
+			      str_from(page->type));
+	httptext_append_number(&out, STR_LIT("Content-Length"),
+			       (int64_t)page->body.len);
+	buf_append_str(&out, STR_LIT("\r\n"));
+	buf_append_str(&out, buf_view(&page->body));
 	tcp_send(&client->tcp, buf_view(&out));
 	buf_release(&out);
+}
+
+static void answer(client_t *client)
+{
+	monitor_t *monitor = client->monitor;
+	const http1_head_t *head = &client->http.head;
+	monitor_call_t call = {.method = head->method,
+			       .path = httptext_path(head),
+			       .key = httptext_bearer(head),
+			       .body = buf_view(&client->body)};
+	monitor_page_t page = {
+		.status = 404, .type = "text/plain", .body = BUF_INIT};
+
+	if (client->too_large)
+		page.status = 413;
+	else
+		monitor->handler(monitor->user, &call, &page);
+	write_page(client, &page);
 	buf_release(&page.body);
+	buf_release(&client->body);
+	client->too_large = false;
 }
 
 static void on_io(void *user, uint32_t events)
@@ -147,10 +173,9 @@
 	}
 }
 
-monitor_t *monitor_create(loop_t *loop, const char *address,
-			  monitor_handler_t handler, void *user, err_t *err)
+monitor_t *monitor_create(const monitor_options_t *options, err_t *err)
 {
-	int fd = tcp_listen(address, err);
+	int fd = tcp_listen(options->address, err);
 	monitor_t *monitor;
 
 	if (fd < 0)
@@ -158,11 +183,12 @@
 	monitor = calloc(1, sizeof(*monitor));
 	if (!monitor)
 		abort();
-	*monitor = (monitor_t){.loop = loop,
+	*monitor = (monitor_t){.loop = options->loop,
 			       .listen_fd = fd,
-			       .handler = handler,
-			       .user = user};
-	loop_watch(loop, fd, EPOLLIN, on_accept, monitor);
+			       .max_body_bytes = options->max_body_bytes,
+			       .handler = options->handler,
+			       .user = options->user};
+	loop_watch(options->loop, fd, EPOLLIN, on_accept, monitor);
 	return monitor;
 }
 
--- a/lib/transport/monitor.h
+++ b/lib/transport/monitor.h
@@ -3,23 +3,43 @@
 
 #include "base/buf.h"
 #include "base/err.h"
+#include "transport/http1.h"
 #include "transport/loop.h"
 
 /*
- * monitor - answers the GET requests of monitors: readiness, metrics
+ * monitor - small HTTP pages for monitors and operators: readiness, metrics
+ *
+ * The handler gets each whole request and fills in a page; status 404 stays
+ * when it doesn't.
  */
 typedef struct monitor monitor_t;
 
+typedef struct monitor_call {
+	unsigned method; /* an http_method */
+	str_t path;	 /* without the query */
+	str_t key;	 /* credentials of the scheme Bearer; ptr NULL */
+	str_t body;
+} monitor_call_t;
+
 typedef struct monitor_page {
 	unsigned status;
-	buf_t body; /* filled by the handler, released by the monitor */
+	const char *type; /* of the body; text/plain unless set */
+	buf_t body;	  /* filled by the handler, released by the monitor */
 } monitor_page_t;
 
-typedef void (*monitor_handler_t)(void *user, str_t path, monitor_page_t *page);
+typedef void (*monitor_handler_t)(void *user, const monitor_call_t *call,
+				  monitor_page_t *page);
+
+typedef struct monitor_options {
+	loop_t *loop;
+	const char *address;   /* IP:PORT to listen on */
+	size_t max_body_bytes; /* a larger one is answered 413 */
+	monitor_handler_t handler;
+	void *user;
+} monitor_options_t;
 
 /* RETURN VALUE: the monitor, or NULL with `err` set. */
-monitor_t *monitor_create(loop_t *loop, const char *address,
-			  monitor_handler_t handler, void *user, err_t *err);
+monitor_t *monitor_create(const monitor_options_t *options, err_t *err);
 void monitor_free(monitor_t *monitor);
 
 #endif
--- a/programs/hostd/host.c
+++ b/programs/host/host.c
@@ -1,4 +1,4 @@
-#include "programs/hostd/host.h"
+#include "programs/host/host.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -6,44 +6,31 @@
 #include <sys/epoll.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
-#include <xxhash.h>
 
-#include "base/histogram.h"
-#include "base/metrics.h"
 #include "base/plog.h"
-#include "platform/headers.h"
-#include "platform/names.h"
-#include "platform/records.h"
 #include "request/caller.h"
 
-#define ADDRESS_TEXT_BYTES 64
 /* The settings file may change without a signal. */
 #define SETTINGS_CHECK_MS 1000
-/* New connections come for a while after readiness has ended. */
-#define STOP_ACCEPT_MS 2600
 #define STOP_CHECK_MS 100
 /* Left of the time for a stop when what still runs is given up. */
 #define STOP_RESERVE_MS 700
-#define METRICS_PORT 9464
-/* Hosts that call the configuration service often, whatever their number; they
- * are drawn by name, so this many are expected. */
-#define EAGER_READERS 10
 
-static int64_t now_of(const host_t *host)
+int64_t host_now_ms(const host_t *host)
 {
 	return mclock_now_ms(loop_clock(host->loop));
 }
 
 static void read_domains(host_t *host)
 {
-	const psettings_t *settings = host->settings;
+	const hostsettings_t *settings = host->settings;
 
 	for (size_t i = 0; i < settings->domain_count; i++)
 		fleet_add_domain(host->router->fleet, settings->domains[i].name,
 				 settings->domains[i].region);
 }
 
-static router_bounds_t bounds_of(const psettings_t *settings)
+static router_bounds_t bounds_of(const hostsettings_t *settings)
 {
 	return (router_bounds_t){.repeat_ratio = settings->repeat_ratio,
 				 .repeat_slack = settings->repeat_slack,
@@ -52,9 +39,9 @@
 				 .cold_slack = settings->cold_slack};
 }
 
-static void read_seeds(host_t *host, const psettings_t *settings)
+static void read_seeds(host_t *host, const hostsettings_t *settings)
 {
-	str_t ips[PSETTINGS_MAX_SEEDS];
+	str_t ips[HOSTSETTINGS_MAX_SEEDS];
 	size_t count = 0;
 
 	for (size_t i = 0; i < settings->seed_count; i++) {
@@ -69,10 +56,11 @@
 	peersync_set_seeds(host->peersync, ips, count);
 }
 
-static psettings_t *parse_settings(const buf_t *text)
+static hostsettings_t *parse_settings(const host_t *host, const buf_t *text)
 {
 	buf_t report = BUF_INIT;
-	psettings_t *settings = psettings_parse(buf_view(text), &report);
+	hostsettings_t *settings =
+		host->ops->parse_settings(buf_view(text), &report);
 
 	if (!settings) {
 		fprintf(stderr, "%" STR_FMT, STR_ARG(buf_view(&report)));
@@ -87,11 +75,11 @@
 {
 	err_t err;
 
-	if (psettings_read_file(path, &host->settings_text, &err)) {
+	if (hostsettings_read_file(path, &host->settings_text, &err)) {
 		fprintf(stderr, "%s %s: %s\n", err.step, err.peer, err.message);
 		return err.code;
 	}
-	host->settings = parse_settings(&host->settings_text);
+	host->settings = parse_settings(host, &host->settings_text);
 	if (!host->settings)
 		return ERR_INVALID;
 	host->settings_path = str_dup(str_from(path));
@@ -100,7 +88,7 @@
 
 /* Puts changed settings in force, but for the host's own names and addresses,
  * of which the router and the listeners keep views. */
-static void apply_settings(host_t *host, psettings_t *settings)
+static void apply_settings(host_t *host, const hostsettings_t *settings)
 {
 	read_seeds(host, settings);
 	host->router->bounds = bounds_of(settings);
@@ -112,25 +100,26 @@
 			fleet_add_domain(host->router->fleet,
 					 settings->domains[i].name,
 					 settings->domains[i].region);
-	pstore_set_address(host->store, settings->store.ptr);
+	host->ops->apply_settings(host, settings);
 	plog_write(PLOG_SETTINGS_RELOADED, "path=%s", host->settings_path);
 }
 
 static void check_settings(host_t *host)
 {
 	buf_t text = BUF_INIT;
-	psettings_t *settings;
+	hostsettings_t *settings;
 	err_t err;
 
-	if (psettings_read_file(host->settings_path, &text, &err)) {
+	if (hostsettings_read_file(host->settings_path, &text, &err)) {
 		plog_write(PLOG_SETTINGS_INVALID, "step=%s error=\"%s\"",
 			   err.step, err.message);
 	} else if (!str_equals(buf_view(&text),
 			       buf_view(&host->settings_text))) {
-		settings = parse_settings(&text);
-		if (settings)
+		settings = parse_settings(host, &text);
+		if (settings) {
 			apply_settings(host, settings);
-		psettings_free(settings);
+			host->ops->free_settings(settings);
+		}
 		buf_release(&host->settings_text);
 		host->settings_text = text;
 		return;
@@ -151,26 +140,7 @@
 {
 	host_t *host = user;
 
-	records_apply(host->router, key, value);
-}
-
-static void on_store_reached(void *user)
-{
-	host_t *host = user;
-
-	plog_write(PLOG_STORE_REACHED, "revision=%lld records=%zu",
-		   (long long)replica_revision(host->replica),
-		   replica_count(host->replica));
-}
-
-static void on_store_lost(void *user, const err_t *err)
-{
-	const host_t *host = user;
-
-	plog_write(PLOG_STORE_LOST,
-		   "step=%s peer=%s error=\"%s\" revision=%lld", err->step,
-		   err->peer, err->message,
-		   (long long)replica_revision(host->replica));
+	host->ops->take_record(host, key, value);
 }
 
 static void on_hosts_changed(void *user, unsigned domain_hosts,
@@ -181,12 +151,7 @@
 	plog_write(PLOG_HOSTS_CHANGED, "domain=%u all=%u", domain_hosts,
 		   all_hosts);
 	router_set_hosts(host->router, domain_hosts, all_hosts);
-	host->eager =
-		XXH64(host->settings->host.ptr, host->settings->host.len, 0) %
-			all_hosts <
-		EAGER_READERS;
-	if (host->store)
-		pstore_set_eager(host->store, host->eager);
+	host->ops->hosts_changed(host, all_hosts);
 }
 
 static void on_pulled(void *user, const char *peer, int64_t revision)
@@ -195,33 +160,7 @@
 
 	plog_write(PLOG_PEER_PULLED, "peer=%s revision=%lld", peer,
 		   (long long)revision);
-	if (host->store && pstore_is_reached(host->store))
-		pstore_restart(host->store);
-}
-
-static bool is_ready(const host_t *host)
-{
-	return !host->stop_ms && host->router->catalog &&
-	       fleet_count(host->router->fleet);
-}
-
-static void on_readiness(void *user, str_t path, monitor_page_t *page)
-{
-	const host_t *host = user;
-
-	if (!str_equals(path, STR_LIT(NAME_PATH_READY)))
-		return;
-	page->status = is_ready(host) ? 200 : 503;
-}
-
-static void on_metrics(void *user, str_t path, monitor_page_t *page)
-{
-	(void)user;
-	if (!str_equals(path, STR_LIT("/metrics")))
-		return;
-	page->status = 200;
-	metrics_render(&page->body);
-	histogram_render(&page->body);
+	host->ops->pulled(host);
 }
 
 static void on_callers(void *user, uint32_t events)
@@ -247,13 +186,13 @@
 static void on_stop_timer(void *user)
 {
 	host_t *host = user;
-	int64_t passed_ms = now_of(host) - host->stop_ms;
+	int64_t passed_ms = host_now_ms(host) - host->stop_ms;
 
 	if (passed_ms >= host->settings->grace_ms - STOP_RESERVE_MS) {
 		loop_stop(host->loop);
 		return;
 	}
-	if (passed_ms >= STOP_ACCEPT_MS) {
+	if (passed_ms >= host->settings->accept_ms) {
 		close_listener(host);
 		caller_close_idle(host->router);
 		if (!host->router->caller_count) {
@@ -269,11 +208,12 @@
 {
 	if (host->stop_ms)
 		return;
-	host->stop_ms = now_of(host);
+	host->stop_ms = host_now_ms(host);
 	plog_write(PLOG_STOPPING, "callers=%zu requests=%zu",
 		   host->router->caller_count, host->router->request_count);
 	router_stop(host->router);
 	peersync_leave(host->peersync);
+	host->ops->stopping(host);
 	on_stop_timer(host);
 }
 
@@ -310,7 +250,7 @@
 
 static err_code_t start_peers(host_t *host, err_t *err)
 {
-	const psettings_t *settings = host->settings;
+	const hostsettings_t *settings = host->settings;
 	peersync_options_t options = {
 		.loop = host->loop,
 		.replica = host->replica,
@@ -333,59 +273,50 @@
 	return host->loadsync ? ERR_OK : err->code;
 }
 
-static err_code_t start_listeners(host_t *host, err_t *err)
+static err_code_t start_callers(host_t *host, err_t *err)
 {
-	const psettings_t *settings = host->settings;
-	char metrics[ADDRESS_TEXT_BYTES];
-
-	snprintf(metrics, sizeof(metrics), "%s:%d", settings->ip.ptr,
-		 METRICS_PORT);
-	host->metrics =
-		monitor_create(host->loop, metrics, on_metrics, host, err);
-	if (!host->metrics)
-		return err->code;
-	host->listen_fd = tcp_listen(settings->listen_callers.ptr, err);
+	host->listen_fd = tcp_listen(host->settings->listen_callers.ptr, err);
 	if (host->listen_fd < 0)
 		return err->code;
 	loop_watch(host->loop, host->listen_fd, EPOLLIN, on_callers, host);
-	host->readiness = monitor_create(host->loop, settings->listen_ready.ptr,
-					 on_readiness, host, err);
-	return host->readiness ? ERR_OK : err->code;
+	return ERR_OK;
+}
+
+static router_options_t router_options(const host_t *host)
+{
+	const hostsettings_t *settings = host->settings;
+
+	return (router_options_t){.loop = host->loop,
+				  .dialect = host->ops->dialect(),
+				  .policy = host->policy,
+				  .tracer = host->tracer,
+				  .domain = settings->domain,
+				  .region = settings->region,
+				  .bounds = bounds_of(settings)};
 }
 
 err_code_t host_start(host_t *host, err_t *err)
 {
-	const psettings_t *settings = host->settings;
+	const hostsettings_t *settings = host->settings;
 	replica_observer_t records = {on_record, host};
-	pstore_observer_t store = {on_store_reached, on_store_lost, host};
+	router_options_t options;
 
 	host->listen_fd = -1;
 	host->signal_fd = -1;
 	host->loop = loop_create(mclock_system());
 	if (!host->loop)
 		return err_set(err, ERR_IO, "loop", "-", "no epoll");
-	host->router = router_create(
-		&(router_options_t){.loop = host->loop,
-				    .dialect = headers_dialect(),
-				    .policy = host->policy,
-				    .domain = settings->domain,
-				    .region = settings->region,
-				    .bounds = bounds_of(settings)});
+	options = router_options(host);
+	host->router = router_create(&options);
 	host->replica = replica_create(&records);
 	read_domains(host);
-	if (open_signals(host, err) || start_peers(host, err))
-		return err->code;
-	host->store = pstore_create(host->loop, settings->store.ptr,
-				    host->replica, &store);
-	pstore_set_eager(host->store, host->eager);
-	if (start_listeners(host, err))
+	if (open_signals(host, err) || start_peers(host, err) ||
+	    host->ops->start(host, err) || start_callers(host, err))
 		return err->code;
 	on_settings_timer(host);
-	plog_write(PLOG_STARTED,
-		   "host=%s domain=%s callers=%s peers=%s store=%s",
+	plog_write(PLOG_STARTED, "host=%s domain=%s callers=%s peers=%s",
 		   settings->host.ptr, settings->domain.ptr,
-		   settings->listen_callers.ptr, settings->listen_peers.ptr,
-		   settings->store.ptr);
+		   settings->listen_callers.ptr, settings->listen_peers.ptr);
 	plog_flush();
 	return ERR_OK;
 }
@@ -397,13 +328,20 @@
 		   host->router->caller_count, host->router->request_count);
 }
 
+static void release_loop(host_t *host)
+{
+	if (!host->loop)
+		return;
+	loop_timer_cancel(host->loop, &host->settings_timer);
+	loop_timer_cancel(host->loop, &host->stop_timer);
+	loop_free(host->loop);
+}
+
 void host_release(host_t *host)
 {
 	if (host->router)
 		caller_close_all(host->router);
-	monitor_free(host->readiness);
-	monitor_free(host->metrics);
-	pstore_free(host->store);
+	host->ops->release(host);
 	loadsync_free(host->loadsync);
 	peersync_free(host->peersync);
 	router_free(host->router);
@@ -412,12 +350,9 @@
 		close(host->listen_fd);
 	if (host->signal_fd >= 0)
 		close(host->signal_fd);
-	if (host->loop) {
-		loop_timer_cancel(host->loop, &host->settings_timer);
-		loop_timer_cancel(host->loop, &host->stop_timer);
-		loop_free(host->loop);
-	}
-	psettings_free(host->settings);
+	release_loop(host);
+	if (host->settings)
+		host->ops->free_settings(host->settings);
 	buf_release(&host->settings_text);
 	free(host->settings_path);
 }
--- /dev/null
+++ b/programs/hostd/hostd.c
@@ -0,0 +1,167 @@
+#include "programs/hostd/hostd.h"
+
+#include <stdio.h>
+#include <xxhash.h>
+
+#include "base/histogram.h"
+#include "base/metrics.h"
+#include "base/plog.h"
+#include "platform/headers.h"
+#include "platform/names.h"
+#include "platform/records.h"
+
+#define ADDRESS_TEXT_BYTES 64
+#define METRICS_PORT 9464
+/* Hosts that call the configuration service often, whatever their number; they
+ * are drawn by name, so this many are expected. */
+#define EAGER_READERS 10
+
+static const psettings_t *settings_of(const host_t *host)
+{
+	return (const psettings_t *)host->settings;
+}
+
+static hostsettings_t *parse_settings(str_t text, buf_t *report)
+{
+	return (hostsettings_t *)psettings_parse(text, report);
+}
+
+static void free_settings(hostsettings_t *settings)
+{
+	psettings_free((psettings_t *)settings);
+}
+
+static void on_store_reached(void *user)
+{
+	const hostd_t *hostd = user;
+
+	plog_write(PLOG_STORE_REACHED, "revision=%lld records=%zu",
+		   (long long)replica_revision(hostd->host.replica),
+		   replica_count(hostd->host.replica));
+}
+
+static void on_store_lost(void *user, const err_t *err)
+{
+	const hostd_t *hostd = user;
+
+	plog_write(PLOG_STORE_LOST,
+		   "step=%s peer=%s error=\"%s\" revision=%lld", err->step,
+		   err->peer, err->message,
+		   (long long)replica_revision(hostd->host.replica));
+}
+
+static bool is_ready(const host_t *host)
+{
+	return !host->stop_ms && router_is_ready(host->router);
+}
+
+static void on_readiness(void *user, const monitor_call_t *call,
+			 monitor_page_t *page)
+{
+	if (call->method == HTTP_GET &&
+	    str_equals(call->path, STR_LIT(NAME_PATH_READY)))
+		page->status = is_ready(user) ? 200 : 503;
+}
+
+static void on_metrics(void *user, const monitor_call_t *call,
+		       monitor_page_t *page)
+{
+	(void)user;
+	if (call->method != HTTP_GET ||
+	    !str_equals(call->path, STR_LIT("/metrics")))
+		return;
+	page->status = 200;
+	metrics_render(&page->body);
+	histogram_render(&page->body);
+}
+
+static err_code_t start_monitors(hostd_t *hostd, err_t *err)
+{
+	const psettings_t *settings = settings_of(&hostd->host);
+	char address[ADDRESS_TEXT_BYTES];
+	monitor_options_t options = {.loop = hostd->host.loop,
+				     .address = address,
+				     .handler = on_metrics,
+				     .user = hostd};
+
+	snprintf(address, sizeof(address), "%s:%d", settings->base.ip.ptr,
+		 METRICS_PORT);
+	hostd->metrics = monitor_create(&options, err);
+	if (!hostd->metrics)
+		return err->code;
+	options.address = settings->listen_ready.ptr;
+	options.handler = on_readiness;
+	hostd->readiness = monitor_create(&options, err);
+	return hostd->readiness ? ERR_OK : err->code;
+}
+
+static err_code_t start(host_t *host, err_t *err)
+{
+	hostd_t *hostd = (hostd_t *)host;
+	pstore_observer_t observer = {on_store_reached, on_store_lost, hostd};
+
+	hostd->store = pstore_create(host->loop, settings_of(host)->store.ptr,
+				     host->replica, &observer);
+	pstore_set_eager(hostd->store, hostd->eager);
+	return start_monitors(hostd, err);
+}
+
+static void apply_settings(host_t *host, const hostsettings_t *settings)
+{
+	hostd_t *hostd = (hostd_t *)host;
+
+	pstore_set_address(hostd->store,
+			   ((const psettings_t *)settings)->store.ptr);
+}
+
+static void take_record(host_t *host, str_t key, str_t value)
+{
+	records_apply(host->router, key, value);
+}
+
+static void pulled(host_t *host)
+{
+	hostd_t *hostd = (hostd_t *)host;
+
+	if (hostd->store && pstore_is_reached(hostd->store))
+		pstore_restart(hostd->store);
+}
+
+static void hosts_changed(host_t *host, unsigned all_hosts)
+{
+	hostd_t *hostd = (hostd_t *)host;
+	str_t name = host->settings->host;
+
+	hostd->eager = XXH64(name.ptr, name.len, 0) % all_hosts < EAGER_READERS;
+	if (hostd->store)
+		pstore_set_eager(hostd->store, hostd->eager);
+}
+
+/* Requests are served until the end: the platform's balancers take a while. */
+static void stopping(host_t *host)
+{
+	(void)host;
+}
+
+static void release(host_t *host)
+{
+	hostd_t *hostd = (hostd_t *)host;
+
+	monitor_free(hostd->readiness);
+	monitor_free(hostd->metrics);
+	pstore_free(hostd->store);
+}
+
+const host_ops_t hostd_ops = {
+	.name = "peridot-hostd",
+	.dialect = headers_dialect,
+	.parse_settings = parse_settings,
+	.free_settings = free_settings,
+	.start = start,
+	.apply_settings = apply_settings,
+	.take_record = take_record,
+	.pulled = pulled,
+	.hosts_changed = hosts_changed,
+	.stopping = stopping,
+	.release = release,
+};
--- /dev/null
+++ b/programs/hostd/hostd.h
@@ -0,0 +1,25 @@
+#ifndef HOSTD_HOSTD_H
+#define HOSTD_HOSTD_H
+
+#include "platform/settings.h"
+#include "platform/store.h"
+#include "programs/host/host.h"
+#include "transport/monitor.h"
+
+/*
+ * hostd - a host process on the users' platform
+ *
+ * Reads the configuration from the platform's service, and tells readiness and
+ * metrics at addresses of their own.
+ */
+typedef struct hostd {
+	host_t host; /* first: its functions get it */
+	pstore_t *store;
+	bool eager; /* calls the configuration service often */
+	monitor_t *readiness;
+	monitor_t *metrics;
+} hostd_t;
+
+extern const host_ops_t hostd_ops;
+
+#endif
--- a/tests/unit/test_headers.c
+++ b/tests/unit/test_headers.c
@@ -37,7 +37,7 @@
 	call_t call;
 
 	read_head(&http, HTTP_REQUEST, request_text);
-	dialect->ops->read_call(dialect, &http.head, &call);
+	dialect->ops->read_call(dialect, &http.head, STR_LIT(""), &call);
 	CU_ASSERT_TRUE(str_equals(call.id, STR_LIT("abc")));
 	CU_ASSERT_TRUE(str_equals(call.key, STR_LIT("key1")));
 	CU_ASSERT_TRUE(str_equals(call.host, STR_LIT("h.example")));
@@ -76,7 +76,7 @@
 	call_t call;
 
 	read_head(&http, HTTP_REQUEST, request_text);
-	dialect->ops->read_call(dialect, &http.head, &call);
+	dialect->ops->read_call(dialect, &http.head, STR_LIT(""), &call);
 	dialect->ops->write_call(dialect, &http.head, &call, &terms, &out);
 	CU_ASSERT_TRUE(str_equals(buf_view(&out), str_from(expected)));
 	buf_release(&out);
@@ -113,7 +113,10 @@
 		"Content-Type: application/json\r\nContent-Length: 16\r\n"
 		"Connection: close\r\n\r\n{\"error\":\"full\"}";
 	const dialect_t *dialect = headers_dialect();
-	own_reply_t reply = {503, "full", 1050, true};
+	own_reply_t reply = {.status = 503,
+			     .reason = "full",
+			     .retry_after_ms = 1050,
+			     .close = true};
 	call_t call = {.id = STR_LIT("abc")};
 	buf_t out = BUF_INIT;
 
--- a/tests/unit/test_records.c
+++ b/tests/unit/test_records.c
@@ -227,11 +227,12 @@
 	CU_ASSERT_PTR_NOT_NULL(settings);
 	if (!settings)
 		return;
-	CU_ASSERT_EQUAL(settings->domain_count, 2);
-	CU_ASSERT_EQUAL(settings->seed_count, 2);
-	CU_ASSERT_TRUE(str_equals(settings->seeds[1], STR_LIT("127.0.0.2:3")));
-	CU_ASSERT_EQUAL(settings->last_port, 7355);
-	CU_ASSERT_EQUAL(settings->grace_ms, 6000);
+	CU_ASSERT_EQUAL(settings->base.domain_count, 2);
+	CU_ASSERT_EQUAL(settings->base.seed_count, 2);
+	CU_ASSERT_TRUE(
+		str_equals(settings->base.seeds[1], STR_LIT("127.0.0.2:3")));
+	CU_ASSERT_EQUAL(settings->base.last_port, 7355);
+	CU_ASSERT_EQUAL(settings->base.grace_ms, 6000);
 	CU_ASSERT_TRUE(str_equals(settings->store, STR_LIT("127.0.0.1:4")));
 	psettings_free(settings);
 	buf_release(&report);
