--- a/lib/coordination/balance.h
+++ b/lib/coordination/balance.h
@@ -32,12 +32,12 @@
 	 * to the endpoint; requests there as the hosts told last. */
 	uint64_t sends_since;
 	unsigned reported_in_flight;
-	unsigned slots;	    /* requests that it runs at once */
-	double excess_ms;   /* recent answers' time over what was expected */
-	double service_ms;  /* plain services: usual time of an answer */
-	double failing;	    /* share of recent requests that failed */
-	double lane_ms;	    /* charge of balance_lane_charge() */
-	bool last_resort;   /* only when there is nothing else */
+	unsigned slots;	   /* requests that it runs at once */
+	double excess_ms;  /* recent answers' time over what was expected */
+	double service_ms; /* plain services: usual time of an answer */
+	double failing;	   /* share of recent requests that failed */
+	double lane_ms;	   /* charge of balance_lane_charge() */
+	bool last_resort;  /* only when there is nothing else */
 } balance_option_t;
 
 typedef struct balance_rates {
--- /dev/null
+++ b/lib/coordination/coldunits.c
@@ -0,0 +1,25 @@
+#include "coordination/coldunits.h"
+
+void coldunits_update(fleet_t *fleet, const sheet_t *sheet,
+		      const coldunits_self_t *self,
+		      const coldshare_time_t *time)
+{
+	for (size_t i = 0; i < sheet->endpoint_count; i++) {
+		const sheet_endpoint_t *row = &sheet->endpoints[i];
+		endpoint_t *endpoint = fleet_find(fleet, row->name);
+
+		if (endpoint)
+			endpoint->cold_units = coldshare_usable(
+				sheet, row, self->host, self->address, time,
+				endpoint->held_units);
+	}
+}
+
+void coldunits_hold(fleet_t *fleet)
+{
+	for (size_t i = 0; i < fleet_count(fleet); i++) {
+		endpoint_t *endpoint = fleet_at(fleet, i);
+
+		endpoint->held_units = endpoint->cold_units;
+	}
+}
--- a/lib/coordination/loadboard.c
+++ b/lib/coordination/loadboard.c
@@ -7,8 +7,12 @@
 #define MESSAGE_FIELDS 3
 #define ENTRY_FIELDS 4
 
+/* Numbers of hosts are odd, those of regions even; 0 stands for the sums of a
+ * relay. */
+#define HOST_BIT 1u
+
 typedef struct slot {
-	uint32_t host; /* 0: sums of a relay */
+	uint32_t source;
 	loadboard_entry_t entry;
 	int64_t told_ms;
 } slot_t;
@@ -49,7 +53,7 @@
 	return 0;
 }
 
-void loadboard_write(loadboard_kind_t kind, uint32_t host,
+void loadboard_write(loadboard_kind_t kind, uint32_t source,
 		     const loadboard_entry_t *entries, size_t count, buf_t *out)
 {
 	msgpack_packer packer;
@@ -57,7 +61,7 @@
 	msgpack_packer_init(&packer, out, append_packed);
 	msgpack_pack_array(&packer, MESSAGE_FIELDS);
 	msgpack_pack_uint32(&packer, kind);
-	msgpack_pack_uint32(&packer, host);
+	msgpack_pack_uint32(&packer, source);
 	msgpack_pack_array(&packer, count * ENTRY_FIELDS);
 	for (size_t i = 0; i < count; i++) {
 		msgpack_pack_uint32(&packer, entries[i].endpoint);
@@ -67,24 +71,24 @@
 	}
 }
 
-static size_t hash_key(uint32_t host, uint32_t endpoint)
+static size_t hash_key(uint32_t source, uint32_t endpoint)
 {
-	uint64_t key = (uint64_t)host << 32 | endpoint;
+	uint64_t key = (uint64_t)source << 32 | endpoint;
 
 	return (size_t)((key * 0x9e3779b97f4a7c15ull) >> 32);
 }
 
 /* Where the index has the key, or has room for it. */
-static uint32_t *find_place(const loadboard_t *board, uint32_t host,
+static uint32_t *find_place(const loadboard_t *board, uint32_t source,
 			    uint32_t endpoint)
 {
 	size_t mask = board->index_size - 1;
-	size_t at = hash_key(host, endpoint) & mask;
+	size_t at = hash_key(source, endpoint) & mask;
 
 	for (; board->index[at]; at = (at + 1) & mask) {
 		const slot_t *slot = &board->slots[board->index[at] - 1];
 
-		if (slot->host == host && slot->entry.endpoint == endpoint)
+		if (slot->source == source && slot->entry.endpoint == endpoint)
 			break;
 	}
 	return &board->index[at];
@@ -96,7 +100,7 @@
 	for (size_t i = 0; i < board->count; i++) {
 		const slot_t *slot = &board->slots[i];
 
-		*find_place(board, slot->host, slot->entry.endpoint) =
+		*find_place(board, slot->source, slot->entry.endpoint) =
 			(uint32_t)i + 1;
 	}
 }
@@ -114,20 +118,20 @@
 	rebuild_index(board);
 }
 
-static slot_t *get_slot(loadboard_t *board, uint32_t host, uint32_t endpoint)
+static slot_t *get_slot(loadboard_t *board, uint32_t source, uint32_t endpoint)
 {
 	uint32_t *place;
 	slot_t *slot;
 
 	if (board->count == board->cap)
 		grow(board);
-	place = find_place(board, host, endpoint);
+	place = find_place(board, source, endpoint);
 	if (*place)
 		return &board->slots[*place - 1];
 	if (board->count == LOADBOARD_MAX_ENTRIES)
 		return NULL;
 	slot = &board->slots[board->count++];
-	*slot = (slot_t){.host = host, .entry.endpoint = endpoint};
+	*slot = (slot_t){.source = source, .entry.endpoint = endpoint};
 	*place = (uint32_t)board->count;
 	return slot;
 }
@@ -143,7 +147,7 @@
 	return true;
 }
 
-static bool read_entries(loadboard_t *board, uint32_t host,
+static bool read_entries(loadboard_t *board, uint32_t source,
 			 const msgpack_object_array *array, int64_t now_ms)
 {
 	if (array->size % ENTRY_FIELDS)
@@ -155,7 +159,7 @@
 		if (!read_numbers(array->ptr + i, n, ENTRY_FIELDS) ||
 		    n[0] > UINT32_MAX || n[3] > UINT32_MAX)
 			return false;
-		slot = get_slot(board, host, (uint32_t)n[0]);
+		slot = get_slot(board, source, (uint32_t)n[0]);
 		if (!slot)
 			return true;
 		slot->entry = (loadboard_entry_t){(uint32_t)n[0],
@@ -175,6 +179,19 @@
 	return true;
 }
 
+static uint32_t source_of(loadboard_kind_t kind, uint32_t number)
+{
+	switch (kind) {
+	case LOADBOARD_HOST:
+		return number | HOST_BIT;
+	case LOADBOARD_REGION:
+		return (number | 2) & ~HOST_BIT;
+	case LOADBOARD_SUMS:
+		break;
+	}
+	return 0;
+}
+
 static bool read_message(loadboard_t *board, const msgpack_object *root,
 			 int64_t now_ms)
 {
@@ -183,15 +200,15 @@
 
 	if (root->type != MSGPACK_OBJECT_ARRAY ||
 	    root->via.array.size != MESSAGE_FIELDS ||
-	    !read_numbers(fields, head, 2) || head[0] > LOADBOARD_SUMS ||
+	    !read_numbers(fields, head, 2) || head[0] > LOADBOARD_REGION ||
 	    head[1] > UINT32_MAX || fields[2].type != MSGPACK_OBJECT_ARRAY)
 		return false;
 	if (head[0] == LOADBOARD_SUMS &&
 	    !accept_relay(board, (uint32_t)head[1], now_ms))
 		return true;
-	return read_entries(board,
-			    head[0] == LOADBOARD_SUMS ? 0 : (uint32_t)head[1],
-			    &fields[2].via.array, now_ms);
+	return read_entries(
+		board, source_of((loadboard_kind_t)head[0], (uint32_t)head[1]),
+		&fields[2].via.array, now_ms);
 }
 
 err_code_t loadboard_read(loadboard_t *board, str_t message, int64_t now_ms,
@@ -246,8 +263,14 @@
 	return joined < max ? joined : max;
 }
 
-size_t loadboard_sum(const loadboard_t *board, int64_t now_ms,
-		     loadboard_entry_t *entries, size_t max)
+static bool is_in_scope(const slot_t *slot, loadboard_scope_t scope)
+{
+	return scope == LOADBOARD_ALL ? slot->source != 0 :
+					slot->source & HOST_BIT;
+}
+
+size_t loadboard_sum(const loadboard_t *board, loadboard_scope_t scope,
+		     int64_t now_ms, loadboard_entry_t *entries, size_t max)
 {
 	loadboard_entry_t *all = malloc((board->count + 1) * sizeof(*all));
 	size_t count = 0;
@@ -255,7 +278,8 @@
 	if (!all)
 		abort();
 	for (size_t i = 0; i < board->count; i++)
-		if (board->slots[i].host && is_fresh(&board->slots[i], now_ms))
+		if (is_in_scope(&board->slots[i], scope) &&
+		    is_fresh(&board->slots[i], now_ms))
 			all[count++] = board->slots[i].entry;
 	qsort(all, count, sizeof(*all), compare_endpoints);
 	count = join_entries(all, count, max);
--- a/lib/coordination/loadboard.h
+++ b/lib/coordination/loadboard.h
@@ -11,8 +11,10 @@
  * loadboard - what all hosts together have sent to each endpoint
  *
  * A host alone sees its own sends only, which are few when there are many
- * hosts. So each tells its loads to one relay host a region, and each relay
- * tells the sums to the hosts of its region. The board keeps the entries and
+ * hosts. So each tells its loads to the relay host of its region, relays tell
+ * each other the sums of their regions, and each tells the sums over all to the
+ * hosts of its region: between regions only relays speak, however many hosts
+ * there are. The board keeps the entries and
  * reads and writes messages; it does no input or output. Loads are hints: what
  * has not been renewed for LOADBOARD_LIFE_MS counts as zero.
  */
@@ -33,8 +35,9 @@
 void loadboard_free(loadboard_t *board);
 
 typedef enum loadboard_kind {
-	LOADBOARD_HOST, /* loads of one host, for a relay */
-	LOADBOARD_SUMS	/* sums over all hosts, from a relay */
+	LOADBOARD_HOST,	 /* loads of one host, for the relay of its region */
+	LOADBOARD_SUMS,	 /* sums over all hosts, from a relay */
+	LOADBOARD_REGION /* sums over the hosts of a region, for other relays */
 } loadboard_kind_t;
 
 /* One endpoint's entry of a message. */
@@ -43,8 +46,9 @@
 	load_t load;
 } loadboard_entry_t;
 
-/* Appends a message with up to LOADBOARD_MESSAGE_ENTRIES entries of a host. */
-void loadboard_write(loadboard_kind_t kind, uint32_t host,
+/* Appends a message with up to LOADBOARD_MESSAGE_ENTRIES entries. `source` is
+ * the number of the host, of the relay or of the region. */
+void loadboard_write(loadboard_kind_t kind, uint32_t source,
 		     const loadboard_entry_t *entries, size_t count,
 		     buf_t *out);
 
@@ -56,13 +60,18 @@
 err_code_t loadboard_read(loadboard_t *board, str_t message, int64_t now_ms,
 			  err_t *err);
 
+typedef enum loadboard_scope {
+	LOADBOARD_OWN_REGION, /* what hosts said */
+	LOADBOARD_ALL	      /* and what other regions' relays said */
+} loadboard_scope_t;
+
 /*
- * Sums what hosts said of each endpoint, for a relay's message.
+ * Sums what was said of each endpoint, for a relay's message.
  *
  * RETURN VALUE: the number of entries, `max` at most.
  */
-size_t loadboard_sum(const loadboard_t *board, int64_t now_ms,
-		     loadboard_entry_t *entries, size_t max);
+size_t loadboard_sum(const loadboard_t *board, loadboard_scope_t scope,
+		     int64_t now_ms, loadboard_entry_t *entries, size_t max);
 
 /* What a relay last said of the endpoint; zero when that is too old. */
 load_t loadboard_get(const loadboard_t *board, uint32_t endpoint,
--- a/lib/coordination/peersync.c
+++ b/lib/coordination/peersync.c
@@ -79,6 +79,12 @@
 	end_pull(user);
 }
 
+static void note_invalid(const char *peer, const char *step)
+{
+	metrics_add(METRIC_INVALID_INPUT, STR_LIT("peers"), 1);
+	plog_write(PLOG_MESSAGE_INVALID, "peer=%s step=%s", peer, step);
+}
+
 static void on_answer(pull_t *pull, str_t content)
 {
 	peersync_t *peersync = pull->peersync;
@@ -87,8 +93,7 @@
 
 	if (pullcodec_apply_answer(peersync->replica, content, &revision,
 				   &err)) {
-		plog_write(PLOG_MESSAGE_INVALID, "peer=%s step=%s", pull->peer,
-			   err.step);
+		note_invalid(pull->peer, err.step);
 		return;
 	}
 	if (revision)
@@ -104,11 +109,12 @@
 	err_t err;
 
 	if (pullcodec_read_question(content, &after, &err)) {
-		plog_write(PLOG_MESSAGE_INVALID, "peer=- step=%s", err.step);
+		note_invalid(pull->peer, err.step);
 		return;
 	}
 	pullcodec_write_answer(pull->peersync->replica, after, &answer);
 	frame_append(&out, buf_view(&answer));
+	metrics_add(METRIC_CONTROL_BYTES_SENT, STR_LIT(""), out.len);
 	tcp_send(&pull->tcp, buf_view(&out));
 	pull->answered = true;
 	buf_release(&answer);
@@ -121,6 +127,7 @@
 	str_t content;
 
 	if (frame_peek(buf_view(&pull->in), &content)) {
+		note_invalid(pull->peer, "frame");
 		end_pull(pull);
 		return false;
 	}
@@ -167,6 +174,7 @@
 		return;
 	switch (tcp_read(&pull->tcp, buffer, sizeof(buffer), &len)) {
 	case TCP_READ_DATA:
+		metrics_add(METRIC_CONTROL_BYTES_RECEIVED, STR_LIT(""), len);
 		buf_append(&pull->in, buffer, len);
 		on_frame(pull);
 		return;
@@ -224,6 +232,7 @@
 		pull = create_pull(peersync, false);
 		peersync->served++;
 		tcp_open(&pull->tcp, peersync->loop, fd, on_pull_io, pull);
+		tcp_peer(&pull->tcp, pull->peer);
 	}
 }
 
@@ -259,16 +268,17 @@
 		const member_t *sender;
 		err_t err;
 
+		metrics_add(METRIC_CONTROL_BYTES_RECEIVED, STR_LIT(""), len);
 		if (gossip_read(peersync->gossip, (str_t){buffer, len},
 				now_of(peersync), &sender, &err) == ERR_INVALID)
-			plog_write(PLOG_MESSAGE_INVALID, "peer=%s step=%s",
-				   err.peer, err.step);
+			note_invalid(err.peer, err.step);
 	}
 	check_behind(peersync);
 }
 
 static void send_to_ip(const peersync_t *peersync, const char *ip, str_t data)
 {
+	metrics_add(METRIC_CONTROL_BYTES_SENT, STR_LIT(""), data.len);
 	/* Lost datagrams are made good by the next round. */
 	if (!udp_send(peersync->udp_fd, ip, peersync->gossip_port, data))
 		metrics_inc(METRIC_GOSSIP_UNSENT);
--- a/lib/coordination/warmth.c
+++ b/lib/coordination/warmth.c
@@ -14,6 +14,7 @@
 void warmth_on_answer(warmth_t *warmth, str_t boot, bool cold, int64_t sent_ms,
 		      int64_t now_ms)
 {
+	warmth->unreachable = false;
 	if (boot.len && !str_equals(str_from(warmth->boot), boot)) {
 		if (*warmth->boot)
 			warmth_void(warmth, sent_ms);
@@ -30,6 +31,12 @@
 	warmth->proven = true;
 }
 
+void warmth_on_unreachable(warmth_t *warmth, int64_t now_ms)
+{
+	warmth_void(warmth, now_ms);
+	warmth->unreachable = true;
+}
+
 void warmth_on_lost(warmth_t *warmth, int64_t now_ms, int64_t until_ms)
 {
 	if (now_ms >= warmth->lost_until_ms)
--- a/lib/coordination/warmth.h
+++ b/lib/coordination/warmth.h
@@ -20,6 +20,7 @@
 
 typedef struct warmth {
 	char boot[WARMTH_BOOT_BYTES]; /* empty: not known yet */
+	bool unreachable;	      /* nobody answered at its address last */
 	bool proven;
 	int64_t proven_ms; /* when the request of the last proof was sent */
 	int64_t voided_ms; /* requests sent up to then prove nothing */
@@ -41,6 +42,9 @@
 /* The engine may have started anew: a connection broke, or nobody listens. */
 void warmth_void(warmth_t *warmth, int64_t now_ms);
 
+/* Nobody answered at the engine's address. */
+void warmth_on_unreachable(warmth_t *warmth, int64_t now_ms);
+
 /* A request ended here that the engine may run until `until_ms`. */
 void warmth_on_lost(warmth_t *warmth, int64_t now_ms, int64_t until_ms);
 
--- a/lib/protocol/native.c
+++ b/lib/protocol/native.c
@@ -246,6 +246,8 @@
 		    !is_endpoint_field(http1_field_name(head, i)))
 			httptext_append_field(out, http1_field_name(head, i),
 					      http1_field_value(head, i));
+	if (!http1_find(head, HEADER_REQUEST).ptr)
+		append_if_set(out, HEADER_REQUEST, terms->id);
 	httptext_append_field(out, HEADER_OUTCOME,
 			      str_from(outcome_name(terms->outcome)));
 	if (terms->framing == REPLY_LENGTH)
@@ -331,6 +333,8 @@
 
 static const dialect_ops_t ops = {
 	.names_requests = true,
+	.last_event = "[DONE]",
+	.error_event = "error",
 	.read_call = read_call,
 	.write_call = write_call,
 	.read_reply = read_reply,
--- a/lib/request/answer.c
+++ b/lib/request/answer.c
@@ -62,7 +62,7 @@
 /* Where in its life the request ended. */
 static const char *step_of(const request_t *request)
 {
-	if (!request->admission.route)
+	if (!request->admission.service_name.ptr)
 		return "admit";
 	return request->sends ? "send" : "place";
 }
@@ -157,6 +157,7 @@
 	reply_terms_t terms = {.framing = REPLY_LENGTH,
 			       .body_len = request->answer.len,
 			       .close = caller_must_close(request->caller),
+			       .id = request->call.id,
 			       .outcome = reply->status >= 500 ?
 						  OUTCOME_FAILED :
 						  OUTCOME_COMPLETED};
@@ -172,7 +173,8 @@
 	reply_terms_t terms = {
 		.framing = chunked ? REPLY_CHUNKED : REPLY_UNTIL_CLOSE,
 		.close = !chunked || caller_must_close(request->caller),
-		.outcome = OUTCOME_STREAMING};
+		.outcome = OUTCOME_STREAMING,
+		.id = request->call.id};
 
 	request->state = REQUEST_ANSWERING;
 	request->chunked = chunked;
--- a/lib/request/caller.c
+++ b/lib/request/caller.c
@@ -105,8 +105,13 @@
 			     .retry_after_ms = -1,
 			     .close = true};
 	const dialect_t *dialect = caller->router->dialect;
+	char peer[ADDRESS_BYTES];
 
-	plog_write(PLOG_REQUEST_INVALID, "status=%u reason=%s", status, reason);
+	tcp_peer(&caller->tcp, peer);
+	metrics_add(METRIC_INVALID_INPUT, STR_LIT("callers"), 1);
+	plog_write(PLOG_REQUEST_INVALID,
+		   "peer=%s step=read status=%u reason=\"%s\"", peer, status,
+		   reason);
 	dialect->ops->write_own_reply(dialect, NULL, &reply, &out);
 	tcp_send(&caller->tcp, buf_view(&out));
 	buf_release(&out);
--- a/lib/request/choose.c
+++ b/lib/request/choose.c
@@ -27,16 +27,37 @@
 	double weights[CHOOSE_RANKS];
 } ranking_t;
 
+/* What a request may use of each domain, found once a decision. */
+typedef struct places {
+	bool allowed[FLEET_MAX_DOMAINS + 1];
+	balance_distance_t distance[FLEET_MAX_DOMAINS + 1];
+} places_t;
+
 static balance_distance_t distance_of(const router_t *router,
-				      const endpoint_t *endpoint)
+				      const fleet_domain_t *domain)
 {
-	if (str_equals(str_from(endpoint->domain), router->domain))
+	if (str_equals(str_from(domain->name), router->domain))
 		return BALANCE_SAME_DOMAIN;
-	return str_equals(endpoint->region, router->region) ?
+	return str_equals(str_from(domain->region), router->region) ?
 		       BALANCE_SAME_REGION :
 		       BALANCE_OTHER_REGION;
 }
 
+static void find_places(const request_t *request, places_t *places)
+{
+	const router_t *router = request->router;
+
+	for (size_t i = 0; i <= FLEET_MAX_DOMAINS; i++) {
+		const fleet_domain_t *domain =
+			fleet_domain_at(router->fleet, i);
+		str_t region = str_from(domain->region ? domain->region : "");
+
+		places->allowed[i] = !domain->evacuated &&
+				     admit_region(&request->admission, region);
+		places->distance[i] = distance_of(router, domain);
+	}
+}
+
 /* True when this host may send to a cold endpoint now. */
 static bool may_send_cold(const request_t *request, const endpoint_t *endpoint,
 			  int64_t now_ms)
@@ -55,37 +76,61 @@
 	return coldgate_allows(&endpoint->gate, share, now_ms);
 }
 
+bool choose_is_cold(const request_t *request, const endpoint_t *endpoint,
+		    int64_t now_ms)
+{
+	const catalog_service_t *service = request->admission.service;
+
+	if (service && service->proves_warmth)
+		return !warmth_is_proven(&endpoint->warmth, now_ms);
+	return endpoint_is_cold(endpoint, now_ms);
+}
+
 /* True when the endpoint is warm, or this host has a part of its cold limit
  * left. An engine that isn't known to be warm is asked. */
 static bool may_send_now(const request_t *request, endpoint_t *endpoint,
 			 int64_t now_ms)
 {
 	const catalog_service_t *service = request->admission.service;
-	const warmth_t *warmth = &endpoint->warmth;
 
-	if (!service || !service->proves_warmth)
-		return !endpoint_is_cold(endpoint, now_ms) ||
-		       may_send_cold(request, endpoint, now_ms);
-	if (warmth_is_proven(warmth, now_ms))
+	if (!choose_is_cold(request, endpoint, now_ms))
 		return true;
+	if (!service || !service->proves_warmth)
+		return may_send_cold(request, endpoint, now_ms);
 	probe_start(request->router, endpoint);
-	return endpoint->in_flight + warmth_lost(warmth, now_ms) <
+	return endpoint->in_flight + warmth_lost(&endpoint->warmth, now_ms) <
 	       endpoint->cold_units;
 }
 
-static bool is_candidate(const request_t *request, const endpoint_t *endpoint)
+static bool is_candidate(const request_t *request, const endpoint_t *endpoint,
+			 int service, const places_t *places)
 {
-	const fleet_t *fleet = request->router->fleet;
-
 	return (endpoint->state == ENDPOINT_READY ||
 		endpoint->state == ENDPOINT_LINGERING) &&
-	       str_equals(str_from(endpoint->service),
-			  request->admission.service_name) &&
-	       admit_region(&request->admission, endpoint->region) &&
-	       !fleet_is_evacuated(fleet, str_from(endpoint->domain)) &&
+	       (int)endpoint->service_index == service &&
+	       places->allowed[endpoint->domain_index] &&
 	       !request_was_tried(request, endpoint);
 }
 
+/* Lists the endpoints that may get the request, whether now or later. */
+static size_t list_candidates(const request_t *request, const places_t *places)
+{
+	router_t *router = request->router;
+	const fleet_t *fleet = router->fleet;
+	int service =
+		fleet_find_service(fleet, request->admission.service_name);
+	endpoint_t **list = router_candidates(router);
+	size_t count = 0;
+
+	for (size_t i = 0; i < fleet_count(fleet); i++) {
+		endpoint_t *endpoint = fleet_at(fleet, i);
+
+		if (is_candidate(request, endpoint, service, places))
+			list[count++] = endpoint;
+	}
+	return count;
+}
+
 static bool has_room(const request_t *request, const endpoint_t *endpoint,
 		     int64_t now_ms)
 {
@@ -179,7 +224,7 @@
 }
 
 /* Highest random weight: removing an endpoint moves only its own prompts. */
-static ranking_t rank_endpoints(const request_t *request)
+static ranking_t rank_endpoints(const request_t *request, size_t count)
 {
 	const router_t *router = request->router;
 	const prompt_parts_t *parts = &request->call.parts;
@@ -187,12 +232,10 @@
 
 	if (parts->count < 2)
 		return ranking;
-	for (size_t i = 0; i < fleet_count(router->fleet); i++) {
-		const endpoint_t *endpoint = fleet_at(router->fleet, i);
+	for (size_t i = 0; i < count; i++) {
+		const endpoint_t *endpoint = router->candidates[i];
 		double weight;
 
-		if (!is_candidate(request, endpoint))
-			continue;
 		weight = preference(endpoint, parts->hashes[parts->count - 2]);
 		if (is_on_lane(request, endpoint))
 			weight += 1.0; /* before all others */
@@ -212,13 +255,14 @@
 
 static balance_option_t describe(const request_t *request,
 				 const ranking_t *ranking,
-				 const endpoint_t *endpoint, int64_t now_ms)
+				 const endpoint_t *endpoint,
+				 balance_distance_t distance, int64_t now_ms)
 {
 	const catalog_service_t *service = request->admission.service;
 	bool engine = service && service->slots;
 	load_t load = endpoint_load(endpoint, now_ms);
 	balance_option_t option = {
-		.distance = distance_of(request->router, endpoint),
+		.distance = distance,
 		.in_flight = load.in_flight,
 		.sends_since =
 			request->router->send_count - endpoint->last_send,
@@ -263,25 +307,32 @@
 				->tokens_per_ms,
 		.fail_cost_ms =
 			CHOOSE_FAIL_PART * request->admission.route->target_ms};
-	ranking_t ranking = rank_endpoints(request);
 	choose_result_t result = CHOOSE_NONE;
 	double best_cost = 0.0;
+	ranking_t ranking;
+	places_t places;
+	size_t count;
 
 	*choice = (choice_t){.endpoint = NULL};
-	for (size_t i = 0; i < fleet_count(router->fleet); i++) {
-		endpoint_t *endpoint = fleet_at(router->fleet, i);
+	fleet_update_marks(router->fleet);
+	find_places(request, &places);
+	count = list_candidates(request, &places);
+	ranking = rank_endpoints(request, count);
+	for (size_t i = 0; i < count; i++) {
+		endpoint_t *endpoint = router->candidates[i];
 		balance_option_t option;
 		double cost;
 
-		if (!is_candidate(request, endpoint))
-			continue;
 		if (!has_room(request, endpoint, now_ms) ||
 		    !may_send_now(request, endpoint, now_ms)) {
-			if (result == CHOOSE_NONE)
+			if (result == CHOOSE_NONE &&
+			    !endpoint->warmth.unreachable)
 				result = CHOOSE_LATER;
 			continue;
 		}
-		option = describe(request, &ranking, endpoint, now_ms);
+		option = describe(request, &ranking, endpoint,
+				  places.distance[endpoint->domain_index],
+				  now_ms);
 		cost = policy->ops->cost(policy, &option, &rates);
 		if (choice->endpoint && cost >= best_cost)
 			continue;
--- a/lib/request/choose.h
+++ b/lib/request/choose.h
@@ -27,6 +27,10 @@
  */
 bool choose_is_saturated(const request_t *request, const choice_t *choice);
 
+/* True when the endpoint is, or must be taken for, cold. */
+bool choose_is_cold(const request_t *request, const endpoint_t *endpoint,
+		    int64_t now_ms);
+
 choose_result_t choose_endpoint(const request_t *request, choice_t *choice);
 
 #endif
--- a/lib/request/dialect.h
+++ b/lib/request/dialect.h
@@ -88,6 +88,7 @@
 	size_t body_len; /* REPLY_LENGTH */
 	bool close;
 	outcome_t outcome;
+	str_t id; /* of the request, should the endpoint not name it */
 } reply_terms_t;
 
 /* An answer of the router's own. */
@@ -106,6 +107,11 @@
 typedef struct dialect_ops {
 	/* Requests without an id are given one. */
 	bool names_requests;
+	/* Data of the last event of every whole stream, and the type of an
+	 * event by which an endpoint gives a stream up; NULL when the framing
+	 * alone tells whether a stream is whole. */
+	const char *last_event;
+	const char *error_event;
 	/* Reads a whole request; `call` is zeroed. */
 	void (*read_call)(const dialect_t *dialect, const http1_head_t *head,
 			  str_t body, call_t *call);
--- a/lib/request/events.c
+++ b/lib/request/events.c
@@ -28,16 +28,20 @@
 	return line;
 }
 
-static bool read_id(str_t line, str_t *id)
+static void read_field(str_t line, str_t name, str_t *value)
 {
-	str_t name = STR_LIT("id:");
-
 	if (!str_starts_with(line, name))
-		return false;
-	*id = (str_t){line.ptr + name.len, line.len - name.len};
-	while (id->len && id->ptr[0] == ' ')
-		*id = (str_t){id->ptr + 1, id->len - 1};
-	return true;
+		return;
+	*value = (str_t){line.ptr + name.len, line.len - name.len};
+	while (value->len && value->ptr[0] == ' ')
+		*value = (str_t){value->ptr + 1, value->len - 1};
+}
+
+static void read_line(str_t line, event_t *event)
+{
+	read_field(line, STR_LIT("id:"), &event->id);
+	read_field(line, STR_LIT("event:"), &event->type);
+	read_field(line, STR_LIT("data:"), &event->data);
 }
 
 bool events_next(events_t *events, event_t *event)
@@ -46,13 +50,13 @@
 	size_t at = 0;
 	size_t len;
 
-	*event = (event_t){{NULL, 0}, {NULL, 0}};
+	*event = (event_t){.text = {NULL, 0}};
 	while (at < rest.len && (len = line_len(rest, at))) {
 		str_t line = trim_line((str_t){rest.ptr + at, len});
 
 		at += len;
 		if (line.len) {
-			read_id(line, &event->id);
+			read_line(line, event);
 			continue;
 		}
 		event->text = (str_t){rest.ptr, at};
--- a/lib/request/events.h
+++ b/lib/request/events.h
@@ -16,7 +16,10 @@
 
 typedef struct event {
 	str_t text; /* with the blank line that ends it */
-	str_t id;   /* value of its id line; ptr NULL without one */
+	/* Values of its lines; ptr NULL without one. */
+	str_t id;
+	str_t type;
+	str_t data; /* the last data line */
 } event_t;
 
 void events_feed(events_t *events, str_t data);
--- a/lib/request/loadsync.c
+++ b/lib/request/loadsync.c
@@ -11,7 +11,7 @@
 #include "transport/udp.h"
 
 #define MESSAGE_BYTES 2048
-#define MAX_ENDPOINTS 1024
+#define MAX_ENDPOINTS 4096
 
 /* The relay of a region; `member` is NULL for this host. */
 typedef struct relay {
@@ -88,7 +88,7 @@
 
 /* Sends entries in messages of bounded size. */
 static void send_entries(const loadsync_t *loadsync, const char *ip,
-			 loadboard_kind_t kind, size_t count)
+			 loadboard_kind_t kind, uint32_t source, size_t count)
 {
 	for (size_t at = 0; at < count; at += LOADBOARD_MESSAGE_ENTRIES) {
 		size_t part = count - at < LOADBOARD_MESSAGE_ENTRIES ?
@@ -96,8 +96,10 @@
 				      LOADBOARD_MESSAGE_ENTRIES;
 		buf_t message = BUF_INIT;
 
-		loadboard_write(kind, loadsync->host, loadsync->entries + at,
-				part, &message);
+		loadboard_write(kind, source, loadsync->entries + at, part,
+				&message);
+		metrics_add(METRIC_CONTROL_BYTES_SENT, STR_LIT(""),
+			    message.len);
 		if (!udp_send(loadsync->fd, ip, loadsync->port,
 			      buf_view(&message)))
 			metrics_inc(METRIC_GOSSIP_UNSENT);
@@ -137,21 +139,19 @@
 	buf_release(&message);
 }
 
-static void tell_relays(loadsync_t *loadsync)
+/* Tells the own loads to the relay of the region, or notes them as it does. */
+static void tell_relay(loadsync_t *loadsync)
 {
+	const relay_t *relay = get_relay(loadsync, loadsync->router->region);
 	size_t count = gather_own(loadsync);
 
-	if (!count)
+	if (!count || !relay)
 		return;
-	for (size_t i = 0; i < loadsync->relay_count; i++) {
-		const member_t *member = loadsync->relays[i].member;
-
-		if (member)
-			send_entries(loadsync, member->ip, LOADBOARD_HOST,
-				     count);
-		else
-			note_own(loadsync, count);
-	}
+	if (relay->member)
+		send_entries(loadsync, relay->member->ip, LOADBOARD_HOST,
+			     loadsync->host, count);
+	else
+		note_own(loadsync, count);
 }
 
 static bool is_relay(loadsync_t *loadsync)
@@ -161,13 +161,32 @@
 	return relay && !relay->member;
 }
 
+/* A relay tells the other relays what the hosts of its region said. */
+static void tell_other_relays(loadsync_t *loadsync)
+{
+	str_t region = loadsync->router->region;
+	size_t count = loadboard_sum(loadsync->board, LOADBOARD_OWN_REGION,
+				     now_of(loadsync), loadsync->entries,
+				     MAX_ENDPOINTS);
+
+	for (size_t i = 0; i < loadsync->relay_count && count; i++) {
+		const relay_t *relay = &loadsync->relays[i];
+
+		if (relay->member && !str_equals(relay->region, region))
+			send_entries(loadsync, relay->member->ip,
+				     LOADBOARD_REGION,
+				     (uint32_t)XXH64(region.ptr, region.len, 0),
+				     count);
+	}
+}
+
 /* A relay tells the sums to the hosts of its region, itself included. */
 static void tell_region(loadsync_t *loadsync)
 {
 	const gossip_t *gossip = peersync_gossip(loadsync->peersync);
 	int64_t now_ms = now_of(loadsync);
-	size_t count = loadboard_sum(loadsync->board, now_ms, loadsync->entries,
-				     MAX_ENDPOINTS);
+	size_t count = loadboard_sum(loadsync->board, LOADBOARD_ALL, now_ms,
+				     loadsync->entries, MAX_ENDPOINTS);
 	buf_t message = BUF_INIT;
 	err_t err;
 
@@ -181,7 +200,7 @@
 					    str_from(member->domain)),
 			       loadsync->router->region))
 			send_entries(loadsync, member->ip, LOADBOARD_SUMS,
-				     count);
+				     loadsync->host, count);
 	}
 	loadboard_write(LOADBOARD_SUMS, loadsync->host, loadsync->entries,
 			count, &message);
@@ -211,9 +230,11 @@
 			   LOADSYNC_ROUND_MS_PER_HOST;
 
 	find_relays(loadsync);
-	tell_relays(loadsync);
-	if (is_relay(loadsync))
+	tell_relay(loadsync);
+	if (is_relay(loadsync)) {
+		tell_other_relays(loadsync);
 		tell_region(loadsync);
+	}
 	read_board(loadsync);
 	loop_timer_set(loadsync->router->loop, &loadsync->timer,
 		       round_ms > LOADSYNC_MIN_ROUND_MS ? round_ms :
@@ -231,6 +252,7 @@
 	while ((len = udp_receive(loadsync->fd, buffer, sizeof(buffer)))) {
 		err_t err;
 
+		metrics_add(METRIC_CONTROL_BYTES_RECEIVED, STR_LIT(""), len);
 		if (loadboard_read(loadsync->board, (str_t){buffer, len},
 				   now_of(loadsync), &err))
 			plog_write(PLOG_MESSAGE_INVALID, "peer=%s step=%s",
--- a/lib/request/loadsync.h
+++ b/lib/request/loadsync.h
@@ -8,8 +8,9 @@
 /*
  * loadsync - tells the loads of this host, and learns those of all
  *
- * In each round a host sends its loads to the relay host of each region, and a
- * relay sends the sums to the hosts of its own region; see loadboard.h. The
+ * In each round a host sends its loads to the relay host of its region; relays
+ * send each other the sums of their regions, and the sums over all to the hosts
+ * of their own; see loadboard.h. The
  * relay of a region is the live host with the highest random weight, so that no
  * host is set aside for it and another takes over when it is gone. Rounds are
  * further apart when there are more hosts.
--- a/lib/request/probe.c
+++ b/lib/request/probe.c
@@ -41,7 +41,10 @@
 	plog_write(PLOG_ENDPOINT_FAILED,
 		   "id=- endpoint=%s step=%s peer=%s error=\"no answer\"",
 		   probe->endpoint->id, step, probe->endpoint->address);
-	warmth_void(&probe->endpoint->warmth, router_now_ms(probe->router));
+	warmth_on_unreachable(&probe->endpoint->warmth,
+			      router_now_ms(probe->router));
+	/* Those that wait for it alone are told at once. */
+	waiting_on_room(probe->router);
 	end(probe);
 }
 
--- a/lib/request/reply.c
+++ b/lib/request/reply.c
@@ -94,8 +94,26 @@
 	request->last_event_ms = now_ms;
 }
 
+/* Looks for the marks of a wire format whose streams tell how they end; true
+ * for an event that is not for the caller. */
+static bool note_end(request_t *request, const event_t *event)
+{
+	const dialect_ops_t *ops = request->router->dialect->ops;
+
+	if (ops->last_event &&
+	    str_equals(event->data, str_from(ops->last_event)))
+		request->stream_is_whole = true;
+	if (!ops->error_event ||
+	    !str_equals(event->type, str_from(ops->error_event)))
+		return false;
+	request->stream_has_failed = true;
+	return true;
+}
+
 static void pass_event(request_t *request, const event_t *event)
 {
+	if (note_end(request, event))
+		return;
 	if (event->id.ptr &&
 	    !event_id_is_after(event->id, str_from(request->last_event_id)))
 		return;
@@ -169,7 +187,15 @@
 
 static void end_stream(request_t *request, const http1_head_t *head)
 {
-	if (events_rest(&request->events).len) {
+	bool has_mark = request->router->dialect->ops->last_event != NULL;
+
+	if (request->stream_has_failed) {
+		request->stream_has_failed = false;
+		request_on_failure(request, SEND_FAILED);
+		return;
+	}
+	if (events_rest(&request->events).len ||
+	    (has_mark && !request->stream_is_whole)) {
 		request_on_failure(request, SEND_LOST);
 		return;
 	}
--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -36,7 +36,7 @@
 #define REQUEST_MIN_PAUSE_MS 700
 /* Weight of the newest request in the mean time at an endpoint. */
 #define REQUEST_BUSY_WEIGHT 0.1
-/* An endpoint may run a request so much longer after its caller left. */
+/* An endpoint may run a cancelled request for so much longer. */
 #define REQUEST_CANCEL_MS 500
 
 static void on_end_timer(void *user);
@@ -84,6 +84,13 @@
 	return ms + (int64_t)(router_random(request->router) % (uint64_t)ms);
 }
 
+/* The call itself is faulty: no host could serve it. */
+static void refuse_call(request_t *request, unsigned status, const char *fault)
+{
+	metrics_add(METRIC_INVALID_INPUT, STR_LIT("callers"), 1);
+	answer_failed(request, status, fault);
+}
+
 void request_start(router_t *router, caller_t *caller)
 {
 	request_t *request = calloc(1, sizeof(*request));
@@ -113,8 +120,8 @@
 	if (request->call.is_health_check)
 		answer_health(request, router_is_ready(router));
 	else if (request->call.fault)
-		answer_failed(request, request->call.fault_status,
-			      request->call.fault);
+		refuse_call(request, request->call.fault_status,
+			    request->call.fault);
 	else if (router->leaving)
 		answer_not_run(request, 503, "the host is leaving",
 			       retry_after(request));
@@ -202,6 +209,16 @@
 	release(request);
 }
 
+/* The endpoint learns of the end only when it sees the connection close. */
+static void note_cancelled(request_t *request)
+{
+	int64_t now_ms = request_now_ms(request);
+
+	if (request->endpoint)
+		warmth_on_lost(&request->endpoint->warmth, now_ms,
+			       now_ms + REQUEST_CANCEL_MS);
+}
+
 void request_abandon(request_t *request)
 {
 	plog_write(PLOG_REQUEST_ABANDONED,
@@ -211,10 +228,7 @@
 		   request->sends,
 		   request->endpoint ? request->endpoint->id : "-");
 	metrics_inc(METRIC_ABANDONED);
-	if (request->endpoint)
-		warmth_on_lost(&request->endpoint->warmth,
-			       request_now_ms(request),
-			       request_now_ms(request) + REQUEST_CANCEL_MS);
+	note_cancelled(request);
 	request_finish(request, OUTCOME_UNKNOWN, "the caller left");
 }
 
@@ -250,6 +264,7 @@
 {
 	request_t *request = user;
 
+	note_cancelled(request);
 	cancel_send(request);
 	conclude(request, "time is over");
 }
@@ -266,6 +281,12 @@
 	return false;
 }
 
+static void refuse_key(request_t *request)
+{
+	metrics_add(METRIC_UNAUTHORIZED, STR_LIT("callers"), 1);
+	answer_failed(request, 401, "unknown key");
+}
+
 /* Looks the request up in the newest catalog; false when it was answered. */
 static bool admit(request_t *request)
 {
@@ -301,18 +322,20 @@
 	else if (verdict == ADMIT_FORBIDDEN)
 		answer_failed(request, 403, "the customer may not use this");
 	else
-		answer_failed(request, 401, "unknown key");
+		refuse_key(request);
 	return false;
 }
 
-/* True while the request may still wait for this part of its target. */
+/* True while the request may still wait for this part of its target; a stream
+ * that broke off waits from its last event on. */
 static bool may_wait(const request_t *request, double part)
 {
-	double waited_ms =
-		(double)(request_now_ms(request) - request->arrived_ms);
+	int64_t since_ms = request->state == REQUEST_ANSWERING ?
+				   request->progress_ms :
+				   request->arrived_ms;
 
-	return request->state != REQUEST_ANSWERING &&
-	       waited_ms < part * request->admission.route->target_ms;
+	return (double)(request_now_ms(request) - since_ms) <
+	       part * request->admission.route->target_ms;
 }
 
 static void start_send(request_t *request, const choice_t *choice)
@@ -414,8 +437,7 @@
 static bool hold(request_t *request, choose_result_t result,
 		 const choice_t *choice)
 {
-	if (result == CHOOSE_LATER && request->admission.route->waits_to_end &&
-	    request->state != REQUEST_ANSWERING)
+	if (result == CHOOSE_LATER && request->admission.route->waits_to_end)
 		queue_up(request);
 	else if (result == CHOOSE_LATER && may_wait(request, REQUEST_WAIT_PART))
 		waiting_add(request, true);
@@ -436,6 +458,15 @@
 	       request->state != REQUEST_ANSWERING && waiting_blocks(request);
 }
 
+/* A request that waited long had better not take an endpoint's time for an
+ * answer that can't come any more. */
+static bool has_time(const request_t *request, const choice_t *choice)
+{
+	return request->state == REQUEST_ANSWERING ||
+	       (double)(request->ends_ms - request_now_ms(request)) >
+		       choice->expected_ms;
+}
+
 void request_dispatch(request_t *request)
 {
 	choose_result_t result = CHOOSE_LATER;
@@ -449,6 +480,8 @@
 		return;
 	if (result != CHOOSE_OK)
 		conclude(request, "no endpoint may take the request");
+	else if (request->was_queued && !has_time(request, &choice))
+		conclude(request, "too little time is left");
 	else if (request->sends &&
 		 !repeats_take(&request_stats(request)->repeats,
 			       request_now_ms(request)))
@@ -532,7 +565,7 @@
 		   (unsigned long long)request->unread_tokens,
 		   (unsigned long long)request->endpoint->backlog_tokens,
 		   request->reading_share,
-		   endpoint_is_cold(request->endpoint, request->sent_ms),
+		   choose_is_cold(request, request->endpoint, request->sent_ms),
 		   (long long)catalog_version(request->catalog));
 }
 
@@ -579,7 +612,9 @@
 	warmth_t *warmth = &request->endpoint->warmth;
 	int64_t now_ms = request_now_ms(request);
 
-	if (failure == SEND_NOT_CONNECTED || failure == SEND_LOST)
+	if (failure == SEND_NOT_CONNECTED)
+		warmth_on_unreachable(warmth, now_ms);
+	if (failure == SEND_LOST)
 		warmth_void(warmth, now_ms);
 	if (failure == SEND_LOST || failure == SEND_SILENT)
 		warmth_on_lost(warmth, now_ms, request->ends_ms);
--- a/lib/request/request.h
+++ b/lib/request/request.h
@@ -81,6 +81,8 @@
 	bool chunked;
 	bool closes; /* the connection ends after the answer */
 	bool ended;
+	bool stream_is_whole;	/* its last event has come */
+	bool stream_has_failed; /* the endpoint gave it up */
 	uint64_t event_count;
 	int64_t first_event_ms;
 	int64_t last_event_ms;
--- a/lib/request/router.c
+++ b/lib/request/router.c
@@ -104,6 +104,7 @@
 	customers_free(router);
 	free_garbage(router);
 	free(router->garbage);
+	free(router->candidates);
 	free(router->read_buffer);
 	buf_release(&router->scratch);
 	free(router);
@@ -151,6 +152,21 @@
 	return service;
 }
 
+endpoint_t **router_candidates(router_t *router)
+{
+	size_t count = fleet_count(router->fleet);
+	endpoint_t **grown;
+
+	if (count <= router->candidate_cap)
+		return router->candidates;
+	grown = realloc(router->candidates, count * sizeof(*grown));
+	if (!grown)
+		abort();
+	router->candidates = grown;
+	router->candidate_cap = count;
+	return grown;
+}
+
 int64_t router_now_ms(const router_t *router)
 {
 	return mclock_now_ms(router->clock);
--- a/lib/request/router.h
+++ b/lib/request/router.h
@@ -91,6 +91,9 @@
 	loop_timer_t wait_timer;
 	loop_timer_t tick_timer;
 	uint64_t random;
+	/* Endpoints that one decision weighs; see router_candidates(). */
+	endpoint_t **candidates;
+	size_t candidate_cap;
 	char *read_buffer; /* ROUTER_READ_BYTES, for one read at a time */
 	buf_t scratch;	   /* for one message being put together */
 	void **garbage;	   /* freed at the next tick */
@@ -109,6 +112,9 @@
 
 service_stats_t *router_service(router_t *router, str_t name);
 
+/* The list `candidates`, with room for all endpoints. */
+endpoint_t **router_candidates(router_t *router);
+
 int64_t router_now_ms(const router_t *router);
 
 /* A pseudo-random number; for spreading, not for secrets. */
--- a/lib/state/fleet.c
+++ b/lib/state/fleet.c
@@ -6,23 +6,22 @@
 
 #include "base/plog.h"
 
-#define FLEET_MAX_DOMAINS 64
 /* Rates of tokens are means over about this time. */
 #define FLEET_RATE_MS 2000.0
+/* Less than a thousandth is left then. */
+#define FLEET_RATE_MAX_MS 15000.0
 #define MS_PER_S 1000.0
 
-typedef struct domain {
-	char *name;
-	char *region;
-	bool evacuated;
-} domain_t;
-
 struct fleet {
 	fleet_observer_t observer;
 	endpoint_t **endpoints;
 	size_t count, cap;
-	domain_t domains[FLEET_MAX_DOMAINS];
+	/* The last one stands for all that did not fit. */
+	fleet_domain_t domains[FLEET_MAX_DOMAINS + 1];
 	size_t domain_count;
+	char **services;
+	size_t service_count;
+	bool marks_are_stale;
 };
 
 static char *copy_text(str_t s)
@@ -44,31 +43,62 @@
 	return fleet;
 }
 
-static domain_t *find_domain(const fleet_t *fleet, str_t name)
+static size_t find_domain(const fleet_t *fleet, str_t name)
 {
 	for (size_t i = 0; i < fleet->domain_count; i++)
 		if (str_equals(str_from(fleet->domains[i].name), name))
-			return (domain_t *)&fleet->domains[i];
-	return NULL;
+			return i;
+	return FLEET_MAX_DOMAINS;
 }
 
-static domain_t *get_domain(fleet_t *fleet, str_t name)
+static size_t get_domain(fleet_t *fleet, str_t name)
 {
-	domain_t *domain = find_domain(fleet, name);
+	size_t index = find_domain(fleet, name);
+	fleet_domain_t *domain;
 
-	if (domain || fleet->domain_count == FLEET_MAX_DOMAINS)
-		return domain;
-	domain = &fleet->domains[fleet->domain_count++];
+	if (index < FLEET_MAX_DOMAINS ||
+	    fleet->domain_count == FLEET_MAX_DOMAINS)
+		return index;
+	domain = &fleet->domains[fleet->domain_count];
 	domain->name = copy_text(name);
 	domain->region = copy_text((str_t){"", 0});
-	return domain;
+	return fleet->domain_count++;
+}
+
+const fleet_domain_t *fleet_domain_at(const fleet_t *fleet, size_t index)
+{
+	return &fleet->domains[index];
+}
+
+int fleet_find_service(const fleet_t *fleet, str_t name)
+{
+	for (size_t i = 0; i < fleet->service_count; i++)
+		if (str_equals(str_from(fleet->services[i]), name))
+			return (int)i;
+	return -1;
+}
+
+static unsigned get_service(fleet_t *fleet, str_t name)
+{
+	int index = fleet_find_service(fleet, name);
+	char **grown;
+
+	if (index >= 0)
+		return (unsigned)index;
+	grown = realloc(fleet->services,
+			(fleet->service_count + 1) * sizeof(*grown));
+	if (!grown)
+		abort();
+	fleet->services = grown;
+	fleet->services[fleet->service_count] = copy_text(name);
+	return (unsigned)fleet->service_count++;
 }
 
 void fleet_add_domain(fleet_t *fleet, str_t name, str_t region)
 {
-	domain_t *domain = get_domain(fleet, name);
+	fleet_domain_t *domain = &fleet->domains[get_domain(fleet, name)];
 
-	if (!domain)
+	if (!domain->region || str_equals(str_from(domain->region), region))
 		return;
 	free(domain->region);
 	domain->region = copy_text(region);
@@ -76,9 +106,9 @@
 
 str_t fleet_region(const fleet_t *fleet, str_t name)
 {
-	const domain_t *domain = find_domain(fleet, name);
+	const char *region = fleet->domains[find_domain(fleet, name)].region;
 
-	return domain ? str_from(domain->region) : (str_t){"", 0};
+	return region ? str_from(region) : (str_t){"", 0};
 }
 
 void endpoint_ref(endpoint_t *endpoint)
@@ -108,6 +138,9 @@
 		free(fleet->domains[i].name);
 		free(fleet->domains[i].region);
 	}
+	for (size_t i = 0; i < fleet->service_count; i++)
+		free(fleet->services[i]);
+	free(fleet->services);
 	free(fleet);
 }
 
@@ -145,15 +178,30 @@
 	endpoint->service = copy_text(record->service);
 	endpoint->address = copy_text(record->address);
 	endpoint->domain = copy_text(record->domain);
-	endpoint->region = fleet_region(fleet, record->domain);
+	endpoint->service_index = get_service(fleet, record->service);
+	endpoint->domain_index = (unsigned)get_domain(fleet, record->domain);
 	endpoint->hash = XXH64(record->id.ptr, record->id.len, 0);
 	endpoint->incarnation = record->incarnation;
 	return endpoint;
 }
 
+/* Orders endpoints by group, and those of a group by hash. */
+static int compare_marks(const void *a, const void *b)
+{
+	const endpoint_t *x = *(endpoint_t *const *)a;
+	const endpoint_t *y = *(endpoint_t *const *)b;
+
+	if (x->service_index != y->service_index)
+		return x->service_index < y->service_index ? -1 : 1;
+	if (x->domain_index != y->domain_index)
+		return x->domain_index < y->domain_index ? -1 : 1;
+	return x->hash < y->hash ? -1 : x->hash > y->hash;
+}
+
 static bool is_group(const endpoint_t *a, const endpoint_t *b)
 {
-	return !strcmp(a->service, b->service) && !strcmp(a->domain, b->domain);
+	return a->service_index == b->service_index &&
+	       a->domain_index == b->domain_index;
 }
 
 /* How many of a group of endpoints are express; none of a small group. */
@@ -164,23 +212,31 @@
 	return size < FLEET_EXPRESS_ONE_IN ? 1 : size / FLEET_EXPRESS_ONE_IN;
 }
 
-static void mark_express(fleet_t *fleet)
+void fleet_update_marks(fleet_t *fleet)
 {
-	for (size_t i = 0; i < fleet->count; i++) {
-		endpoint_t *endpoint = fleet->endpoints[i];
-		size_t size = 0, rank = 0;
-
-		for (size_t j = 0; j < fleet->count; j++) {
-			const endpoint_t *other = fleet->endpoints[j];
+	endpoint_t **sorted;
+	size_t count = 0;
 
-			if (other->state != ENDPOINT_READY ||
-			    !is_group(endpoint, other))
-				continue;
-			size++;
-			rank += other->hash < endpoint->hash;
-		}
-		endpoint->express = rank < express_count(size);
+	if (!fleet->marks_are_stale)
+		return;
+	fleet->marks_are_stale = false;
+	sorted = malloc((fleet->count + 1) * sizeof(*sorted));
+	if (!sorted)
+		abort();
+	for (size_t i = 0; i < fleet->count; i++) {
+		fleet->endpoints[i]->express = false;
+		if (fleet->endpoints[i]->state == ENDPOINT_READY)
+			sorted[count++] = fleet->endpoints[i];
 	}
+	qsort(sorted, count, sizeof(*sorted), compare_marks);
+	for (size_t first = 0, end; first < count; first = end) {
+		end = first + 1;
+		while (end < count && is_group(sorted[first], sorted[end]))
+			end++;
+		for (size_t i = 0; i < express_count(end - first); i++)
+			sorted[first + i]->express = true;
+	}
+	free(sorted);
 }
 
 /* Takes the endpoint off the list; requests that run there go on. */
@@ -190,6 +246,7 @@
 
 	fleet->endpoints[index] = fleet->endpoints[--fleet->count];
 	endpoint->state = ENDPOINT_GONE;
+	fleet->marks_are_stale = true;
 	fleet->observer.endpoint_gone(fleet->observer.user, endpoint);
 	endpoint_unref(endpoint);
 }
@@ -225,16 +282,26 @@
 	if (!endpoint) {
 		endpoint = create_endpoint(fleet, record);
 		append(fleet, endpoint);
-		get_domain(fleet, record->domain);
 	}
 	endpoint->slots = record->slots;
 	if (record->cold_ms > 0 && cold_until_ms > endpoint->cold_until_ms)
 		endpoint->cold_until_ms = cold_until_ms;
+	/* What was known before an absence doesn't hold after it. */
+	if (endpoint->state == ENDPOINT_LEAVING && !record->leaving)
+		warmth_void(&endpoint->warmth, now_ms);
 	endpoint->state = record->leaving ? ENDPOINT_LEAVING : ENDPOINT_READY;
-	mark_express(fleet);
+	fleet->marks_are_stale = true;
 	return endpoint;
 }
 
+void fleet_drop(fleet_t *fleet, str_t id)
+{
+	const endpoint_t *endpoint = fleet_find(fleet, id);
+
+	if (endpoint)
+		drop_endpoint(fleet, endpoint);
+}
+
 void fleet_remove(fleet_t *fleet, str_t id, int64_t now_ms)
 {
 	endpoint_t *endpoint = fleet_find(fleet, id);
@@ -247,7 +314,7 @@
 	}
 	endpoint->state = ENDPOINT_LINGERING;
 	endpoint->lingers_until_ms = now_ms + FLEET_LINGER_MS;
-	mark_express(fleet);
+	fleet->marks_are_stale = true;
 }
 
 static void chill_domain(fleet_t *fleet, str_t domain, const catalog_t *catalog,
@@ -259,6 +326,7 @@
 
 		if (!catalog || !str_equals(str_from(endpoint->domain), domain))
 			continue;
+		warmth_void(&endpoint->warmth, now_ms);
 		service = catalog_find_service(catalog,
 					       str_from(endpoint->service));
 		if (service && service->cold_per_s > 0.0 &&
@@ -270,9 +338,10 @@
 void fleet_set_evacuated(fleet_t *fleet, str_t name, bool evacuated,
 			 const catalog_t *catalog, int64_t now_ms)
 {
-	domain_t *domain = get_domain(fleet, name);
+	size_t index = get_domain(fleet, name);
+	fleet_domain_t *domain = &fleet->domains[index];
 
-	if (!domain) {
+	if (index == FLEET_MAX_DOMAINS) {
 		plog_write(PLOG_RECORD_INVALID,
 			   "key=evacuate domain=%" STR_FMT
 			   " reason=too-many-domains",
@@ -286,9 +355,7 @@
 
 bool fleet_is_evacuated(const fleet_t *fleet, str_t name)
 {
-	const domain_t *domain = find_domain(fleet, name);
-
-	return domain && domain->evacuated;
+	return fleet->domains[find_domain(fleet, name)].evacuated;
 }
 
 void fleet_tick(fleet_t *fleet, int64_t now_ms)
@@ -316,6 +383,8 @@
 {
 	double age = (double)(now_ms - endpoint->rate_ms);
 
+	if (endpoint->tokens_per_s <= 0.0 || age > FLEET_RATE_MAX_MS)
+		return 0.0;
 	return age > 0.0 ? endpoint->tokens_per_s * exp(-age / FLEET_RATE_MS) :
 			   endpoint->tokens_per_s;
 }
--- a/lib/state/fleet.h
+++ b/lib/state/fleet.h
@@ -45,18 +45,20 @@
 
 typedef struct endpoint {
 	char *id, *service, *address, *domain;
-	str_t region; /* of the domain; empty when unknown */
+	unsigned service_index; /* see fleet_find_service() */
+	unsigned domain_index;	/* see fleet_domain_at() */
 	uint64_t hash;
 	endpoint_state_t state;
 	unsigned refs;
 	unsigned slots;
-	bool express; /* kept free of long prompts, see fleet_put() */
+	bool express; /* kept free of long prompts, see fleet_update_marks() */
 	int64_t incarnation;
 	int64_t cold_until_ms;
 	int64_t lingers_until_ms;
 	/* Of services that prove warmth: this host's units of the cold limit,
 	 * and what it knows. */
 	unsigned cold_units;
+	unsigned held_units; /* when the sheet last changed */
 	warmth_t warmth;
 	int64_t probed_ms; /* when it was last asked for its state */
 	/* What this host has sent and seen. */
@@ -91,17 +93,27 @@
 void fleet_add_domain(fleet_t *fleet, str_t domain, str_t region);
 str_t fleet_region(const fleet_t *fleet, str_t domain);
 
-/*
- * Adds the endpoint or changes it.
- *
- * A part of each service's endpoints in a domain are marked as express: an
- * engine reads long prompts between the tokens of the requests that run, whose
- * pauses grow, so long prompts are kept off some engines. All hosts mark the
- * same ones, since the marks follow from the records alone.
- */
+/* Domains by index; one that is not known has the last index. */
+#define FLEET_MAX_DOMAINS 64
+
+typedef struct fleet_domain {
+	char *name;
+	char *region; /* empty when unknown */
+	bool evacuated;
+} fleet_domain_t;
+
+const fleet_domain_t *fleet_domain_at(const fleet_t *fleet, size_t index);
+
+/* Index of a service that an endpoint has or had; -1 if none did. */
+int fleet_find_service(const fleet_t *fleet, str_t name);
+
+/* Adds the endpoint or changes it. */
 endpoint_t *fleet_put(fleet_t *fleet, const endpoint_record_t *record,
 		      int64_t now_ms);
 void fleet_remove(fleet_t *fleet, str_t id, int64_t now_ms);
+
+/* Takes an endpoint off at once: the operators removed it. */
+void fleet_drop(fleet_t *fleet, str_t id);
 endpoint_t *fleet_find(const fleet_t *fleet, str_t id);
 
 /* Takes a domain out or back. Endpoints of a domain that is back count as cold
@@ -110,6 +122,14 @@
 			 const catalog_t *catalog, int64_t now_ms);
 bool fleet_is_evacuated(const fleet_t *fleet, str_t domain);
 
+/*
+ * Marks a part of each service's endpoints in a domain as express, if endpoints
+ * have changed: an engine reads long prompts between the tokens of the requests
+ * that run, whose pauses grow, so long prompts are kept off some engines. All
+ * hosts mark the same ones, since the marks follow from the records alone.
+ */
+void fleet_update_marks(fleet_t *fleet);
+
 /* Ends the time of lingering endpoints. */
 void fleet_tick(fleet_t *fleet, int64_t now_ms);
 
--- a/lib/state/node.h
+++ b/lib/state/node.h
@@ -56,8 +56,7 @@
 
 /*
  * Builds a sheet from a root and the nodes it names. Each node's digest is
- * verified. The source is asked only for nodes that the root reaches; a caching
- * source (node_cache) keeps the ones that are shared with the version before.
+ * verified. The source is asked only for nodes that the root reaches.
  *
  * RETURN VALUE: the sheet, or NULL with `err` filled: ERR_INVALID for a
  * malformed node or wrong digest, ERR_TOO_LARGE above NODE_MAX_TOTAL_BYTES, or
@@ -68,29 +67,4 @@
 /* The version that a root states, without its nodes; 0 when malformed. */
 uint64_t node_root_version(str_t root);
 
-/*
- * node_cache - nodes of the sheet in force, for peers and for the next version
- *
- * Not thread-safe; the thread that follows versions owns it.
- */
-typedef struct node_cache node_cache_t;
-
-node_cache_t *node_cache_create(void);
-void node_cache_free(node_cache_t *cache);
-bool node_cache_get(node_cache_t *cache, const node_digest_t *digest,
-		    buf_t *out);
-/* Keeps a copy; ignores bytes that do not have this digest. */
-void node_cache_put(node_cache_t *cache, const node_digest_t *digest,
-		    str_t bytes);
-/*
- * Lists nodes that the root reaches and the cache does not have, at most `max`;
- * those behind a missing index node are not known yet.
- *
- * RETURN VALUE: their number; 0 when all are there or the root is malformed.
- */
-size_t node_cache_missing(node_cache_t *cache, str_t root,
-			  node_digest_t *digests, size_t max);
-/* Drops every node that this root does not reach. */
-void node_cache_retain(node_cache_t *cache, str_t root);
-
 #endif
--- a/lib/state/node_internal.h
+++ b/lib/state/node_internal.h
@@ -6,7 +6,7 @@
 #include "state/node.h"
 
 /*
- * node_internal - decoding of single nodes, shared by node.c and node_cache.c
+ * node_internal - decoding of single nodes, for node.c
  *
  * Functions that read return false for a malformed node.
  */
--- a/lib/state/replica.c
+++ b/lib/state/replica.c
@@ -31,14 +31,23 @@
 	return replica;
 }
 
-void replica_free(replica_t *replica)
+void replica_clear(replica_t *replica)
 {
-	if (!replica)
-		return;
 	for (size_t i = 0; i < replica->count; i++) {
 		free(replica->records[i].key);
 		free(replica->records[i].value);
 	}
+	replica->count = 0;
+	replica->tombstones = 0;
+	replica->revision = 0;
+	replica->dropped = 0;
+}
+
+void replica_free(replica_t *replica)
+{
+	if (!replica)
+		return;
+	replica_clear(replica);
 	free(replica->records);
 	free(replica);
 }
@@ -212,6 +221,14 @@
 	return complete;
 }
 
+str_t replica_get(const replica_t *replica, str_t key)
+{
+	const record_t *record = find(replica, key);
+
+	return record ? (str_t){record->value, record->value_len} :
+			(str_t){NULL, 0};
+}
+
 size_t replica_count(const replica_t *replica)
 {
 	return replica->count - replica->tombstones;
--- a/lib/state/replica.h
+++ b/lib/state/replica.h
@@ -55,6 +55,14 @@
 bool replica_changes(const replica_t *replica, int64_t revision,
 		     replica_visit_t visit, void *user);
 
+/* Forgets all records and the revision, so that a full listing is taken next.
+ * Nobody is told. */
+void replica_clear(replica_t *replica);
+
+/* The value of a key; ptr NULL without a record. Valid until the next change.
+ */
+str_t replica_get(const replica_t *replica, str_t key);
+
 size_t replica_count(const replica_t *replica);
 
 #endif
--- a/lib/state/settings.c
+++ b/lib/state/settings.c
@@ -1,121 +1,139 @@
 #include "state/settings.h"
 
-#include "state/tomlcheck.h"
-
-#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "state/tomlcheck.h"
+
 #define MAX_FILE_BYTES (1024L * 1024)
 #define MIN_BODY_BYTES 1024
-#define MAX_BODY_BYTES (1024L * 1024)
-#define MAX_THREADS 1024
-#define DEFAULT_THREADS 64
-
-static const char *const level_names[] = {"debug", "info", "warn", "error",
-					  NULL};
+#define MAX_BODY_BYTES (16L * 1024 * 1024)
+#define DEFAULT_BODY_BYTES (1024L * 1024)
+#define MAX_GRACE_S 86400
+#define DEFAULT_GRACE_S 600
+#define MAX_ACCEPT_MS 60000
+#define DEFAULT_ACCEPT_MS 1000
+#define MS_PER_S 1000
+/* Repeats that all hosts together may make beyond their ratio. */
+#define REPEAT_SLACK 60.0
+
+/* Views of the document end with it: each text that is kept is put, with a
+ * NUL, into the memory that the settings own. */
+typedef struct reader {
+	settings_t *settings;
+	size_t used;
+	size_t size;
+} reader_t;
 
-/* A copy of a text that the checks have accepted; NULL for an empty one. */
-static char *copy_text(str_t text)
+/* Each text is at most as long as in the file, and has quotes there. */
+static str_t keep(reader_t *reader, str_t text)
 {
-	char *copy;
-
-	if (!text.len)
-		return NULL;
-	copy = str_dup(text);
-	if (!copy)
-		abort();
-	return copy;
+	char *at = reader->settings->base.text + reader->used;
+
+	if (!text.len || reader->size - reader->used <= text.len)
+		return (str_t){"", 0};
+	memcpy(at, text.ptr, text.len);
+	at[text.len] = '\0';
+	reader->used += text.len + 1;
+	return (str_t){at, text.len};
 }
 
-static void read_process(const tomlcheck_table_t *root, settings_t *settings)
+static void read_process(const tomlcheck_table_t *root, reader_t *reader)
 {
-	static const char *const keys[] = {"host", "domain", "log_level", NULL};
+	static const char *const keys[] = {"host", "domain", "grace_s",
+					   "accept_ms", NULL};
+	static const tomlcheck_int_t grace = {"grace_s", 1, MAX_GRACE_S,
+					      DEFAULT_GRACE_S, false};
+	static const tomlcheck_int_t accept = {"accept_ms", 0, MAX_ACCEPT_MS,
+					       DEFAULT_ACCEPT_MS, false};
+	hostsettings_t *base = &reader->settings->base;
 	tomlcheck_table_t table;
 
 	if (!tomlcheck_get_table(root, "process", TOMLCHECK_REQUIRED, &table))
 		return;
 	tomlcheck_keys(&table, keys);
-	settings->host = copy_text(tomlcheck_get_name(&table, "host"));
-	settings->domain = copy_text(tomlcheck_get_name(&table, "domain"));
-	settings->log_level = (plog_level_t)tomlcheck_get_choice(
-		&table, "log_level", level_names, PLOG_LEVEL_INFO);
+	base->host = keep(reader, tomlcheck_get_name(&table, "host"));
+	base->domain = keep(reader, tomlcheck_get_name(&table, "domain"));
+	base->grace_ms = tomlcheck_get_int(&table, &grace) * MS_PER_S;
+	base->accept_ms = tomlcheck_get_int(&table, &accept);
 }
 
-static void read_listen(const tomlcheck_table_t *root, settings_t *settings)
+/* Splits the address of the peers' port. */
+static void read_ports(reader_t *reader)
 {
-	static const char *const entry_keys[] = {"callers", "admin", NULL};
-	static const char *const dispatch_keys[] = {"peers", "admin",
-						    "advertise", NULL};
-	bool is_entry = settings->role == SETTINGS_ENTRY;
-	const char *key = is_entry ? "callers" : "peers";
+	hostsettings_t *base = &reader->settings->base;
+	str_t address = base->listen_peers;
+	const char *colon =
+		address.len ? memchr(address.ptr, ':', address.len) : NULL;
+
+	if (!colon)
+		return;
+	base->ip = keep(reader,
+			(str_t){address.ptr, (size_t)(colon - address.ptr)});
+	base->first_port = (unsigned)strtoul(colon + 1, NULL, 10);
+	base->last_port = base->first_port + 1;
+}
+
+static void read_listen(const tomlcheck_table_t *root, reader_t *reader)
+{
+	static const char *const keys[] = {"callers", "peers", "admin", NULL};
+	settings_t *settings = reader->settings;
 	tomlcheck_table_t table;
 
 	if (!tomlcheck_get_table(root, "listen", TOMLCHECK_REQUIRED, &table))
 		return;
-	tomlcheck_keys(&table, is_entry ? entry_keys : dispatch_keys);
-	settings->listen = copy_text(
-		tomlcheck_get_address(&table, key, TOMLCHECK_REQUIRED));
-	settings->admin = copy_text(
-		tomlcheck_get_address(&table, "admin", TOMLCHECK_REQUIRED));
-	if (is_entry)
-		return;
-	settings->advertise = copy_text(
-		tomlcheck_get_address(&table, "advertise", TOMLCHECK_OPTIONAL));
-	if (!settings->advertise && settings->listen)
-		settings->advertise = copy_text(str_from(settings->listen));
+	tomlcheck_keys(&table, keys);
+	settings->base.listen_callers =
+		keep(reader, tomlcheck_get_address(&table, "callers",
+						   TOMLCHECK_REQUIRED));
+	settings->base.listen_peers =
+		keep(reader, tomlcheck_get_address(&table, "peers",
+						   TOMLCHECK_REQUIRED));
+	settings->admin =
+		keep(reader, tomlcheck_get_address(&table, "admin",
+						   TOMLCHECK_REQUIRED));
+	read_ports(reader);
 }
 
-static void read_seeds(const tomlcheck_table_t *table, settings_t *settings)
+static void read_peers(const tomlcheck_table_t *root, reader_t *reader)
 {
-	size_t count = tomlcheck_get_array(table, "seeds", 0,
-					   SETTINGS_MAX_SEEDS, "addresses");
+	static const char *const keys[] = {"seeds", NULL};
+	hostsettings_t *base = &reader->settings->base;
+	tomlcheck_table_t table;
+	size_t count;
 
+	if (!tomlcheck_get_table(root, "peers", TOMLCHECK_OPTIONAL, &table))
+		return;
+	tomlcheck_keys(&table, keys);
+	count = tomlcheck_get_array(&table, "seeds", 0, HOSTSETTINGS_MAX_SEEDS,
+				    "addresses");
 	for (size_t i = 0; i < count; i++) {
 		char path[TOMLCHECK_PATH_BYTES];
 		unsigned line;
 		str_t value;
 
-		if (!tomlcheck_get_string_element(table, "seeds", i, path,
+		if (!tomlcheck_get_string_element(&table, "seeds", i, path,
 						  &value, &line))
 			continue;
 		if (sheet_is_address(value))
-			settings->seeds[settings->seed_count++] =
-				copy_text(value);
+			base->seeds[base->seed_count++] = keep(reader, value);
 		else
-			tomlcheck_fault(table, path, line,
+			tomlcheck_fault(&table, path, line,
 					"expected an address IP:PORT");
 	}
 }
 
-static void read_peers(const tomlcheck_table_t *root, settings_t *settings)
+/* A table with the path of one file. */
+static str_t read_file_table(const tomlcheck_table_t *root, const char *name,
+			     reader_t *reader)
 {
-	static const char *const entry_keys[] = {"seeds", "local", NULL};
-	static const char *const dispatch_keys[] = {"seeds", NULL};
-	bool is_entry = settings->role == SETTINGS_ENTRY;
-	tomlcheck_table_t table;
-
-	if (!tomlcheck_get_table(root, "peers", TOMLCHECK_OPTIONAL, &table))
-		return;
-	tomlcheck_keys(&table, is_entry ? entry_keys : dispatch_keys);
-	read_seeds(&table, settings);
-	if (is_entry)
-		settings->local_dispatch = copy_text(tomlcheck_get_address(
-			&table, "local", TOMLCHECK_OPTIONAL));
-}
-
-static void read_platform(const tomlcheck_table_t *root, settings_t *settings)
-{
-	static const char *const keys[] = {"address", "sheet_file", NULL};
+	static const char *const keys[] = {"file", NULL};
 	tomlcheck_table_t table;
 
-	if (!tomlcheck_get_table(root, "platform", TOMLCHECK_OPTIONAL, &table))
-		return;
+	if (!tomlcheck_get_table(root, name, TOMLCHECK_OPTIONAL, &table))
+		return (str_t){"", 0};
 	tomlcheck_keys(&table, keys);
-	settings->platform = copy_text(
-		tomlcheck_get_address(&table, "address", TOMLCHECK_OPTIONAL));
-	settings->sheet_file =
-		copy_text(tomlcheck_get_path(&table, "sheet_file"));
+	return keep(reader, tomlcheck_get_path(&table, "file"));
 }
 
 static void read_operator(const tomlcheck_table_t *root, settings_t *settings)
@@ -129,102 +147,73 @@
 	tomlcheck_get_digest(&table, "key_sha256", settings->operator_digest);
 }
 
-static void read_trace(const tomlcheck_table_t *root, settings_t *settings)
-{
-	static const char *const keys[] = {"file", NULL};
-	tomlcheck_table_t table;
-
-	if (!tomlcheck_get_table(root, "trace", TOMLCHECK_OPTIONAL, &table))
-		return;
-	tomlcheck_keys(&table, keys);
-	settings->trace_file = copy_text(tomlcheck_get_path(&table, "file"));
-}
-
 static void read_limits(const tomlcheck_table_t *root, settings_t *settings)
 {
-	static const char *const entry_keys[] = {"max_body_bytes", "threads",
-						 NULL};
-	static const char *const dispatch_keys[] = {"max_body_bytes", NULL};
-	/* A body must fit into one frame between daemons. */
+	static const char *const keys[] = {"max_body_bytes", NULL};
 	static const tomlcheck_int_t body = {"max_body_bytes", MIN_BODY_BYTES,
-					     MAX_BODY_BYTES, MAX_BODY_BYTES,
+					     MAX_BODY_BYTES, DEFAULT_BODY_BYTES,
 					     false};
-	static const tomlcheck_int_t threads = {"threads", 1, MAX_THREADS,
-						DEFAULT_THREADS, false};
-	bool is_entry = settings->role == SETTINGS_ENTRY;
 	tomlcheck_table_t table;
 
-	settings->max_body_bytes = body.fallback;
-	settings->threads = DEFAULT_THREADS;
+	settings->max_body_bytes = DEFAULT_BODY_BYTES;
 	if (!tomlcheck_get_table(root, "limits", TOMLCHECK_OPTIONAL, &table))
 		return;
-	tomlcheck_keys(&table, is_entry ? entry_keys : dispatch_keys);
-	settings->max_body_bytes = tomlcheck_get_int(&table, &body);
-	if (is_entry)
-		settings->threads =
-			(unsigned)tomlcheck_get_int(&table, &threads);
+	tomlcheck_keys(&table, keys);
+	settings->max_body_bytes = (size_t)tomlcheck_get_int(&table, &body);
+}
+
+static void read_all(const tomlcheck_table_t *root, reader_t *reader)
+{
+	static const char *const keys[] = {"process",  "listen", "peers",
+					   "sheet",    "trace",	 "limits",
+					   "operator", NULL};
+	settings_t *settings = reader->settings;
+
+	tomlcheck_keys(root, keys);
+	read_process(root, reader);
+	read_listen(root, reader);
+	read_peers(root, reader);
+	settings->sheet_file = read_file_table(root, "sheet", reader);
+	settings->trace_file = read_file_table(root, "trace", reader);
+	read_operator(root, settings);
+	read_limits(root, settings);
 }
 
-settings_t *settings_parse(str_t text, const char *file, settings_role_t role,
-			   buf_t *report)
+settings_t *settings_parse(str_t text, const char *file, buf_t *report)
 {
-	static const char *const keys[] = {"process",  "listen",   "peers",
-					   "platform", "operator", "trace",
-					   "limits",   NULL};
 	tomlcheck_table_t root;
 	tomlcheck_t check;
-	settings_t *settings;
+	reader_t reader;
 
 	if (!tomlcheck_open(&check, text, MAX_FILE_BYTES, file, report))
 		return NULL;
-	root = tomlcheck_root(&check);
-	settings = calloc(1, sizeof(*settings));
-	if (!settings)
+	reader = (reader_t){calloc(1, sizeof(settings_t)), 0, text.len + 1};
+	if (!reader.settings)
 		abort();
-	settings->role = role;
-	tomlcheck_keys(&root, keys);
-	read_process(&root, settings);
-	read_listen(&root, settings);
-	read_peers(&root, settings);
-	read_platform(&root, settings);
-	read_operator(&root, settings);
-	read_trace(&root, settings);
-	read_limits(&root, settings);
+	hostsettings_init(&reader.settings->base, text);
+	reader.settings->base.repeat_slack = REPEAT_SLACK;
+	root = tomlcheck_root(&check);
+	read_all(&root, &reader);
 	if (check.faults) {
-		settings_free(settings);
-		settings = NULL;
+		settings_free(reader.settings);
+		reader.settings = NULL;
 	}
 	tomlcheck_close(&check);
-	return settings;
+	return reader.settings;
 }
 
-settings_t *settings_load(const char *file, settings_role_t role, buf_t *report)
+settings_t *settings_load(const char *file, buf_t *report)
 {
 	settings_t *settings = NULL;
 	buf_t text = BUF_INIT;
-	FILE *stream = fopen(file, "r");
-	char block[4096];
-	size_t len;
+	err_t err;
 
-	if (!stream) {
-		buf_printf(report,
-			   "%s:0: document: expected a readable file: "
-			   "%s\n",
-			   file, strerror(errno));
-		return NULL;
-	}
-	/* Reads one block past the limit, which the parser then reports. */
-	while (text.len <= MAX_FILE_BYTES &&
-	       (len = fread(block, 1, sizeof(block), stream)) > 0)
-		buf_append(&text, block, len);
-	if (ferror(stream))
+	if (hostsettings_read_file(file, &text, &err))
 		buf_printf(report,
-			   "%s:0: document: expected a readable file: read "
-			   "error\n",
-			   file);
+			   "%s:0: document: expected a readable file: %s\n",
+			   file, err.message);
 	else
-		settings = settings_parse(buf_view(&text), file, role, report);
-	fclose(stream);
+		settings = settings_parse(buf_view(&text), file, report);
 	buf_release(&text);
 	return settings;
 }
@@ -233,16 +222,6 @@
 {
 	if (!settings)
 		return;
-	free(settings->host);
-	free(settings->domain);
-	free(settings->listen);
-	free(settings->admin);
-	free(settings->advertise);
-	for (size_t i = 0; i < settings->seed_count; i++)
-		free(settings->seeds[i]);
-	free(settings->local_dispatch);
-	free(settings->platform);
-	free(settings->sheet_file);
-	free(settings->trace_file);
+	hostsettings_release(&settings->base);
 	free(settings);
 }
--- a/lib/transport/frame.h
+++ b/lib/transport/frame.h
@@ -10,7 +10,8 @@
  * A frame is a 4-byte big-endian length and that many bytes.
  */
 #define FRAME_HEADER_BYTES 4
-#define FRAME_MAX_BYTES (1024 * 1024 + 64 * 1024)
+/* A full listing of a configuration with 45,000 customers is about 5 MB. */
+#define FRAME_MAX_BYTES (8 * 1024 * 1024)
 
 /* Appends a frame with this content. */
 void frame_append(buf_t *out, str_t content);
--- a/lib/transport/monitor.c
+++ b/lib/transport/monitor.c
@@ -4,6 +4,8 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
+#include "base/metrics.h"
+#include "base/plog.h"
 #include "transport/httptext.h"
 #include "transport/tcp.h"
 
@@ -104,6 +106,16 @@
 	client->too_large = false;
 }
 
+static void note_malformed(const client_t *client)
+{
+	char peer[ADDRESS_BYTES];
+
+	tcp_peer(&client->tcp, peer);
+	metrics_add(METRIC_INVALID_INPUT, STR_LIT("monitors"), 1);
+	plog_write(PLOG_REQUEST_INVALID,
+		   "peer=%s step=monitor status=0 reason=malformed", peer);
+}
+
 static void on_io(void *user, uint32_t events)
 {
 	client_t *client = user;
@@ -139,6 +151,7 @@
 		}
 		return;
 	default:
+		note_malformed(client);
 		destroy(client);
 		return;
 	}
--- a/lib/transport/tcp.c
+++ b/lib/transport/tcp.c
@@ -154,6 +154,17 @@
 						   TCP_READ_BROKEN;
 }
 
+void tcp_peer(const tcp_t *tcp, char peer[ADDRESS_BYTES])
+{
+	struct sockaddr_in sin = {0};
+	socklen_t len = sizeof(sin);
+
+	if (getpeername(tcp->fd, (struct sockaddr *)&sin, &len))
+		str_copy(peer, ADDRESS_BYTES, STR_LIT("-"));
+	else
+		address_format(&sin, peer);
+}
+
 bool tcp_has_input(const tcp_t *tcp)
 {
 	char byte;
--- a/lib/transport/tcp.h
+++ b/lib/transport/tcp.h
@@ -3,6 +3,7 @@
 
 #include "base/buf.h"
 #include "base/err.h"
+#include "transport/address.h"
 #include "transport/loop.h"
 
 /*
@@ -66,6 +67,9 @@
 
 tcp_read_t tcp_read(tcp_t *tcp, char *data, size_t size, size_t *len);
 
+/* Address of the other end, for logs; "-" when it isn't known. */
+void tcp_peer(const tcp_t *tcp, char peer[ADDRESS_BYTES]);
+
 /* True when a read would give bytes, an end or an error now. */
 bool tcp_has_input(const tcp_t *tcp);
 
--- a/programs/ctl/ctl.h
+++ b/programs/ctl/ctl.h
@@ -5,6 +5,7 @@
 
 #include "base/buf.h"
 #include "base/err.h"
+#include "base/mclock.h"
 #include "state/settings.h"
 #include "state/sheet.h"
 
@@ -15,10 +16,10 @@
  * status of the process.
  */
 #define CTL_EXIT_OK 0
-#define CTL_EXIT_REFUSED 1 /* a daemon refused or could not be reached */
+#define CTL_EXIT_REFUSED 1 /* a host refused or could not be reached */
 #define CTL_EXIT_USAGE 2   /* wrong arguments or a faulty file */
 
-#define CTL_MAX_DAEMONS 1024
+#define CTL_MAX_HOSTS 1024
 #define CTL_MAX_FILES 2
 #define CTL_DEFAULT_LIMIT_MS 3000
 #define CTL_DEFAULT_WAIT_S 30
@@ -27,15 +28,13 @@
 typedef struct ctl_args {
 	const char *files[CTL_MAX_FILES];
 	size_t file_count;
-	char *daemons[CTL_MAX_DAEMONS]; /* admin addresses */
-	size_t daemon_count;
+	char *hosts[CTL_MAX_HOSTS]; /* admin addresses */
+	size_t host_count;
 	const char *key_file; /* NULL: PERIDOT_OPERATOR_KEY */
-	int64_t limit_ms;     /* for one daemon's answer */
+	int64_t limit_ms;     /* for one host's answer */
 	bool json;
 	int64_t wait_version; /* 0: don't wait */
 	int64_t wait_s;
-	bool has_role;
-	settings_role_t role;
 	const char *out;
 	const char *domain;
 	const char *endpoint;
@@ -45,7 +44,6 @@
 /* files.c: sheets and settings files */
 int ctl_run_check(const ctl_args_t *args);
 int ctl_run_check_settings(const ctl_args_t *args);
-int ctl_run_pack(const ctl_args_t *args);
 
 /* Reads a file of at most `max` bytes; false with the reason on standard
  * error. */
@@ -65,9 +63,9 @@
 /* edit.c */
 int ctl_run_edit(const ctl_args_t *args);
 
-/* fleet.c: requests to daemons */
+/* fleet.c: requests to hosts */
 typedef struct ctl_answer {
-	const char *daemon;
+	const char *host;
 	long http_status; /* 0: no answer */
 	char error[ERR_MESSAGE_BYTES];
 	buf_t body;
@@ -82,18 +80,18 @@
 
 /* Reads the operators' key; false with the reason on standard error. */
 bool ctl_read_key(const ctl_args_t *args, buf_t *key);
-/* Asks all daemons at once; the answers have the order of the daemons. */
+/* Asks all hosts at once; the answers have the order of the hosts. */
 ctl_answer_t *ctl_ask(const ctl_args_t *args, str_t key,
 		      const ctl_question_t *question);
 void ctl_free_answers(ctl_answer_t *answers, size_t count);
-/* Number of daemons that refused or gave no answer; names them on standard
+/* Number of hosts that refused or gave no answer; names them on standard
  * error. */
 size_t ctl_report_failures(const ctl_answer_t *answers, size_t count);
 int ctl_run_push(const ctl_args_t *args);
 int ctl_run_drain(const ctl_args_t *args);
 int ctl_run_metrics(const ctl_args_t *args);
 
-/* show.c: tables of what the daemons report */
+/* show.c: tables of what the hosts report */
 int ctl_run_status(const ctl_args_t *args);
 int ctl_run_endpoints(const ctl_args_t *args);
 int ctl_run_classes(const ctl_args_t *args);
--- a/programs/ctl/diff.c
+++ b/programs/ctl/diff.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 
 #include "base/mclock.h"
-#include "state/store.h"
+#include "state/sheetchange.h"
 
 #define MAX_FIELDS 10
 
@@ -340,28 +340,15 @@
 	return changes;
 }
 
-/*
- * Applies the daemons' rules for a successor. Takes over both sheets. The
- * version has its own warning, so it is raised here if needed.
- */
-static err_code_t check_successor(sheet_t *old, sheet_t *new, err_t *err)
+/* Applies the hosts' rules for a successor. The version has its own warning, so
+ * it is raised here if needed. */
+static err_code_t check_successor(const sheet_t *old, sheet_t *new, err_t *err)
 {
-	store_t *store = store_create(mclock_system());
-	err_code_t code;
+	bool same;
 
-	if (!store)
-		abort();
 	if (new->version <= old->version)
 		new->version = old->version + 1;
-	store_register_thread();
-	code = store_activate(store, old, err);
-	if (code == ERR_OK)
-		code = store_activate(store, new, err);
-	else
-		sheet_free(new);
-	store_unregister_thread();
-	store_free(store);
-	return code;
+	return sheetchange_check(old, new, &same, err);
 }
 
 static bool is_same_sheet(const sheet_t *old, const sheet_t *new)
--- a/programs/ctl/files.c
+++ b/programs/ctl/files.c
@@ -4,21 +4,12 @@
 #include <limits.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <sys/stat.h>
 #include <unistd.h>
 
-#include "state/node.h"
 #include "state/sheetcheck.h"
 
 #define READ_BYTES 65536
 
-typedef struct pack {
-	const char *dir;
-	node_digest_t root;
-	size_t nodes;
-	size_t bytes;
-} pack_t;
-
 bool ctl_read_file(const char *path, size_t max, buf_t *out)
 {
 	FILE *file = fopen(path, "rb");
@@ -105,12 +96,11 @@
 int ctl_run_check_settings(const ctl_args_t *args)
 {
 	buf_t report = BUF_INIT;
-	settings_t *settings =
-		settings_load(args->files[0], args->role, &report);
+	settings_t *settings = settings_load(args->files[0], &report);
 
 	if (settings)
 		printf("%s: host %s, domain %s\n", args->files[0],
-		       settings->host, settings->domain);
+		       settings->base.host.ptr, settings->base.domain.ptr);
 	else
 		fprintf(stderr, "%" STR_FMT, STR_ARG(buf_view(&report)));
 	buf_release(&report);
@@ -119,63 +109,3 @@
 	settings_free(settings);
 	return CTL_EXIT_OK;
 }
-
-static err_code_t write_node(void *user, const node_digest_t *digest,
-			     str_t bytes)
-{
-	pack_t *pack = user;
-	char key[NODE_KEY_BYTES] = NODE_ROOT_KEY;
-	char path[PATH_MAX];
-
-	if (memcmp(digest, &pack->root, sizeof(*digest)) != 0)
-		node_format_key(digest, key);
-	snprintf(path, sizeof(path), "%s/%s", pack->dir, key);
-	pack->nodes++;
-	pack->bytes += bytes.len;
-	return ctl_write_file(path, bytes) ? ERR_OK : ERR_IO;
-}
-
-static bool make_directory(const char *dir, const char *below)
-{
-	char path[PATH_MAX];
-
-	snprintf(path, sizeof(path), "%s%s", dir, below);
-	if (!mkdir(path, 0777) || errno == EEXIST)
-		return true;
-	fprintf(stderr, "peridotctl: cannot create %s: %s\n", path,
-		strerror(errno));
-	return false;
-}
-
-static bool write_nodes(const sheet_t *sheet, pack_t *pack)
-{
-	err_t err = {0};
-
-	if (!make_directory(pack->dir, "") ||
-	    !make_directory(pack->dir, "/sheet") ||
-	    !make_directory(pack->dir, "/sheet/node"))
-		return false;
-	if (node_digest_of(sheet, &pack->root) == ERR_OK &&
-	    node_pack(sheet, write_node, pack, &pack->root, &err) == ERR_OK)
-		return true;
-	if (*err.message)
-		fprintf(stderr, "peridotctl: %s\n", err.message);
-	return false;
-}
-
-int ctl_run_pack(const ctl_args_t *args)
-{
-	pack_t pack = {.dir = args->out};
-	sheet_t *sheet = ctl_load_sheet(args->files[0]);
-	bool packed;
-
-	if (!sheet)
-		return CTL_EXIT_USAGE;
-	packed = write_nodes(sheet, &pack);
-	if (packed)
-		printf("%s: version %llu, %zu values, %zu bytes\n", args->out,
-		       (unsigned long long)sheet->version, pack.nodes,
-		       pack.bytes);
-	sheet_free(sheet);
-	return packed ? CTL_EXIT_OK : CTL_EXIT_USAGE;
-}
--- a/programs/ctl/fleet.c
+++ b/programs/ctl/fleet.c
@@ -51,8 +51,7 @@
 
 	if (!easy)
 		abort();
-	snprintf(url, sizeof(url), "http://%s%s", answer->daemon,
-		 question->path);
+	snprintf(url, sizeof(url), "http://%s%s", answer->host, question->path);
 	curl_easy_setopt(easy, CURLOPT_URL, url);
 	/* An HTTP proxy of the environment must not see the key. */
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
@@ -72,7 +71,7 @@
 	return easy;
 }
 
-/* Keeps the daemon's own reason of a refusal. */
+/* Keeps the host's own reason of a refusal. */
 static void read_refusal(ctl_answer_t *answer)
 {
 	json_t *json = json_loadb(answer->body.ptr ? answer->body.ptr : "",
@@ -142,7 +141,7 @@
 ctl_answer_t *ctl_ask(const ctl_args_t *args, str_t key,
 		      const ctl_question_t *question)
 {
-	ctl_answer_t *answers = calloc(args->daemon_count, sizeof(*answers));
+	ctl_answer_t *answers = calloc(args->host_count, sizeof(*answers));
 	CURLM *multi = curl_multi_init();
 	struct curl_slist *headers = NULL;
 	buf_t authorization = BUF_INIT;
@@ -156,8 +155,8 @@
 	/* Without this a large body waits for "100 Continue". */
 	headers = curl_slist_append(headers, "Expect:");
 	headers = curl_slist_append(headers, "Content-Type: application/toml");
-	for (size_t i = 0; i < args->daemon_count; i++) {
-		answers[i].daemon = args->daemons[i];
+	for (size_t i = 0; i < args->host_count; i++) {
+		answers[i].host = args->hosts[i];
 		curl_multi_add_handle(
 			multi,
 			start_question(args, headers, question, &answers[i]));
@@ -186,13 +185,13 @@
 		if (answers[i].http_status == 200)
 			continue;
 		failures++;
-		fprintf(stderr, "peridotctl: %s: %s\n", answers[i].daemon,
+		fprintf(stderr, "peridotctl: %s: %s\n", answers[i].host,
 			answers[i].error);
 	}
 	return failures;
 }
 
-/* Prints one line per daemon. */
+/* Prints one line per host. */
 static int report_each(const ctl_args_t *args, const ctl_question_t *question,
 		       const char *done)
 {
@@ -205,15 +204,15 @@
 		return CTL_EXIT_USAGE;
 	}
 	answers = ctl_ask(args, buf_view(&key), question);
-	for (size_t i = 0; i < args->daemon_count; i++) {
+	for (size_t i = 0; i < args->host_count; i++) {
 		bool accepted = answers[i].http_status == 200;
 
-		printf("%s: %s\n", answers[i].daemon,
+		printf("%s: %s\n", answers[i].host,
 		       accepted ? done : answers[i].error);
 		if (!accepted)
 			status = CTL_EXIT_REFUSED;
 	}
-	ctl_free_answers(answers, args->daemon_count);
+	ctl_free_answers(answers, args->host_count);
 	buf_release(&key);
 	return status;
 }
@@ -258,12 +257,12 @@
 		return CTL_EXIT_USAGE;
 	}
 	answers = ctl_ask(args, buf_view(&key), &question);
-	for (size_t i = 0; i < args->daemon_count; i++)
+	for (size_t i = 0; i < args->host_count; i++)
 		if (answers[i].http_status == 200)
-			printf("# daemon %s\n%" STR_FMT, answers[i].daemon,
+			printf("# host %s\n%" STR_FMT, answers[i].host,
 			       STR_ARG(buf_view(&answers[i].body)));
-	failures = ctl_report_failures(answers, args->daemon_count);
-	ctl_free_answers(answers, args->daemon_count);
+	failures = ctl_report_failures(answers, args->host_count);
+	ctl_free_answers(answers, args->host_count);
 	buf_release(&key);
 	return failures ? CTL_EXIT_REFUSED : CTL_EXIT_OK;
 }
--- a/programs/ctl/show.c
+++ b/programs/ctl/show.c
@@ -10,11 +10,11 @@
 #define NS_PER_MS 1000000L
 #define DIGEST_PREFIX 8
 
-/* The highest version that a daemon reported, and the first digest with it. */
+/* The highest version that a host reported, and the first digest with it. */
 typedef struct newest {
 	json_int_t version;
 	const char *digest;
-	bool is_split; /* daemons have this version with different digests */
+	bool is_split; /* hosts have this version with different digests */
 } newest_t;
 
 static json_int_t get_int(const json_t *json, const char *key)
@@ -34,11 +34,6 @@
 	return json_is_true(json_object_get(json, key));
 }
 
-static bool is_dispatcher(const json_t *status)
-{
-	return !strcmp(get_text(status, "role"), "dispatch");
-}
-
 static void add_to(json_t *row, const char *key, json_int_t amount)
 {
 	json_object_set_new(row, key, json_integer(get_int(row, key) + amount));
@@ -61,7 +56,7 @@
 	return yes ? "yes" : "no";
 }
 
-/* Asks all daemons for their status; NULL without a key. */
+/* Asks all hosts for their status; NULL without a key. */
 static ctl_answer_t *ask_status(const ctl_args_t *args)
 {
 	ctl_question_t question = {.method = "GET", .path = "/v1/status"};
@@ -71,7 +66,7 @@
 	if (ctl_read_key(args, &key))
 		answers = ctl_ask(args, buf_view(&key), &question);
 	buf_release(&key);
-	for (size_t i = 0; answers && i < args->daemon_count; i++) {
+	for (size_t i = 0; answers && i < args->host_count; i++) {
 		if (answers[i].http_status != 200 || answers[i].json)
 			continue;
 		answers[i].http_status = 0;
@@ -109,7 +104,7 @@
 		return "LAGS";
 	if (newest->is_split)
 		return "CONFLICT: digests differ";
-	/* The counter covers the time since the daemon's start. */
+	/* The counter covers the time since the host's start. */
 	if (get_int(status, "sheet_conflicts"))
 		return "refused a sheet with an equal version";
 	return "";
@@ -120,15 +115,14 @@
 {
 	const json_t *json = answer->json;
 
-	ctl_table_add(table, "%s", answer->daemon);
+	ctl_table_add(table, "%s", answer->host);
 	if (!json) {
-		for (int i = 0; i < 10; i++)
+		for (int i = 0; i < 9; i++)
 			ctl_table_add(table, "-");
 		ctl_table_add(table, "%s", answer->error);
 		return;
 	}
 	ctl_table_add(table, "%s", get_text(json, "host"));
-	ctl_table_add(table, "%s", get_text(json, "role"));
 	ctl_table_add(table, "%s", get_text(json, "domain"));
 	ctl_table_add(table, "%lld", (long long)get_int(json, "sheet_version"));
 	ctl_table_add(table, "%.*s", DIGEST_PREFIX,
@@ -139,20 +133,16 @@
 	ctl_table_add(table, "%lld", (long long)get_int(json, "requests"));
 	ctl_table_add(table, "%lld",
 		      (long long)get_int(json, "uptime_ms") / 1000);
-	if (is_dispatcher(json))
-		ctl_table_add(table, "%lld",
-			      (long long)get_int(json, "pauses"));
-	else
-		ctl_table_add(table, "-");
+	ctl_table_add(table, "%lld", (long long)get_int(json, "pauses"));
 	ctl_table_add(table, "%s", find_note(json, newest));
 }
 
 static void print_status_table(const ctl_answer_t *answers, size_t count)
 {
 	static const char *const columns[] = {
-		"ADMIN",  "HOST",      "ROLE",	  "DOMAIN",   "VERSION",
-		"DIGEST", "CONFLICTS", "LEAVING", "REQUESTS", "UPTIME_S",
-		"PAUSES", "NOTE",      NULL};
+		"ADMIN",    "HOST",	 "DOMAIN",  "VERSION",
+		"DIGEST",   "CONFLICTS", "LEAVING", "REQUESTS",
+		"UPTIME_S", "PAUSES",	 "NOTE",    NULL};
 	newest_t newest = find_newest(answers, count);
 	ctl_table_t table;
 
@@ -170,7 +160,7 @@
 
 	for (size_t i = 0; i < count; i++) {
 		const ctl_answer_t *answer = &answers[i];
-		json_t *row = json_pack("{s:s, s:b}", "admin", answer->daemon,
+		json_t *row = json_pack("{s:s, s:b}", "admin", answer->host,
 					"reached", answer->json != NULL);
 
 		if (answer->json)
@@ -200,7 +190,7 @@
 	return behind;
 }
 
-/* Asks until all daemons have the version or the time is over. */
+/* Asks until all hosts have the version or the time is over. */
 static ctl_answer_t *wait_for_version(const ctl_args_t *args, size_t *behind)
 {
 	struct timespec pause = {0, POLL_MS * NS_PER_MS};
@@ -208,11 +198,11 @@
 	ctl_answer_t *answers = ask_status(args);
 
 	while (answers) {
-		*behind = count_behind(answers, args->daemon_count,
+		*behind = count_behind(answers, args->host_count,
 				       args->wait_version);
 		if (!*behind || mclock_now_ms(mclock_system()) >= end)
 			break;
-		ctl_free_answers(answers, args->daemon_count);
+		ctl_free_answers(answers, args->host_count);
 		nanosleep(&pause, NULL);
 		answers = ask_status(args);
 	}
@@ -221,7 +211,7 @@
 
 int ctl_run_status(const ctl_args_t *args)
 {
-	size_t count = args->daemon_count;
+	size_t count = args->host_count;
 	size_t behind = 0;
 	ctl_answer_t *answers = wait_for_version(args, &behind);
 	int status = CTL_EXIT_OK;
@@ -235,7 +225,7 @@
 	fflush(stdout);
 	if (args->wait_version && behind) {
 		fprintf(stderr,
-			"peridotctl: %zu of %zu daemons do not have "
+			"peridotctl: %zu of %zu hosts do not have "
 			"version %lld after %lld s\n",
 			behind, count, (long long)args->wait_version,
 			(long long)args->wait_s);
@@ -260,143 +250,131 @@
 	if (!answers)
 		return CTL_EXIT_USAGE;
 	ctl_table_init(&table, columns);
-	fill(&table, answers, args->daemon_count);
+	fill(&table, answers, args->host_count);
 	ctl_table_sort(&table);
 	ctl_table_print(&table, args->json);
 	ctl_table_release(&table);
 	fflush(stdout);
-	failures = ctl_report_failures(answers, args->daemon_count);
-	ctl_free_answers(answers, args->daemon_count);
+	failures = ctl_report_failures(answers, args->host_count);
+	ctl_free_answers(answers, args->host_count);
 	return failures ? CTL_EXIT_REFUSED : CTL_EXIT_OK;
 }
 
-static void fill_endpoints(ctl_table_t *table, const ctl_answer_t *answers,
-			   size_t count)
+/* Adds a host's view of each endpoint to the sums over all hosts. */
+static void sum_endpoints(json_t *endpoints, const json_t *status)
 {
-	for (size_t i = 0; i < count; i++) {
-		const json_t *status = answers[i].json;
-		json_t *row;
-		size_t at;
+	json_t *seen;
+	size_t at;
 
-		json_array_foreach(json_object_get(status, "endpoints"), at,
-				   row)
-		{
-			ctl_table_add(table, "%s", get_text(row, "name"));
-			ctl_table_add(table, "%s", get_text(status, "host"));
-			ctl_table_add(table, "%s", get_text(status, "domain"));
-			ctl_table_add(table, "%s", get_text(row, "pool"));
-			ctl_table_add(table, "%s", get_text(row, "address"));
-			ctl_table_add(table, "%s",
-				      format_yes(is_set(row, "up")));
-			ctl_table_add(table, "%s",
-				      format_yes(is_set(row, "owned")));
-			ctl_table_add(table, "%s",
-				      format_yes(is_set(row, "warm")));
-			ctl_table_add(table, "%lld",
-				      (long long)get_int(row, "limit"));
-			ctl_table_add(table, "%lld",
-				      (long long)get_int(row, "in_flight"));
-			ctl_table_add(table, "%lld",
-				      (long long)get_int(row, "cold_units"));
-			ctl_table_add(table, "%.0f",
-				      json_number_value(json_object_get(
-					      row, "median_first_token_ms")));
-		}
+	json_array_foreach(json_object_get(status, "endpoints"), at, seen)
+	{
+		json_t *row = find_row(endpoints, get_text(seen, "name"));
+
+		json_object_set(row, "domain", json_object_get(seen, "domain"));
+		json_object_set(row, "pool", json_object_get(seen, "pool"));
+		json_object_set(row, "address",
+				json_object_get(seen, "address"));
+		json_object_set(row, "limit", json_object_get(seen, "limit"));
+		add_to(row, "hosts", 1);
+		add_to(row, "up", is_set(seen, "up"));
+		add_to(row, "warm", is_set(seen, "warm"));
+		add_to(row, "in_flight", get_int(seen, "in_flight"));
+		add_to(row, "cold_units", get_int(seen, "cold_units"));
 	}
 }
 
-int ctl_run_endpoints(const ctl_args_t *args)
+static json_t *sum_all_endpoints(const ctl_answer_t *answers, size_t count)
 {
-	static const char *const columns[] = {
-		"ENDPOINT",   "HOST",		"DOMAIN", "POOL",  "ADDRESS",
-		"UP",	      "OWNED",		"WARM",	  "LIMIT", "IN_FLIGHT",
-		"COLD_UNITS", "FIRST_TOKEN_MS", NULL};
+	json_t *endpoints = json_object();
 
-	return show_table(args, columns, fill_endpoints);
+	for (size_t i = 0; i < count; i++)
+		sum_endpoints(endpoints, answers[i].json);
+	return endpoints;
 }
 
-/* Sums queue lengths by class and pool, and requests at entries by class. */
-static void sum_classes(json_t *classes, const json_t *status)
+static void fill_endpoints(ctl_table_t *table, const ctl_answer_t *answers,
+			   size_t count)
 {
-	json_t *pool, *number;
+	static const char *const texts[] = {"domain", "pool", "address"};
+	static const char *const numbers[] = {
+		"hosts", "up", "warm", "limit", "in_flight", "cold_units"};
+	json_t *endpoints = sum_all_endpoints(answers, count);
 	const char *name;
-	size_t at;
+	json_t *row;
 
-	json_array_foreach(json_object_get(status, "pools"), at, pool)
+	json_object_foreach(endpoints, name, row)
 	{
-		json_object_foreach(json_object_get(pool, "queued_by_class"),
-				    name, number)
-		{
-			json_t *row = find_row(find_row(classes, name),
-					       get_text(pool, "name"));
-
-			add_to(row, "queued", json_integer_value(number));
-			add_to(row, "hosts", 1);
-		}
+		ctl_table_add(table, "%s", name);
+		for (size_t i = 0; i < sizeof(texts) / sizeof(*texts); i++)
+			ctl_table_add(table, "%s", get_text(row, texts[i]));
+		for (size_t i = 0; i < sizeof(numbers) / sizeof(*numbers); i++)
+			ctl_table_add(table, "%lld",
+				      (long long)get_int(row, numbers[i]));
 	}
-	json_object_foreach(json_object_get(status, "requests_by_class"), name,
-			    number)
-	{
-		json_t *row = find_row(find_row(classes, name), "(entries)");
+	json_decref(endpoints);
+}
 
-		add_to(row, "in_progress", json_integer_value(number));
-		add_to(row, "hosts", 1);
-	}
+int ctl_run_endpoints(const ctl_args_t *args)
+{
+	static const char *const columns[] = {
+		"ENDPOINT", "DOMAIN", "POOL",	   "ADDRESS",	 "HOSTS", "UP",
+		"WARM",	    "LIMIT",  "IN_FLIGHT", "COLD_UNITS", NULL};
+
+	return show_table(args, columns, fill_endpoints);
 }
 
 static void fill_classes(ctl_table_t *table, const ctl_answer_t *answers,
 			 size_t count)
 {
 	json_t *classes = json_object();
-	json_t *pools, *row;
-	const char *name, *pool;
+	json_t *seen, *row;
+	const char *name;
 
-	for (size_t i = 0; i < count; i++)
-		sum_classes(classes, answers[i].json);
-	json_object_foreach(classes, name, pools)
-	{
-		json_object_foreach(pools, pool, row)
+	for (size_t i = 0; i < count; i++) {
+		json_object_foreach(json_object_get(answers[i].json, "classes"),
+				    name, seen)
 		{
-			ctl_table_add(table, "%s", name);
-			ctl_table_add(table, "%s", pool);
-			ctl_table_add(table, "%lld",
-				      (long long)get_int(row, "queued"));
-			ctl_table_add(table, "%lld",
-				      (long long)get_int(row, "in_progress"));
-			ctl_table_add(table, "%lld",
-				      (long long)get_int(row, "hosts"));
+			row = find_row(classes, name);
+			add_to(row, "requests", get_int(seen, "requests"));
+			add_to(row, "waiting", get_int(seen, "waiting"));
+			add_to(row, "hosts", 1);
 		}
 	}
+	json_object_foreach(classes, name, row)
+	{
+		ctl_table_add(table, "%s", name);
+		ctl_table_add(table, "%lld",
+			      (long long)get_int(row, "requests"));
+		ctl_table_add(table, "%lld",
+			      (long long)get_int(row, "waiting"));
+		ctl_table_add(table, "%lld", (long long)get_int(row, "hosts"));
+	}
 	json_decref(classes);
 }
 
 int ctl_run_classes(const ctl_args_t *args)
 {
-	static const char *const columns[] = {"CLASS",	     "POOL",  "QUEUED",
-					      "IN_PROGRESS", "HOSTS", NULL};
+	static const char *const columns[] = {"CLASS", "AT_ENDPOINTS",
+					      "WAITING", "HOSTS", NULL};
 
 	return show_table(args, columns, fill_classes);
 }
 
-/* Hosts are live when their dispatcher answered or a daemon that did hears it.
- */
+/* A host is live when it answered, or when a host that did hears it. */
 static void sum_hosts(json_t *domains, const json_t *status)
 {
 	json_t *hosts = find_row(find_row(domains, get_text(status, "domain")),
 				 "hosts");
-	const char *host = get_text(status, "host");
 	json_t *member;
 	size_t at;
 
-	if (is_dispatcher(status))
-		json_object_set_new(hosts, host, json_true());
-	else if (!json_object_get(hosts, host))
-		json_object_set_new(hosts, host, json_false());
+	json_object_set_new(hosts, get_text(status, "host"), json_true());
 	json_array_foreach(json_object_get(status, "members"), at, member)
 	{
+		const char *host = get_text(member, "host");
+
 		hosts = find_row(find_row(domains, get_text(member, "domain")),
 				 "hosts");
-		host = get_text(member, "host");
 		if (is_set(member, "live"))
 			json_object_set_new(hosts, host, json_true());
 		else if (!json_object_get(hosts, host))
@@ -404,60 +382,21 @@
 	}
 }
 
-static void sum_endpoints(json_t *domains, const json_t *status)
-{
-	json_t *row = find_row(domains, get_text(status, "domain"));
-	json_t *pool, *endpoint;
-	size_t at;
-
-	json_array_foreach(json_object_get(status, "pools"), at, pool)
-		add_to(row, "queued", get_int(pool, "queued"));
-	json_array_foreach(json_object_get(status, "endpoints"), at, endpoint)
-	{
-		json_t *seen = find_row(find_row(row, "endpoints"),
-					get_text(endpoint, "name"));
-
-		add_to(row, "in_flight", get_int(endpoint, "in_flight"));
-		if (is_set(endpoint, "up"))
-			json_object_set_new(seen, "up", json_true());
-		/* Only the owner learns whether the endpoint is warm. */
-		if (is_set(endpoint, "owned") && is_set(endpoint, "warm"))
-			json_object_set_new(seen, "warm", json_true());
-	}
-}
-
-static size_t count_true(const json_t *rows, const char *key)
+static size_t count_true(const json_t *rows)
 {
 	const char *name;
 	json_t *row;
 	size_t count = 0;
 
-	json_object_foreach(
-		(json_t *)rows, name,
-		row) if (json_is_true(key ? json_object_get(row, key) : row))
-		count++;
+	json_object_foreach((json_t *)rows, name, row)
+	{
+		if (json_is_true(row))
+			count++;
+	}
 	return count;
 }
 
-static void add_domain_row(ctl_table_t *table, const char *name,
-			   const json_t *row)
-{
-	const json_t *hosts = json_object_get(row, "hosts");
-	const json_t *endpoints = json_object_get(row, "endpoints");
-
-	ctl_table_add(table, "%s", name);
-	ctl_table_add(table, "%s", get_text(row, "region"));
-	ctl_table_add(table, "%s", get_text(row, "state"));
-	ctl_table_add(table, "%zu", count_true(hosts, NULL));
-	ctl_table_add(table, "%zu", json_object_size(hosts));
-	ctl_table_add(table, "%zu", json_object_size(endpoints));
-	ctl_table_add(table, "%zu", count_true(endpoints, "up"));
-	ctl_table_add(table, "%zu", count_true(endpoints, "warm"));
-	ctl_table_add(table, "%lld", (long long)get_int(row, "in_flight"));
-	ctl_table_add(table, "%lld", (long long)get_int(row, "queued"));
-}
-
-/* Takes the states from the daemon with the highest version. */
+/* Takes the states from the host with the highest version. */
 static void take_states(json_t *domains, const ctl_answer_t *answers,
 			size_t count)
 {
@@ -484,30 +423,63 @@
 	}
 }
 
+static void take_endpoints(json_t *domains, const json_t *endpoints)
+{
+	const char *name;
+	json_t *endpoint;
+
+	json_object_foreach((json_t *)endpoints, name, endpoint)
+	{
+		json_t *row = find_row(domains, get_text(endpoint, "domain"));
+
+		add_to(row, "endpoints", 1);
+		add_to(row, "up", get_int(endpoint, "up") > 0);
+		add_to(row, "warm", get_int(endpoint, "warm") > 0);
+		add_to(row, "in_flight", get_int(endpoint, "in_flight"));
+	}
+}
+
+static void add_domain_row(ctl_table_t *table, const char *name,
+			   const json_t *row)
+{
+	static const char *const numbers[] = {"endpoints", "up", "warm",
+					      "in_flight"};
+	const json_t *hosts = json_object_get(row, "hosts");
+
+	ctl_table_add(table, "%s", name);
+	ctl_table_add(table, "%s", get_text(row, "region"));
+	ctl_table_add(table, "%s", get_text(row, "state"));
+	ctl_table_add(table, "%zu", count_true(hosts));
+	ctl_table_add(table, "%zu", json_object_size(hosts));
+	for (size_t i = 0; i < sizeof(numbers) / sizeof(*numbers); i++)
+		ctl_table_add(table, "%lld",
+			      (long long)get_int(row, numbers[i]));
+}
+
 static void fill_domains(ctl_table_t *table, const ctl_answer_t *answers,
 			 size_t count)
 {
+	json_t *endpoints = sum_all_endpoints(answers, count);
 	json_t *domains = json_object();
 	const char *name;
 	json_t *row;
 
 	take_states(domains, answers, count);
-	for (size_t i = 0; i < count; i++) {
-		if (!answers[i].json)
-			continue;
-		sum_hosts(domains, answers[i].json);
-		sum_endpoints(domains, answers[i].json);
-	}
+	take_endpoints(domains, endpoints);
+	for (size_t i = 0; i < count; i++)
+		if (answers[i].json)
+			sum_hosts(domains, answers[i].json);
 	json_object_foreach(domains, name, row)
 		add_domain_row(table, name, row);
 	json_decref(domains);
+	json_decref(endpoints);
 }
 
 int ctl_run_domains(const ctl_args_t *args)
 {
 	static const char *const columns[] = {
-		"DOMAIN", "REGION", "STATE",	 "LIVE",   "HOSTS", "ENDPOINTS",
-		"UP",	  "WARM",   "IN_FLIGHT", "QUEUED", NULL};
+		"DOMAIN",    "REGION", "STATE", "LIVE",	     "HOSTS",
+		"ENDPOINTS", "UP",     "WARM",	"IN_FLIGHT", NULL};
 
 	return show_table(args, columns, fill_domains);
 }
--- a/programs/host/host.c
+++ b/programs/host/host.c
@@ -132,6 +132,8 @@
 	host_t *host = user;
 
 	check_settings(host);
+	if (host->ops->check_files)
+		host->ops->check_files(host);
 	loop_timer_set(host->loop, &host->settings_timer, SETTINGS_CHECK_MS,
 		       on_settings_timer, host);
 }
@@ -318,6 +320,7 @@
 		   settings->host.ptr, settings->domain.ptr,
 		   settings->listen_callers.ptr, settings->listen_peers.ptr);
 	plog_flush();
+	host->ops->started(host);
 	return ERR_OK;
 }
 
--- a/programs/host/host.h
+++ b/programs/host/host.h
@@ -25,8 +25,12 @@
 	void (*free_settings)(hostsettings_t *settings);
 	/* Starts the program's own parts; router and peers exist. */
 	err_code_t (*start)(host_t *host, err_t *err);
+	/* All parts serve. */
+	void (*started)(host_t *host);
 	/* Changed settings: takes over what the program keeps of them. */
 	void (*apply_settings)(host_t *host, const hostsettings_t *settings);
+	/* Looks for changes of other files, every second. NULL: none. */
+	void (*check_files)(host_t *host);
 	/* A record of the replica is new, changed or gone (ptr NULL). */
 	void (*take_record)(host_t *host, str_t key, str_t value);
 	/* Records came from a peer. */
--- a/programs/host/main.c
+++ b/programs/host/main.c
@@ -5,12 +5,13 @@
 #include <stdlib.h>
 
 #include "base/plog.h"
+#include "base/version.h"
 
 /* Exit codes besides 0; 64 is argp's for a wrong command line. */
 #define EXIT_START_FAILED 1
 #define EXIT_SETTINGS_INVALID 2
 
-const char *argp_program_version = "peridotpin " HOST_VERSION;
+const char *argp_program_version = "peridotpin " PERIDOT_VERSION;
 
 typedef struct arguments {
 	const char *settings;
--- a/programs/host/main.h
+++ b/programs/host/main.h
@@ -6,7 +6,6 @@
 /*
  * main - the command line and the life of a host process
  */
-#define HOST_VERSION "0.2.0"
 
 typedef struct host_program {
 	const char *doc;      /* for --help */
--- a/programs/hostd/hostd.c
+++ b/programs/hostd/hostd.c
@@ -106,6 +106,11 @@
 	return start_monitors(hostd, err);
 }
 
+static void started(host_t *host)
+{
+	(void)host;
+}
+
 static void apply_settings(host_t *host, const hostsettings_t *settings)
 {
 	hostd_t *hostd = (hostd_t *)host;
@@ -158,6 +163,7 @@
 	.parse_settings = parse_settings,
 	.free_settings = free_settings,
 	.start = start,
+	.started = started,
 	.apply_settings = apply_settings,
 	.take_record = take_record,
 	.pulled = pulled,
--- a/programs/load/load.h
+++ b/programs/load/load.h
@@ -39,7 +39,7 @@
 	char name[LOAD_NAME_BYTES];
 	char service[LOAD_NAME_BYTES]; /* empty: a chat completion */
 	char call[LOAD_NAME_BYTES];
-	bool ticket; /* the call needs a ticket */
+	bool once; /* the call must run at most once */
 	load_point_t rate[LOAD_MAX_POINTS];
 	size_t rate_count;
 	unsigned customers[LOAD_MAX_CUSTOMERS]; /* drawn evenly */
--- a/programs/load/send.c
+++ b/programs/load/send.c
@@ -11,7 +11,6 @@
 #define US_PER_MS 1000
 #define MAX_POLL_MS 100
 #define STATS_TIMEOUT_MS 2000
-#define STATUS_NEEDS_TICKET 428
 #define MAX_HEADER_BYTES 512
 /* Longer lines and bodies are cut; answers of the stand-ins are shorter. */
 #define MAX_KEPT_BYTES 65536
@@ -27,9 +26,7 @@
 	buf_t expected;
 	uint64_t hash;
 	char url[ADDRESS_BYTES + 2 * LOAD_NAME_BYTES + 32];
-	char ticket[MAX_HEADER_BYTES];
 	char outcome[16];
-	bool has_ticket; /* this call was sent with the ticket */
 	bool mismatch;
 	bool done; /* the stream ended with [DONE] */
 	struct transfer *next_free;
@@ -175,7 +172,6 @@
 
 	take_header(header, "X-Peridot-Outcome: ", t->outcome,
 		    sizeof(t->outcome));
-	take_header(header, "X-Peridot-Ticket: ", t->ticket, sizeof(t->ticket));
 	return size * count;
 }
 
@@ -201,13 +197,10 @@
 	}
 	load_append_prompt(&prompt, run, r);
 	t->hash = load_hash_prompt(buf_view(&prompt));
-	/* Engines without a router in front need the id of a request. */
 	buf_printf(&t->body,
-		   "{\"model\":\"%s\",\"stream\":true,\"request_id\":\"load-"
-		   "%" PRIu64 "-%u\",\"x_output_tokens\":%u,"
+		   "{\"model\":\"%s\",\"stream\":true,\"x_output_tokens\":%u,"
 		   "\"messages\":[{\"role\":\"user\",\"content\":\"",
-		   run->scenario.model, run->scenario.seed, r->serial,
-		   r->wanted);
+		   run->scenario.model, r->wanted);
 	buf_append_str(&t->body, buf_view(&prompt));
 	buf_printf(&t->body, "\"}]}");
 	buf_release(&prompt);
@@ -245,11 +238,20 @@
 			 (long)(left_ms > 1 ? left_ms : 1));
 }
 
+/* A name of the request that no other one has. */
+static const char *request_id(const transfer_t *t, char id[LOAD_NAME_BYTES])
+{
+	snprintf(id, LOAD_NAME_BYTES, "load-%" PRIu64 "-%u",
+		 t->sender->run->scenario.seed, t->request->serial);
+	return id;
+}
+
 static void submit(transfer_t *t)
 {
 	const load_scenario_t *s = &t->sender->run->scenario;
 	const load_customer_t *customer = &s->customers[t->request->customer];
 	char authorization[LOAD_NAME_BYTES + 16];
+	char id[LOAD_NAME_BYTES];
 
 	snprintf(authorization, sizeof(authorization), "Bearer %s",
 		 customer->key);
@@ -259,8 +261,9 @@
 	add_header(t, "X-Peridot-Class", class_of(t)->name);
 	add_header(t, "Content-Type", "application/json");
 	t->headers = curl_slist_append(t->headers, "Expect:");
-	if (*t->ticket)
-		add_header(t, "X-Peridot-Ticket", t->ticket);
+	if (class_of(t)->once)
+		add_header(t, "Idempotency-Key", request_id(t, id));
+	add_header(t, "X-Peridot-Request", request_id(t, id));
 	buf_reset(&t->line);
 	t->outcome[0] = '\0';
 	t->done = false;
@@ -284,16 +287,14 @@
 		t->easy = curl_easy_init();
 	t->sender = sender;
 	t->request = request;
-	t->ticket[0] = '\0';
-	t->has_ticket = false;
 	request->late_us = now_us(sender) - request->at_us;
 	request->outcome = LOAD_UNKNOWN;
 	sender->in_flight++;
 	submit(t);
 }
 
-/* The answer names the call and the body that was sent, and a call with a
- * ticket has run once. */
+/* The answer names the call and the body that was sent, and a call that must
+ * run once has done so. */
 static bool is_call_answer(transfer_t *t)
 {
 	buf_t wanted = BUF_INIT;
@@ -304,7 +305,7 @@
 	buf_append(&wanted, "", 1);
 	buf_append(&t->line, "", 1);
 	found = strstr(t->line.ptr, wanted.ptr) != NULL;
-	if (t->has_ticket && !strstr(t->line.ptr, "\"key_run\":1,"))
+	if (class_of(t)->once && !strstr(t->line.ptr, "\"key_run\":1,"))
 		found = false;
 	buf_release(&wanted);
 	return found;
@@ -347,13 +348,6 @@
 
 	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
 	curl_multi_remove_handle(sender->multi, t->easy);
-	if (status == STATUS_NEEDS_TICKET && class_of(t)->ticket &&
-	    *t->ticket && !t->has_ticket) {
-		t->has_ticket = true;
-		t->request->first_token_us = -1;
-		submit(t);
-		return;
-	}
 	t->request->outcome = judge(t, result, status);
 	t->request->end_us = now_us(sender);
 	/* The bytes of a refusal are no answer. */
--- a/programs/peridot-load.c
+++ b/programs/peridot-load.c
@@ -10,6 +10,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "base/version.h"
+
+const char *argp_program_version = "peridotpin " PERIDOT_VERSION;
+
 #define EXIT_USAGE 2
 #define MAX_SCALE 1000.0
 
--- a/programs/peridotctl.c
+++ b/programs/peridotctl.c
@@ -1,7 +1,7 @@
 /*
  * peridotctl - the operators' command line
  *
- * EXIT STATUS: 0 when all went well, 1 when a daemon refused or could not be
+ * EXIT STATUS: 0 when all went well, 1 when a host refused or could not be
  * reached, 2 for wrong arguments or a faulty file.
  */
 #include "ctl/ctl.h"
@@ -14,22 +14,25 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "base/version.h"
+
+const char *argp_program_version = "peridotpin " PERIDOT_VERSION;
+
 #define MAX_FLEET_BYTES (1024UL * 1024)
 #define MAX_OPTIONS 12
 #define COMMAND_BYTES 64
 
 /* Groups of options; a command takes some of them. */
-#define TAKES_DAEMONS 1U
+#define TAKES_HOSTS 1U
 #define TAKES_FLEET 2U
 #define TAKES_JSON 4U
 #define TAKES_WAIT 8U
-#define TAKES_ROLE 16U
-#define TAKES_OUT 32U
-#define TAKES_EDIT 64U
-#define TAKES_ANY_DAEMONS (TAKES_DAEMONS | TAKES_FLEET)
+#define TAKES_OUT 16U
+#define TAKES_EDIT 32U
+#define TAKES_ANY_HOSTS (TAKES_HOSTS | TAKES_FLEET)
 
 enum option_key {
-	OPTION_DAEMON = 'd',
+	OPTION_HOST = 'd',
 	OPTION_FLEET = 'f',
 	OPTION_KEY_FILE = 'k',
 	OPTION_JSON = 'j',
@@ -37,7 +40,6 @@
 	OPTION_LIMIT = 256,
 	OPTION_WAIT_VERSION,
 	OPTION_TIMEOUT,
-	OPTION_ROLE,
 	OPTION_DOMAIN,
 	OPTION_ENDPOINT,
 	OPTION_STATE
@@ -63,30 +65,29 @@
 } parse_t;
 
 static const grouped_option_t options[] = {
-	{TAKES_DAEMONS,
-	 {"daemon", OPTION_DAEMON, "IP:PORT", 0,
-	  "Admin address of a daemon; may be given several times", 0}},
+	{TAKES_HOSTS,
+	 {"host", OPTION_HOST, "IP:PORT", 0,
+	  "Admin address of a host; may be given several times", 0}},
 	{TAKES_FLEET,
 	 {"fleet", OPTION_FLEET, "FILE", 0,
 	  "Admin addresses, one a line; # begins a comment", 0}},
-	{TAKES_DAEMONS,
+	{TAKES_HOSTS,
 	 {"key-file", OPTION_KEY_FILE, "FILE", 0,
 	  "File whose first line is the operator key; default: the "
 	  "environment variable PERIDOT_OPERATOR_KEY",
 	  0}},
-	{TAKES_DAEMONS,
+	{TAKES_HOSTS,
 	 {"limit", OPTION_LIMIT, "MS", 0,
-	  "Time limit for the answer of a daemon, 1 to 600000 ms; default "
+	  "Time limit for the answer of a host, 1 to 600000 ms; default "
 	  "3000",
 	  0}},
 	{TAKES_JSON, {"json", OPTION_JSON, NULL, 0, "Print JSON", 0}},
 	{TAKES_WAIT,
 	 {"wait-version", OPTION_WAIT_VERSION, "N", 0,
-	  "Wait until all daemons have version N or a later one", 0}},
+	  "Wait until all hosts have version N or a later one", 0}},
 	{TAKES_WAIT,
 	 {"timeout", OPTION_TIMEOUT, "S", 0,
 	  "Time limit for --wait-version, 1 to 86400 s; default 30", 0}},
-	{TAKES_ROLE, {"role", OPTION_ROLE, "ROLE", 0, "entry or dispatch", 0}},
 	{TAKES_OUT, {"out", OPTION_OUT, "PATH", 0, "Where to write", 0}},
 	{TAKES_EDIT,
 	 {"domain", OPTION_DOMAIN, "NAME", 0, "Change this domain", 0}},
@@ -99,46 +100,44 @@
 static const command_t commands[] = {
 	{"check", "SHEET", "Report every fault of a sheet.", 0, 1,
 	 ctl_run_check},
-	{"check-settings", "FILE", "Report every fault of a settings file.",
-	 TAKES_ROLE, 1, ctl_run_check_settings},
+	{"check-settings", "FILE", "Report every fault of a settings file.", 0,
+	 1, ctl_run_check_settings},
 	{"diff", "OLD NEW", "Show what a new sheet changes.", 0, 2,
 	 ctl_run_diff},
-	{"pack", "SHEET", "Write the values for the platform, by key.",
-	 TAKES_OUT, 1, ctl_run_pack},
 	{"edit", "SHEET", "Change one state and raise the version.",
 	 TAKES_OUT | TAKES_EDIT, 1, ctl_run_edit},
-	{"push", "SHEET", "Hand a sheet to every daemon named.",
-	 TAKES_ANY_DAEMONS, 1, ctl_run_push},
-	{"status", "", "Show all daemons.",
-	 TAKES_ANY_DAEMONS | TAKES_JSON | TAKES_WAIT, 0, ctl_run_status},
-	{"endpoints", "", "Show the endpoints as each dispatcher sees them.",
-	 TAKES_ANY_DAEMONS | TAKES_JSON, 0, ctl_run_endpoints},
-	{"classes", "", "Show queue lengths by class and pool.",
-	 TAKES_ANY_DAEMONS | TAKES_JSON, 0, ctl_run_classes},
+	{"push", "SHEET", "Hand a sheet to every host named.", TAKES_ANY_HOSTS,
+	 1, ctl_run_push},
+	{"status", "", "Show all hosts.",
+	 TAKES_ANY_HOSTS | TAKES_JSON | TAKES_WAIT, 0, ctl_run_status},
+	{"endpoints", "", "Show the endpoints, summed over the hosts asked.",
+	 TAKES_ANY_HOSTS | TAKES_JSON, 0, ctl_run_endpoints},
+	{"classes", "", "Show requests at endpoints and waiting, by class.",
+	 TAKES_ANY_HOSTS | TAKES_JSON, 0, ctl_run_classes},
 	{"domains", "", "Show hosts, endpoints and load by domain.",
-	 TAKES_ANY_DAEMONS | TAKES_JSON, 0, ctl_run_domains},
-	{"metrics", "", "Print the metrics of each daemon.", TAKES_ANY_DAEMONS,
-	 0, ctl_run_metrics},
-	{"drain", "", "Let the daemons named refuse new work until they end.",
-	 TAKES_DAEMONS, 0, ctl_run_drain},
+	 TAKES_ANY_HOSTS | TAKES_JSON, 0, ctl_run_domains},
+	{"metrics", "", "Print the metrics of each host.", TAKES_ANY_HOSTS, 0,
+	 ctl_run_metrics},
+	{"drain", "", "Let the hosts named refuse new work until they end.",
+	 TAKES_HOSTS, 0, ctl_run_drain},
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(*commands))
 #define OPTION_COUNT (sizeof(options) / sizeof(*options))
 
-static void add_daemon(struct argp_state *state, ctl_args_t *args, str_t text)
+static void add_host(struct argp_state *state, ctl_args_t *args, str_t text)
 {
 	if (!sheet_is_address(text))
 		argp_error(state, "%.*s is not an IP:PORT", STR_ARG(text));
-	if (args->daemon_count == CTL_MAX_DAEMONS)
-		argp_error(state, "more than %d daemons", CTL_MAX_DAEMONS);
-	for (size_t i = 0; i < args->daemon_count; i++)
-		if (str_equals(str_from(args->daemons[i]), text))
+	if (args->host_count == CTL_MAX_HOSTS)
+		argp_error(state, "more than %d hosts", CTL_MAX_HOSTS);
+	for (size_t i = 0; i < args->host_count; i++)
+		if (str_equals(str_from(args->hosts[i]), text))
 			return;
-	args->daemons[args->daemon_count] = str_dup(text);
-	if (!args->daemons[args->daemon_count])
+	args->hosts[args->host_count] = str_dup(text);
+	if (!args->hosts[args->host_count])
 		abort();
-	args->daemon_count++;
+	args->host_count++;
 }
 
 static bool is_blank(char c)
@@ -174,13 +173,13 @@
 		}
 		if (line.len && !sheet_is_address(line)) {
 			fprintf(stderr,
-				"%s:%u: daemon: expected IP:PORT, found "
+				"%s:%u: host: expected IP:PORT, found "
 				"\"%" STR_FMT "\"\n",
 				path, number, STR_ARG(line));
 			exit(CTL_EXIT_USAGE);
 		}
 		if (line.len)
-			add_daemon(state, args, line);
+			add_host(state, args, line);
 	}
 	buf_release(&text);
 }
@@ -199,18 +198,6 @@
 	return value;
 }
 
-static void parse_role(struct argp_state *state, ctl_args_t *args,
-		       const char *value)
-{
-	args->has_role = true;
-	if (!strcmp(value, "entry"))
-		args->role = SETTINGS_ENTRY;
-	else if (!strcmp(value, "dispatch"))
-		args->role = SETTINGS_DISPATCH;
-	else
-		argp_error(state, "--role needs entry or dispatch");
-}
-
 static void parse_state(struct argp_state *state, ctl_args_t *args,
 			const char *value)
 {
@@ -227,11 +214,9 @@
 		argp_error(state, "expected %s",
 			   *command->args_doc ? command->args_doc :
 						"no arguments");
-	if ((command->takes & TAKES_DAEMONS) && !args->daemon_count)
-		argp_error(state, "no daemon is named: use --daemon%s",
+	if ((command->takes & TAKES_HOSTS) && !args->host_count)
+		argp_error(state, "no host is named: use --host%s",
 			   command->takes & TAKES_FLEET ? " or --fleet" : "");
-	if ((command->takes & TAKES_ROLE) && !args->has_role)
-		argp_error(state, "--role is needed");
 	if ((command->takes & TAKES_OUT) && !args->out)
 		argp_error(state, "--out is needed");
 	if (!(command->takes & TAKES_EDIT))
@@ -248,8 +233,8 @@
 	ctl_args_t *args = parse->args;
 
 	switch (key) {
-	case OPTION_DAEMON:
-		add_daemon(state, args, str_from(value));
+	case OPTION_HOST:
+		add_host(state, args, str_from(value));
 		return 0;
 	case OPTION_FLEET:
 		read_fleet(state, args, value);
@@ -270,9 +255,6 @@
 	case OPTION_TIMEOUT:
 		args->wait_s = parse_number(state, "timeout", value, 86400);
 		return 0;
-	case OPTION_ROLE:
-		parse_role(state, args, value);
-		return 0;
 	case OPTION_OUT:
 		args->out = value;
 		return 0;
@@ -322,8 +304,8 @@
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	status = command->run(&args);
 	curl_global_cleanup();
-	for (size_t i = 0; i < args.daemon_count; i++)
-		free(args.daemons[i]);
+	for (size_t i = 0; i < args.host_count; i++)
+		free(args.hosts[i]);
 	/* A full disk or a closed pipe must not look like success. */
 	if (fflush(stdout) || ferror(stdout)) {
 		fprintf(stderr, "peridotctl: cannot write the output\n");
@@ -364,13 +346,13 @@
 	int first = 1;
 
 	signal(SIGPIPE, SIG_IGN);
-	buf_printf(&doc, "Checks sheets and runs a fleet of peridotpin daemons."
+	buf_printf(&doc, "Checks sheets and runs a fleet of peridotpin hosts."
 			 "\vCommands:\n");
 	for (size_t i = 0; i < COMMAND_COUNT; i++)
 		buf_printf(&doc, "  %-15s %s\n", commands[i].name,
 			   commands[i].doc);
 	buf_printf(&doc, "\nEach command has its own --help.\n\n"
-			 "Exit status: 0 when all went well, 1 when a daemon "
+			 "Exit status: 0 when all went well, 1 when a host "
 			 "refused or could not be reached, 2 for wrong "
 			 "arguments or a faulty file.\n");
 	buf_append(&doc, "", 1);
--- /dev/null
+++ b/programs/routerd/admin.c
@@ -0,0 +1,141 @@
+#include <inttypes.h>
+#include <openssl/crypto.h>
+#include <openssl/sha.h>
+
+#include "base/histogram.h"
+#include "base/metrics.h"
+#include "base/plog.h"
+#include "programs/routerd/routerd.h"
+#include "state/sheetcheck.h"
+
+#define JSON_TYPE "application/json"
+
+typedef void (*page_handler_t)(routerd_t *routerd, const monitor_call_t *call,
+			       monitor_page_t *page);
+
+typedef struct page_route {
+	unsigned method;
+	const char *path;
+	page_handler_t handler;
+} page_route_t;
+
+static void refuse(monitor_page_t *page, unsigned status, const char *step,
+		   str_t message)
+{
+	page->status = status;
+	page->type = JSON_TYPE;
+	buf_printf(&page->body,
+		   "{\"error\":{\"step\":\"%s\",\"message\":", step);
+	buf_append_json(&page->body, message);
+	buf_append_str(&page->body, STR_LIT("}}\n"));
+}
+
+static void show_metrics(routerd_t *routerd, const monitor_call_t *call,
+			 monitor_page_t *page)
+{
+	(void)routerd;
+	(void)call;
+	page->status = 200;
+	metrics_render(&page->body);
+	histogram_render(&page->body);
+}
+
+static void show_status(routerd_t *routerd, const monitor_call_t *call,
+			monitor_page_t *page)
+{
+	(void)call;
+	page->status = 200;
+	page->type = JSON_TYPE;
+	status_append(routerd, &page->body);
+}
+
+static void take_sheet(routerd_t *routerd, const monitor_call_t *call,
+		       monitor_page_t *page)
+{
+	buf_t report = BUF_INIT;
+	sheet_t *sheet = sheetcheck_parse(call->body, "sheet", &report);
+	err_t err = {0};
+
+	if (!sheet) {
+		refuse(page, 422, "check sheet", buf_view(&report));
+	} else if (sheetsync_offer(routerd->sheets, sheet, "operator", &err)) {
+		refuse(page, 409, err.step, str_from(err.message));
+	} else {
+		page->status = 200;
+		page->type = JSON_TYPE;
+		buf_printf(&page->body, "{\"sheet_version\":%" PRIu64 "}\n",
+			   sheetsync_sheet(routerd->sheets)->version);
+	}
+	buf_release(&report);
+}
+
+static void drain(routerd_t *routerd, const monitor_call_t *call,
+		  monitor_page_t *page)
+{
+	(void)call;
+	routerd_drain(routerd, "operator");
+	page->status = 200;
+	page->type = JSON_TYPE;
+	buf_append_str(&page->body, STR_LIT("{\"leaving\":true}\n"));
+}
+
+static const page_route_t routes[] = {
+	{HTTP_GET, "/metrics", show_metrics},
+	{HTTP_GET, "/v1/status", show_status},
+	{HTTP_POST, "/v1/sheet", take_sheet},
+	{HTTP_POST, "/v1/drain", drain},
+};
+
+static bool has_key(const routerd_t *routerd, const monitor_call_t *call)
+{
+	uint8_t digest[SHA256_DIGEST_LENGTH];
+
+	if (!call->key.len)
+		return false;
+	SHA256((const uint8_t *)call->key.ptr, call->key.len, digest);
+	return !CRYPTO_memcmp(digest,
+			      routerd_settings(routerd)->operator_digest,
+			      sizeof(digest));
+}
+
+/* The key is checked before the path, which tells nothing to strangers. */
+static void on_call(void *user, const monitor_call_t *call,
+		    monitor_page_t *page)
+{
+	routerd_t *routerd = user;
+	bool known = false;
+
+	if (!has_key(routerd, call)) {
+		metrics_add(METRIC_UNAUTHORIZED, STR_LIT("operators"), 1);
+		plog_write(PLOG_CALLER_UNAUTHORIZED,
+			   "interface=operators path=%" STR_FMT,
+			   STR_ARG(call->path));
+		refuse(page, 401, "authenticate",
+		       STR_LIT("missing or wrong key"));
+		return;
+	}
+	for (size_t i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
+		if (!str_equals(call->path, str_from(routes[i].path)))
+			continue;
+		known = true;
+		if (routes[i].method == call->method) {
+			routes[i].handler(routerd, call, page);
+			return;
+		}
+	}
+	refuse(page, known ? 405 : 404, "route",
+	       known ? STR_LIT("method not allowed") : STR_LIT("unknown path"));
+}
+
+err_code_t admin_start(routerd_t *routerd, err_t *err)
+{
+	monitor_options_t options = {
+		.loop = routerd->host.loop,
+		.address = routerd_settings(routerd)->admin.ptr,
+		.max_body_bytes = SHEETCHECK_MAX_BYTES,
+		.handler = on_call,
+		.user = routerd};
+
+	routerd->admin = monitor_create(&options, err);
+	return routerd->admin ? ERR_OK : err->code;
+}
--- /dev/null
+++ b/programs/routerd/routerd.c
@@ -0,0 +1,264 @@
+#include "programs/routerd/routerd.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/metrics.h"
+#include "base/plog.h"
+#include "coordination/coldunits.h"
+#include "protocol/native.h"
+#include "protocol/nativeroutes.h"
+#include "request/caller.h"
+#include "state/sheetcheck.h"
+
+#define TICK_MS 250
+#define MS_PER_S 1000
+/* Longest time without a tick before what is believed counts as old. */
+#define PAUSE_LIMIT_MS 1000
+
+const settings_t *routerd_settings(const routerd_t *routerd)
+{
+	return (const settings_t *)routerd->host.settings;
+}
+
+static hostsettings_t *parse_settings(str_t text, buf_t *report)
+{
+	return (hostsettings_t *)settings_parse(text, "settings", report);
+}
+
+static void free_settings(hostsettings_t *settings)
+{
+	settings_free((settings_t *)settings);
+}
+
+static int64_t wall_s(const host_t *host)
+{
+	return mclock_wall_ms(loop_clock(host->loop)) / MS_PER_S;
+}
+
+static void update_units(routerd_t *routerd)
+{
+	const sheet_t *sheet = sheetsync_sheet(routerd->sheets);
+	host_t *host = &routerd->host;
+	coldunits_self_t self = {host->settings->host,
+				 host->settings->listen_peers};
+	coldshare_time_t time = {
+		.now_ms = host_now_ms(host),
+		.started_ms = routerd->started_ms,
+		.confirmed_ms = sheetsync_confirmed_ms(routerd->sheets),
+		.wall_s = wall_s(host)};
+
+	coldunits_update(host->router->fleet, sheet, &self, &time);
+}
+
+static void update_states(routerd_t *routerd)
+{
+	host_t *host = &routerd->host;
+
+	nativeroutes_update(
+		host->router->fleet, sheetsync_sheet(routerd->sheets),
+		host->router->catalog, wall_s(host), host_now_ms(host));
+	update_units(routerd);
+}
+
+/* The sheet's domains tell the regions; the settings name the domain only. */
+static str_t own_region(const host_t *host, const sheet_t *sheet)
+{
+	int index = sheet_find_domain(sheet, host->settings->domain);
+
+	return index < 0 ? STR_LIT("") : sheet->domains[index].region;
+}
+
+static void on_sheet(void *user, const sheet_t *old, const sheet_t *new,
+		     const char *source)
+{
+	routerd_t *routerd = user;
+	host_t *host = &routerd->host;
+	fleet_t *fleet = host->router->fleet;
+	nativeroutes_options_t options = {
+		.region = own_region(host, new),
+		.max_body_bytes = routerd_settings(routerd)->max_body_bytes};
+	catalog_t *catalog = nativeroutes_catalog(new, &options);
+
+	(void)old;
+	(void)source;
+	coldunits_hold(fleet);
+	nativeroutes_apply(fleet, new, host_now_ms(host));
+	host->router->region = fleet_region(fleet, host->settings->domain);
+	if (router_set_catalog(host->router, catalog))
+		plog_write(PLOG_CATALOG_ACTIVE, "version=%lld routes=%zu",
+			   (long long)catalog_version(catalog),
+			   catalog_route_count(catalog));
+	catalog_unref(catalog);
+}
+
+/* Takes over the sheet of a file. */
+static void take_sheet_text(routerd_t *routerd, const char *path, str_t text)
+{
+	buf_t report = BUF_INIT;
+	sheet_t *sheet = sheetcheck_parse(text, path, &report);
+	err_t err;
+
+	routerd->file_version = sheet ? sheet->version : 0;
+	if (sheet)
+		sheetsync_offer(routerd->sheets, sheet, "file", &err);
+	else
+		plog_write(PLOG_SHEET_REFUSED,
+			   "version=0 source=file step=check "
+			   "message=\"%" STR_FMT "\"",
+			   STR_ARG(buf_view(&report)));
+	buf_release(&report);
+}
+
+/* Looks at the sheet file; an unchanged one confirms the sheet in force. */
+static void read_sheet_file(routerd_t *routerd)
+{
+	str_t path = routerd_settings(routerd)->sheet_file;
+	buf_t text = BUF_INIT;
+	err_t err;
+
+	if (!path.len)
+		return;
+	if (hostsettings_read_file(path.ptr, &text, &err)) {
+		plog_write(PLOG_SHEET_REFUSED,
+			   "version=0 source=file step=%s message=\"%s\"",
+			   err.step, err.message);
+		buf_release(&text);
+		return;
+	}
+	if (str_equals(buf_view(&text), buf_view(&routerd->sheet_text))) {
+		sheetsync_confirm(routerd->sheets, routerd->file_version);
+		buf_release(&text);
+		return;
+	}
+	buf_release(&routerd->sheet_text);
+	routerd->sheet_text = text;
+	take_sheet_text(routerd, path.ptr, buf_view(&text));
+}
+
+/* After a pause of the process nothing is known of engines that this host held
+ * for warm. */
+static void check_pause(routerd_t *routerd)
+{
+	host_t *host = &routerd->host;
+	int64_t now_ms = host_now_ms(host);
+	int64_t passed_ms = now_ms - routerd->alive_ms;
+	const fleet_t *fleet = host->router->fleet;
+
+	routerd->alive_ms = now_ms;
+	if (passed_ms < PAUSE_LIMIT_MS)
+		return;
+	routerd->pauses++;
+	metrics_inc(METRIC_PAUSES);
+	plog_write(PLOG_PAUSE_DETECTED, "ms=%lld", (long long)passed_ms);
+	for (size_t i = 0; i < fleet_count(fleet); i++)
+		warmth_void(&fleet_at(fleet, i)->warmth, now_ms);
+}
+
+static void on_tick(void *user)
+{
+	routerd_t *routerd = user;
+
+	check_pause(routerd);
+	if (sheetsync_sheet(routerd->sheets))
+		update_states(routerd);
+	loop_timer_set(routerd->host.loop, &routerd->tick, TICK_MS, on_tick,
+		       routerd);
+}
+
+static err_code_t start(host_t *host, err_t *err)
+{
+	routerd_t *routerd = (routerd_t *)host;
+	sheetsync_observer_t observer = {on_sheet, routerd};
+
+	routerd->started_ms = host_now_ms(host);
+	routerd->alive_ms = routerd->started_ms;
+	routerd->sheets = sheetsync_create(host->replica,
+					   loop_clock(host->loop), &observer);
+	if (admin_start(routerd, err))
+		return err->code;
+	read_sheet_file(routerd);
+	on_tick(routerd);
+	return ERR_OK;
+}
+
+/* For whoever started the process: it serves. */
+static void started(host_t *host)
+{
+	printf("ready %s %s\n", host->settings->listen_callers.ptr,
+	       ((const settings_t *)host->settings)->admin.ptr);
+	fflush(stdout);
+}
+
+static void apply_settings(host_t *host, const hostsettings_t *settings)
+{
+	(void)host;
+	(void)settings;
+}
+
+/* The nodes of a sheet come one by one; pulled() looks at them together. */
+static void take_record(host_t *host, str_t key, str_t value)
+{
+	(void)host;
+	(void)key;
+	(void)value;
+}
+
+static void pulled(host_t *host)
+{
+	routerd_t *routerd = (routerd_t *)host;
+
+	sheetsync_refresh(routerd->sheets, "peer");
+	if (sheetsync_sheet(routerd->sheets))
+		update_states(routerd);
+}
+
+static void hosts_changed(host_t *host, unsigned all_hosts)
+{
+	(void)host;
+	(void)all_hosts;
+}
+
+static void check_files(host_t *host)
+{
+	read_sheet_file((routerd_t *)host);
+}
+
+void routerd_drain(routerd_t *routerd, const char *source)
+{
+	plog_write(PLOG_DRAIN, "source=%s", source);
+	routerd->host.router->leaving = true;
+	peersync_leave(routerd->host.peersync);
+}
+
+static void stopping(host_t *host)
+{
+	host->router->leaving = true;
+}
+
+static void release(host_t *host)
+{
+	routerd_t *routerd = (routerd_t *)host;
+
+	if (host->loop)
+		loop_timer_cancel(host->loop, &routerd->tick);
+	monitor_free(routerd->admin);
+	sheetsync_free(routerd->sheets);
+	buf_release(&routerd->sheet_text);
+}
+
+const host_ops_t routerd_ops = {
+	.name = "peridot-routerd",
+	.dialect = native_dialect,
+	.parse_settings = parse_settings,
+	.free_settings = free_settings,
+	.start = start,
+	.started = started,
+	.apply_settings = apply_settings,
+	.check_files = check_files,
+	.take_record = take_record,
+	.pulled = pulled,
+	.hosts_changed = hosts_changed,
+	.stopping = stopping,
+	.release = release,
+};
--- a/scripts/fleet-lib.sh
+++ b/scripts/fleet-lib.sh
@@ -13,54 +13,32 @@
 }
 operator_digest=$(key_digest "$operator_key")
 
-# write_settings ROLE HOST DOMAIN IP SEEDS FILE: settings of one daemon, with
-# the platform of $platform and the sheet of $sheet_file when they are set.
+# write_settings HOST DOMAIN IP SEEDS FILE: settings of one host, with the sheet
+# of $sheet_file when it is set.
 write_settings()
 {
-	local role=$1 host=$2 domain=$3 ip=$4 seeds=$5
+	local host=$1 domain=$2 ip=$3 seeds=$4
 	{
 		printf '[process]\nhost = "%s"\ndomain = "%s"\n' "$host" \
 			"$domain"
-		if test "$role" = dispatch
-		then
-			printf '[listen]\npeers = "%s:7100"\n' "$ip"
-			printf 'admin = "%s:7101"\n[peers]\n' "$ip"
-		else
-			printf '[listen]\ncallers = "%s:7080"\n' "$ip"
-			printf 'admin = "%s:7081"\n[peers]\n' "$ip"
-			printf 'local = "%s:7100"\n' "$ip"
-		fi
-		printf 'seeds = [%s]\n' "$seeds"
-		test -z "${platform:-}${sheet_file:-}" || echo '[platform]'
-		test -z "${platform:-}" || printf 'address = "%s"\n' "$platform"
+		printf 'accept_ms = 0\n[listen]\ncallers = "%s:7080"\n' "$ip"
+		printf 'peers = "%s:7100"\nadmin = "%s:7081"\n' "$ip" "$ip"
+		printf '[peers]\nseeds = [%s]\n' "$seeds"
 		test -z "${sheet_file:-}" ||
-			printf 'sheet_file = "%s"\n' "$sheet_file"
+			printf '[sheet]\nfile = "%s"\n' "$sheet_file"
 		printf '[operator]\nkey_sha256 = "%s"\n' "$operator_digest"
-		test "$role" = dispatch ||
-			printf '[limits]\nthreads = %s\n' "${threads:-64}"
-	} >"$6"
+	} >"$5"
 }
 
-# start_host HOST DOMAIN IP SEEDS: starts the two daemons of a host under the
-# names dispatchd-HOST and entryd-HOST. With platform_for=dispatch, only the
-# dispatch daemon watches the platform.
+# start_host HOST DOMAIN IP SEEDS: starts a host under its name.
 start_host()
 {
-	local watched=${platform:-}
-	write_settings dispatch "$@" "$work/dispatchd-$1.toml"
-	if test "${platform_for:-all}" = dispatch
-	then
-		local platform=
-	fi
-	write_settings entry "$@" "$work/entryd-$1.toml"
-	platform=$watched
-	start_program "dispatchd-$1" "$build/peridot-dispatchd" \
-		"$work/dispatchd-$1.toml" || return 1
-	start_program "entryd-$1" "$build/peridot-entryd" \
-		"$work/entryd-$1.toml"
+	write_settings "$@" "$work/$1.toml"
+	start_program "$1" "$build/peridot-routerd" \
+		--settings="$work/$1.toml" --log-level="${log_level:-warn}"
 }
 
-# as_operator NAME PATH [CURL_ARGUMENT...]: a call to a daemon's operators'
+# as_operator NAME PATH [CURL_ARGUMENT...]: a call to a host's operators'
 # interface.
 as_operator()
 {
@@ -70,7 +48,7 @@
 		"http://${control[$name]}$path"
 }
 
-# metric NAME METRIC: the sum of a daemon's counter over its labels.
+# metric NAME METRIC: the sum of a host's counter over its labels.
 metric()
 {
 	as_operator "$1" /metrics |
