--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -171,6 +171,7 @@
 	unsigned express = 0;
 
 	set_up();
+	fleet_update_marks(router->fleet);
 	for (size_t i = 0; i < fleet_count(router->fleet); i++)
 		express += fleet_at(router->fleet, i)->express;
 	CU_ASSERT_EQUAL(express, DOMAINS);
--- /dev/null
+++ b/tests/unit/test_warmth.c
@@ -0,0 +1,131 @@
+#include "unit.h"
+
+#include "coordination/floors.h"
+#include "coordination/warmth.h"
+
+#define BOOT_A STR_LIT("a")
+#define BOOT_B STR_LIT("b")
+
+/* Guards P3: an engine counts as cold until an answer says otherwise, and again
+ * when that is a while ago. */
+static void test_proof_ends(void)
+{
+	warmth_t warmth = {.proven = false};
+
+	CU_ASSERT_FALSE(warmth_is_proven(&warmth, 0));
+	warmth_on_answer(&warmth, BOOT_A, false, 1000, 1100);
+	CU_ASSERT_TRUE(warmth_is_proven(&warmth, 1000 + WARMTH_PROOF_MS));
+	CU_ASSERT_FALSE(warmth_is_proven(&warmth, 1001 + WARMTH_PROOF_MS));
+	/* An older answer that comes late doesn't shorten the proof. */
+	warmth_on_answer(&warmth, BOOT_A, false, 900, 1200);
+	CU_ASSERT_TRUE(warmth_is_proven(&warmth, 1000 + WARMTH_PROOF_MS));
+}
+
+static void test_cold_answer(void)
+{
+	warmth_t warmth = {.proven = false};
+
+	warmth_on_answer(&warmth, BOOT_A, false, 1000, 1010);
+	warmth_on_answer(&warmth, BOOT_A, true, 1005, 1020);
+	CU_ASSERT_FALSE(warmth_is_proven(&warmth, 1020));
+	/* What was sent before the cold answer came proves nothing. */
+	warmth_on_answer(&warmth, BOOT_A, false, 1019, 1030);
+	CU_ASSERT_FALSE(warmth_is_proven(&warmth, 1030));
+	warmth_on_answer(&warmth, BOOT_A, false, 1021, 1030);
+	CU_ASSERT_TRUE(warmth_is_proven(&warmth, 1030));
+}
+
+/* Pattern: an engine restarts between two requests. Guards against the former
+ * boot's proof. */
+static void test_restart(void)
+{
+	warmth_t warmth = {.proven = false};
+
+	warmth_on_answer(&warmth, BOOT_A, false, 1000, 1010);
+	warmth_on_answer(&warmth, BOOT_B, true, 1011, 1020);
+	CU_ASSERT_FALSE(warmth_is_proven(&warmth, 1020));
+	CU_ASSERT_STRING_EQUAL(warmth.boot, "b");
+	warmth_on_answer(&warmth, BOOT_B, false, 1050, 1060);
+	CU_ASSERT_TRUE(warmth_is_proven(&warmth, 1060));
+	warmth_on_unreachable(&warmth, 1070);
+	CU_ASSERT_TRUE(warmth.unreachable);
+	CU_ASSERT_FALSE(warmth_is_proven(&warmth, 1070));
+	warmth_on_answer(&warmth, BOOT_B, false, 1071, 1080);
+	CU_ASSERT_FALSE(warmth.unreachable);
+}
+
+/* Guards against cold units that are used again while a request that ended here
+ * still runs there. */
+static void test_lost_requests(void)
+{
+	warmth_t warmth = {.proven = false};
+
+	CU_ASSERT_EQUAL(warmth_lost(&warmth, 0), 0);
+	warmth_on_lost(&warmth, 1000, 1500);
+	warmth_on_lost(&warmth, 1100, 1300);
+	CU_ASSERT_EQUAL(warmth_lost(&warmth, 1400), 2);
+	CU_ASSERT_EQUAL(warmth_lost(&warmth, 1500), 0);
+	warmth_on_lost(&warmth, 1600, 1700);
+	CU_ASSERT_EQUAL(warmth_lost(&warmth, 1650), 1);
+}
+
+/* Pattern: a long burst of urgent requests while others wait. Guards P2: the
+ * class with a floor gets its part, and no more. */
+static void test_floor_in_a_burst(void)
+{
+	floors_t floors = {.count = 0};
+	unsigned own = 0;
+
+	floors_get(&floors, 1, 20)->waiting = 100;
+	floors_get(&floors, 2, 5)->waiting = 100;
+	for (int i = 0; i < 1000; i++) {
+		const floors_class_t *due = floors_due(&floors);
+		uint64_t id = due ? due->id : 1;
+
+		own += id == 2;
+		floors_on_send(&floors, id);
+	}
+	CU_ASSERT_TRUE(own >= 45 && own <= 55);
+}
+
+/* Guards against a class that saves up a burst while nobody of it waits. */
+static void test_floor_is_not_saved(void)
+{
+	floors_t floors = {.count = 0};
+
+	floors_get(&floors, 1, 20)->waiting = 1;
+	floors_get(&floors, 2, 50);
+	for (int i = 0; i < 100; i++)
+		floors_on_send(&floors, 1);
+	CU_ASSERT_PTR_NULL(floors_due(&floors));
+	floors_get(&floors, 2, 50)->waiting = 1;
+	CU_ASSERT_PTR_NULL(floors_due(&floors));
+	for (int i = 0; i < 100; i++)
+		floors_on_send(&floors, 1);
+	CU_ASSERT_PTR_NOT_NULL(floors_due(&floors));
+	CU_ASSERT_TRUE(floors_due(&floors)->credit <= 2.0);
+}
+
+static void test_too_many_classes(void)
+{
+	floors_t floors = {.count = 0};
+
+	for (uint64_t id = 1; id <= FLOORS_MAX_CLASSES; id++)
+		CU_ASSERT_PTR_NOT_NULL(floors_get(&floors, id, 1));
+	CU_ASSERT_PTR_NULL(floors_get(&floors, 99, 1));
+	CU_ASSERT_PTR_NOT_NULL(floors_get(&floors, 1, 1));
+}
+
+int main(void)
+{
+	CU_TestInfo tests[] = {{"proof ends", test_proof_ends},
+			       {"cold answer", test_cold_answer},
+			       {"restart", test_restart},
+			       {"lost requests", test_lost_requests},
+			       {"floor in a burst", test_floor_in_a_burst},
+			       {"floor is not saved", test_floor_is_not_saved},
+			       {"too many classes", test_too_many_classes},
+			       CU_TEST_INFO_NULL};
+
+	return unit_run("warmth", tests);
+}
