--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: all, check, soak, bench, bench-load, demo, format, format-check, lint,
+# Targets: all, check, fuzz, soak, bench, bench-load, demo, format, format-check, lint,
 # clean.
 # SAN=address,undefined or SAN=thread builds into its own directory.
 
@@ -37,11 +37,13 @@
 BENCHES := $(BENCH_C:tests/bench/%.c=$(BUILD)/bench/%)
 UNIT_PARTS := $(filter-out $(UNIT_C),$(wildcard tests/unit/*.c))
 
+FUZZ_C := $(wildcard tests/fuzz/*.c)
+
 SOURCES := $(wildcard lib/*/*.[ch] platform/*.[ch] programs/*.[ch] programs/*/*.[ch] \
 	tests/*/*.[ch] lib/*/*.cpp)
 
 .PHONY: all check soak bench bench-load demo format format-check lint clean \
-	deps programs deploy
+	deps programs deploy fuzz
 
 all: programs $(STANDINS) $(UNITS) $(BENCHES)
 
@@ -75,7 +77,7 @@
 	$(wildcard programs/host/*.c programs/hostd/*.c platform/*.c) \
 	$(filter-out lib/request/tracer.c,$(wildcard lib/request/*.c)) \
 	$(patsubst %,lib/base/%.c,buf err histogram mclock metrics \
-	plog str) \
+	msgcodec plog str) \
 	$(patsubst %,lib/coordination/%.c,balance breaker coldgate floors gossip \
 	loadboard peersync policy prefixmap \
 	pullcodec repeats warmth) \
@@ -125,6 +127,19 @@
 	$(MAKE) all
 	scripts/run-tests.sh $(BUILD)
 
+$(BUILD)/fuzz: $(FUZZ_C:%.c=$(BUILD)/%.o) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+# Parsers with mutated inputs, under the address and undefined behaviour
+# sanitizers.
+FUZZ_SEED ?= 1
+FUZZ_ROUNDS ?= 3000
+fuzz: deps
+	$(MAKE) SAN=address,undefined build-address-undefined/fuzz
+	UBSAN_OPTIONS=halt_on_error=1 \
+	build-address-undefined/fuzz tests/fuzz/corpus $(FUZZ_SEED) \
+		$(FUZZ_ROUNDS)
+
 # One run of random faults; a breach is repeated with its seed.
 SEED ?= 1
 DURATION ?= 60
--- a/lib/coordination/gossip.c
+++ b/lib/coordination/gossip.c
@@ -1,8 +1,9 @@
 #include "coordination/gossip.h"
 
-#include <msgpack.h>
 #include <stdlib.h>
 
+#include "base/msgcodec.h"
+
 #define MESSAGE_FIELDS 8
 #define MEMBER_FIELDS 5
 #define MESSAGE_VERSION 1
@@ -189,9 +190,7 @@
 	err_code_t code;
 
 	*sender = NULL;
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, message.ptr, message.len, NULL) ==
-	    MSGPACK_UNPACK_SUCCESS)
+	if (msgcodec_unpack(message, &unpacked))
 		code = read_message(gossip, &unpacked.data, now_ms, sender,
 				    err);
 	else
@@ -201,12 +200,6 @@
 	return code;
 }
 
-static int append_packed(void *user, const char *data, size_t len)
-{
-	buf_append(user, data, len);
-	return 0;
-}
-
 static void pack_text(msgpack_packer *packer, const char *text)
 {
 	msgpack_pack_str_with_body(packer, text, strlen(text));
@@ -245,7 +238,7 @@
 	size_t count = take_sample(gossip, now_ms, sample);
 	msgpack_packer packer;
 
-	msgpack_packer_init(&packer, out, append_packed);
+	msgpack_packer_init(&packer, out, msgcodec_append);
 	msgpack_pack_array(&packer, MESSAGE_FIELDS);
 	msgpack_pack_uint64(&packer, MESSAGE_VERSION);
 	pack_member(&packer, &gossip->self, (uint64_t)revision);
--- a/lib/coordination/loadboard.c
+++ b/lib/coordination/loadboard.c
@@ -1,9 +1,10 @@
 #include "coordination/loadboard.h"
 
-#include <msgpack.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/msgcodec.h"
+
 #define MESSAGE_FIELDS 3
 #define ENTRY_FIELDS 4
 
@@ -47,18 +48,12 @@
 	free(board);
 }
 
-static int append_packed(void *user, const char *data, size_t len)
-{
-	buf_append(user, data, len);
-	return 0;
-}
-
 void loadboard_write(loadboard_kind_t kind, uint32_t source,
 		     const loadboard_entry_t *entries, size_t count, buf_t *out)
 {
 	msgpack_packer packer;
 
-	msgpack_packer_init(&packer, out, append_packed);
+	msgpack_packer_init(&packer, out, msgcodec_append);
 	msgpack_pack_array(&packer, MESSAGE_FIELDS);
 	msgpack_pack_uint32(&packer, kind);
 	msgpack_pack_uint32(&packer, source);
@@ -217,9 +212,7 @@
 	msgpack_unpacked unpacked;
 	bool ok;
 
-	msgpack_unpacked_init(&unpacked);
-	ok = msgpack_unpack_next(&unpacked, message.ptr, message.len, NULL) ==
-		     MSGPACK_UNPACK_SUCCESS &&
+	ok = msgcodec_unpack(message, &unpacked) &&
 	     read_message(board, &unpacked.data, now_ms);
 	msgpack_unpacked_destroy(&unpacked);
 	return ok ? ERR_OK :
--- a/lib/coordination/peersync.c
+++ b/lib/coordination/peersync.c
@@ -44,6 +44,7 @@
 	int listen_fd;
 	unsigned gossip_port;
 	unsigned pull_port;
+	int64_t patience_ms;
 	char seeds[MAX_SEEDS][GOSSIP_IP_BYTES];
 	size_t seed_count;
 	bool leaving;
@@ -252,7 +253,7 @@
 		peersync->behind_since_ms = now_ms;
 	if (peersync->pulling ||
 	    (revision &&
-	     now_ms - peersync->behind_since_ms < PEERSYNC_PATIENCE_MS))
+	     now_ms - peersync->behind_since_ms < peersync->patience_ms))
 		return;
 	start_pull(peersync, newest->ip);
 }
@@ -348,6 +349,7 @@
 	peersync->replica = options->replica;
 	peersync->observer = options->observer;
 	peersync->gossip_port = options->gossip_port;
+	peersync->patience_ms = options->patience_ms;
 	peersync->listen_fd = -1;
 	peersync->started_ms = now_of(peersync);
 	peersync->gossip = gossip_create(
--- a/lib/coordination/peersync.h
+++ b/lib/coordination/peersync.h
@@ -14,8 +14,6 @@
  * answered by a frame with the records. Nothing is pulled while the
  * configuration service answers every host.
  */
-/* Time for the own watch to tell what a peer already knows. */
-#define PEERSYNC_PATIENCE_MS 700
 #define PEERSYNC_PULL_TIMEOUT_MS 1000
 #define PEERSYNC_MAX_SERVED 16 /* pulls answered at the same time */
 
@@ -36,6 +34,9 @@
 	gossip_self_t self;
 	unsigned gossip_port;	 /* of all hosts */
 	const char *pull_listen; /* own "IP:PORT" for pulls */
+	/* Time for the own watch of a configuration service to tell what a peer
+	 * already knows; 0 where there is no service. */
+	int64_t patience_ms;
 	peersync_observer_t observer;
 } peersync_options_t;
 
--- a/lib/coordination/pullcodec.c
+++ b/lib/coordination/pullcodec.c
@@ -1,35 +1,22 @@
 #include "coordination/pullcodec.h"
 
-#include <msgpack.h>
+#include "base/msgcodec.h"
 
 #define ANSWER_FIELDS 3
 #define RECORD_FIELDS 3
 
-static int append_packed(void *user, const char *data, size_t len)
-{
-	buf_append(user, data, len);
-	return 0;
-}
-
 void pullcodec_write_question(int64_t revision, buf_t *out)
 {
 	msgpack_packer packer;
 
-	msgpack_packer_init(&packer, out, append_packed);
+	msgpack_packer_init(&packer, out, msgcodec_append);
 	msgpack_pack_int64(&packer, revision);
 }
 
-static bool unpack(msgpack_unpacked *unpacked, str_t message)
-{
-	msgpack_unpacked_init(unpacked);
-	return msgpack_unpack_next(unpacked, message.ptr, message.len, NULL) ==
-	       MSGPACK_UNPACK_SUCCESS;
-}
-
 err_code_t pullcodec_read_question(str_t message, int64_t *revision, err_t *err)
 {
 	msgpack_unpacked unpacked;
-	bool ok = unpack(&unpacked, message) &&
+	bool ok = msgcodec_unpack(message, &unpacked) &&
 		  unpacked.data.type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
 		  unpacked.data.via.u64 <= INT64_MAX;
 
@@ -68,9 +55,9 @@
 	msgpack_packer packer;
 	bool changes;
 
-	msgpack_packer_init(&pack.packer, &pack.records, append_packed);
+	msgpack_packer_init(&pack.packer, &pack.records, msgcodec_append);
 	changes = replica_changes(replica, after, pack_record, &pack);
-	msgpack_packer_init(&packer, out, append_packed);
+	msgpack_packer_init(&packer, out, msgcodec_append);
 	msgpack_pack_array(&packer, ANSWER_FIELDS);
 	msgpack_pack_int64(&packer, replica_revision(replica));
 	if (changes)
@@ -144,7 +131,8 @@
 				  int64_t *revision, err_t *err)
 {
 	msgpack_unpacked unpacked;
-	bool ok = unpack(&unpacked, message) && is_answer(&unpacked.data);
+	bool ok = msgcodec_unpack(message, &unpacked) &&
+		  is_answer(&unpacked.data);
 
 	*revision = 0;
 	if (ok) {
--- a/lib/state/node.c
+++ b/lib/state/node.c
@@ -46,7 +46,7 @@
 	if (code == ERR_OK) {
 		msgpack_unpacked result;
 
-		if (!node_unpack_object(buf_view(&bytes), &result) ||
+		if (!msgcodec_unpack(buf_view(&bytes), &result) ||
 		    !node_read_base(&u->reader, &result.data))
 			code = err_set(u->err, ERR_INVALID, NODE_STEP, "",
 				       "malformed base node");
@@ -65,7 +65,7 @@
 	if (code == ERR_OK) {
 		msgpack_unpacked result;
 
-		if (!node_unpack_object(buf_view(&bytes), &result) ||
+		if (!msgcodec_unpack(buf_view(&bytes), &result) ||
 		    !node_read_bucket(&u->reader, &result.data, bucket))
 			code = err_set(u->err, ERR_INVALID, NODE_STEP, "",
 				       "malformed customer bucket %u", bucket);
@@ -85,7 +85,7 @@
 	if (code == ERR_OK) {
 		msgpack_unpacked result;
 
-		if (!node_unpack_object(buf_view(&bytes), &result) ||
+		if (!msgcodec_unpack(buf_view(&bytes), &result) ||
 		    !node_read_index(&result.data, buckets))
 			code = err_set(u->err, ERR_INVALID, NODE_STEP, "",
 				       "malformed index node %u", index);
--- a/lib/state/node_internal.h
+++ b/lib/state/node_internal.h
@@ -1,8 +1,7 @@
 #ifndef STATE_NODE_INTERNAL_H
 #define STATE_NODE_INTERNAL_H
 
-#include <msgpack.h>
-
+#include "base/msgcodec.h"
 #include "state/node.h"
 
 /*
@@ -21,10 +20,6 @@
 /* True for the digest that stands for an empty index or bucket. */
 bool node_is_zero(const node_digest_t *digest);
 
-/* Unpacks one msgpack object whose headers announce no more than its bytes;
- * `result` must be destroyed in either case. */
-bool node_unpack_object(str_t bytes, msgpack_unpacked *result);
-
 bool node_read_base(node_reader_t *reader, const msgpack_object *object);
 
 /* Appends the customers of a bucket; sheet->customers is on the heap then. */
--- a/lib/state/node_read.c
+++ b/lib/state/node_read.c
@@ -9,102 +9,6 @@
 	return !memcmp(digest, &zero_digest, sizeof(zero_digest));
 }
 
-/*
- * Checks that the elements announced by array and map headers can all be in
- * the remaining bytes, since msgpack-c allocates by the headers. Returns the
- * number of bytes after the header at `p` and adds its elements to `more`.
- */
-static size_t measure_item(const uint8_t *p, size_t left, uint64_t *more)
-{
-	static const uint8_t fixed[] = {/* nil to true */ 0,
-					0,
-					0,
-					0,
-					/* bin, ext */ 1,
-					2,
-					4,
-					2,
-					3,
-					5,
-					/* float to int64 */ 4,
-					8,
-					1,
-					2,
-					4,
-					8,
-					1,
-					2,
-					4,
-					8,
-					/* fixext */ 2,
-					3,
-					5,
-					9,
-					17,
-					/* str, array, map */ 1,
-					2,
-					4,
-					2,
-					4,
-					2,
-					4};
-	uint64_t value = 0;
-	size_t header;
-
-	if (*p < 0x80 || *p >= 0xe0)
-		return 0;
-	if (*p < 0xa0) {
-		*more += (uint64_t)(*p & 0x0f) * (*p < 0x90 ? 2 : 1);
-		return 0;
-	}
-	if (*p < 0xc0)
-		return *p & 0x1f;
-	header = fixed[*p - 0xc0];
-	if (header >= left)
-		return left;
-	for (size_t i = 1; i <= header && i <= 4; i++)
-		value = value << 8 | p[i];
-	if (*p >= 0xdc)
-		*more += *p >= 0xde ? 2 * value : value;
-	else if ((*p >= 0xc4 && *p <= 0xc6) || (*p >= 0xd9 && *p <= 0xdb))
-		return header + value;
-	return header;
-}
-
-static bool is_bounded(str_t bytes)
-{
-	const uint8_t *p = (const uint8_t *)bytes.ptr;
-	uint64_t pending = 1;
-	size_t at = 0;
-
-	while (pending) {
-		size_t body;
-
-		if (pending > bytes.len - at)
-			return false;
-		/* Extension types carry a body that this scan does not skip. */
-		if (p[at] >= 0xc7 && p[at] <= 0xc9)
-			return false;
-		pending--;
-		body = measure_item(p + at, bytes.len - at, &pending);
-		at++;
-		if (body > bytes.len - at)
-			return false;
-		at += body;
-	}
-	return at == bytes.len;
-}
-
-/* Unpacks one node; false when it is not well-formed msgpack. */
-bool node_unpack_object(str_t bytes, msgpack_unpacked *result)
-{
-	msgpack_unpacked_init(result);
-	if (!bytes.len || bytes.len > NODE_MAX_BYTES || !is_bounded(bytes))
-		return false;
-	return msgpack_unpack_next(result, bytes.ptr, bytes.len, NULL) ==
-	       MSGPACK_UNPACK_SUCCESS;
-}
-
 /* Value of a map's entry `i`, whose key must be this one. */
 static const msgpack_object *get_entry(const msgpack_object *map, uint32_t i,
 				       const char *key)
@@ -424,7 +328,7 @@
 	int64_t number;
 	bool valid = false;
 
-	if (!node_unpack_object(bytes, &result) || !is_map(object, 3))
+	if (!msgcodec_unpack(bytes, &result) || !is_map(object, 3))
 		goto out;
 	v = get_entry(object, 0, "version");
 	b = get_entry(object, 1, "base");
--- a/lib/transport/http1.c
+++ b/lib/transport/http1.c
@@ -83,11 +83,24 @@
 	return name.len > 0;
 }
 
+/* The parser takes a longer name that begins like this for the field itself
+ * and frames the body otherwise than others would. */
+static bool is_like_framing(str_t name)
+{
+	str_t field = STR_LIT("Transfer-Encoding");
+
+	return name.len > field.len &&
+	       http1_name_equals((str_t){name.ptr, field.len}, field);
+}
+
 static bool has_sound_names(const http1_head_t *head)
 {
-	for (size_t i = 0; i < head->field_count; i++)
-		if (!is_token(http1_field_name(head, i)))
+	for (size_t i = 0; i < head->field_count; i++) {
+		str_t name = http1_field_name(head, i);
+
+		if (!is_token(name) || is_like_framing(name))
 			return false;
+	}
 	return true;
 }
 
@@ -165,6 +178,10 @@
 
 http1_result_t http1_feed(http1_t *http, str_t data, size_t *consumed)
 {
+	*consumed = 0;
+	/* The library takes no bytes for the end of the connection. */
+	if (!data.len)
+		return HTTP1_MORE;
 	*consumed = http_parser_execute(&http->parser, &callbacks, data.ptr,
 					data.len);
 	if (http->done)
--- a/programs/host/host.h
+++ b/programs/host/host.h
@@ -20,6 +20,7 @@
 typedef struct host_ops {
 	const char *name;
 	const dialect_t *(*dialect)(void);
+	int64_t pull_patience_ms; /* see peersync_options_t */
 	/* Parses settings; NULL with the faults in `report`. */
 	hostsettings_t *(*parse_settings)(str_t text, buf_t *report);
 	void (*free_settings)(hostsettings_t *settings);
--- a/programs/hostd/hostd.c
+++ b/programs/hostd/hostd.c
@@ -12,6 +12,8 @@
 
 #define ADDRESS_TEXT_BYTES 64
 #define METRICS_PORT 9464
+/* A watch tells a change within this time, as a rule. */
+#define PULL_PATIENCE_MS 700
 /* Hosts that call the configuration service often, whatever their number; they
  * are drawn by name, so this many are expected. */
 #define EAGER_READERS 10
@@ -160,6 +162,7 @@
 const host_ops_t hostd_ops = {
 	.name = "peridot-hostd",
 	.dialect = headers_dialect,
+	.pull_patience_ms = PULL_PATIENCE_MS,
 	.parse_settings = parse_settings,
 	.free_settings = free_settings,
 	.start = start,
--- a/tests/unit/test_gossip.c
+++ b/tests/unit/test_gossip.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 
 #include "coordination/gossip.h"
+#include "base/msgcodec.h"
 #include "coordination/loadboard.h"
 
 static gossip_t *make(const char *name, const char *domain,
@@ -114,6 +115,25 @@
 	gossip_free(gossip);
 }
 
+/* Guards against a message of some bytes that makes the library ask for
+ * gigabytes: it must be refused before anything is allocated. Found by
+ * tests/fuzz (gossip, seed 1). */
+static void test_announced_sizes(void)
+{
+	static const str_t texts[] = {{"\xdd\xff\xff\xff\xff", 5},
+				      {"\x93\x00\x0b\xdd\xff\xff\xff\xff", 8},
+				      {"\x92\xdf\x0f\xff\xff\xff\x01", 7},
+				      {"\xdb\x7f\xff\xff\xffx", 6}};
+
+	for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
+		msgpack_unpacked unpacked;
+
+		CU_ASSERT_FALSE(msgcodec_unpack(texts[i], &unpacked));
+		CU_ASSERT_PTR_NULL(unpacked.zone);
+		msgpack_unpacked_destroy(&unpacked);
+	}
+}
+
 static void tell_sums(loadboard_t *board, uint32_t relay,
 		      const loadboard_entry_t *entry, int64_t now_ms)
 {
@@ -252,6 +272,7 @@
 			       {"incarnation", test_incarnation},
 			       {"bounded", test_bounded},
 			       {"malformed", test_malformed},
+			       {"announced sizes", test_announced_sizes},
 			       {"load sums", test_load_sums},
 			       {"regions", test_regions},
 			       {"large board", test_large_board},
--- a/tests/unit/test_http1.c
+++ b/tests/unit/test_http1.c
@@ -99,6 +99,10 @@
 		 HTTP1_MALFORMED},
 		{"blank before the colon", "GET / HTTP/1.1\r\nHost : x\r\n\r\n",
 		 HTTP1_MALFORMED},
+		/* Found by tests/fuzz (platform-reply, seed 2). */
+		{"name like a framing",
+		 "POST / HTTP/1.1\r\nTransfer-Encodings: x\r\n\r\n",
+		 HTTP1_MALFORMED},
 		{"no HTTP", "\x16\x03\x01\x02", HTTP1_MALFORMED},
 		{"bad chunk size",
 		 "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
@@ -144,9 +148,11 @@
 	http1_feed(&http, STR_LIT("HTTP/1.1 200 OK\r\n\r\nabc"), &consumed);
 	CU_ASSERT_EQUAL(http1_end(&http), HTTP1_MESSAGE);
 	http1_next(&http);
-	http1_feed(&http,
-		   STR_LIT("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"),
-		   &consumed);
+	/* No bytes are not the end; found by tests/fuzz (http-request). */
+	http1_feed(&http, STR_LIT("HTTP/1.1 200 OK\r\n"), &consumed);
+	CU_ASSERT_EQUAL(http1_feed(&http, STR_LIT(""), &consumed), HTTP1_MORE);
+	CU_ASSERT_EQUAL(consumed, 0);
+	http1_feed(&http, STR_LIT("Content-Length: 9\r\n\r\nabc"), &consumed);
 	CU_ASSERT_EQUAL(http1_end(&http), HTTP1_MALFORMED);
 	http1_release(&http);
 }
