--- a/Makefile
+++ b/Makefile
@@ -74,7 +74,8 @@
 # The host process has its own list of modules and links libraries in, since
 # each shared one costs memory on a small host.
 HOSTD_C := programs/peridot-hostd.c \
-	$(wildcard programs/host/*.c programs/hostd/*.c platform/*.c) \
+	$(wildcard programs/host/*.c programs/hostd/*.c) \
+	$(filter-out platform/calls.c,$(wildcard platform/*.c)) \
 	$(filter-out lib/request/tracer.c,$(wildcard lib/request/*.c)) \
 	$(patsubst %,lib/base/%.c,buf err histogram mclock metrics \
 	msgcodec plog str) \
--- a/programs/load/load.h
+++ b/programs/load/load.h
@@ -8,7 +8,7 @@
 #include <stdint.h>
 
 /*
- * load - open-loop load on the callers' interface
+ * load - open-loop load on a callers' interface
  *
  * A scenario is turned into a schedule of requests by fixed seeds before the
  * first one is sent. Latency counts from the scheduled time, so that a slow
@@ -20,6 +20,7 @@
 #define LOAD_MAX_POINTS 32
 #define LOAD_MAX_ADDRESSES 64
 #define LOAD_NAME_BYTES 64
+#define LOAD_PATH_BYTES 256
 #define LOAD_MAX_REQUESTS 1000000
 #define LOAD_MAX_IN_FLIGHT 10000
 #define LOAD_MAX_DURATION_S 3600
@@ -37,9 +38,13 @@
 
 typedef struct load_class {
 	char name[LOAD_NAME_BYTES];
-	char service[LOAD_NAME_BYTES]; /* empty: a chat completion */
+	/* A chat completion, unless one of these is set. */
+	char service[LOAD_NAME_BYTES]; /* a call of a service */
 	char call[LOAD_NAME_BYTES];
-	bool once; /* the call must run at most once */
+	bool once;		    /* the call must run at most once */
+	char path[LOAD_PATH_BYTES]; /* a request of the users' platform */
+	char host[LOAD_NAME_BYTES]; /* for its Host header */
+	unsigned prompt_tokens;	    /* that it announces; 0: none */
 	load_point_t rate[LOAD_MAX_POINTS];
 	size_t rate_count;
 	unsigned customers[LOAD_MAX_CUSTOMERS]; /* drawn evenly */
--- /dev/null
+++ b/programs/load/native.c
@@ -0,0 +1,204 @@
+#include "load/transfer.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+
+static void receive_token(transfer_t *t, const char *text, size_t len)
+{
+	buf_reset(&t->expected);
+	load_append_token(&t->expected, t->hash, t->request->tokens);
+	if (!str_equals((str_t){text, len}, buf_view(&t->expected))) {
+		t->mismatch = true;
+		return;
+	}
+	transfer_note_token(t);
+}
+
+/* Copies the value of a member of flat text such as "content":"...". */
+static str_t find_member(const char *line, const char *name)
+{
+	const char *from = strstr(line, name);
+	const char *to;
+
+	if (!from)
+		return STR_LIT("");
+	from += strlen(name);
+	to = strchr(from, '"');
+	return (str_t){from, to ? (size_t)(to - from) : 0};
+}
+
+static void receive_line(transfer_t *t, const char *line)
+{
+	static const char comment[] = ": outcome ";
+	str_t value;
+
+	if (!strncmp(line, comment, sizeof(comment) - 1)) {
+		str_copy(t->outcome, sizeof(t->outcome),
+			 str_from(line + sizeof(comment) - 1));
+		return;
+	}
+	if (strncmp(line, "data: ", 6) != 0)
+		return;
+	if (!strcmp(line, "data: [DONE]")) {
+		t->done = true;
+		return;
+	}
+	value = find_member(line, "\"content\":\"");
+	if (value.len)
+		receive_token(t, value.ptr, value.len);
+	value = find_member(line, "\"error\":{\"outcome\":\"");
+	if (value.len)
+		str_copy(t->outcome, sizeof(t->outcome), value);
+}
+
+static void read_chat(transfer_t *t, str_t bytes)
+{
+	transfer_split_lines(t, bytes, receive_line);
+}
+
+static void read_call(transfer_t *t, str_t bytes)
+{
+	transfer_note_first(t);
+	transfer_keep(t, bytes);
+}
+
+static void take_header(str_t header, const char *name, char *out, size_t size)
+{
+	size_t skip = strlen(name);
+
+	if (header.len <= skip || strncasecmp(header.ptr, name, skip) != 0)
+		return;
+	while (header.len > skip && (header.ptr[header.len - 1] == '\r' ||
+				     header.ptr[header.len - 1] == '\n'))
+		header.len--;
+	str_copy(out, size, (str_t){header.ptr + skip, header.len - skip});
+}
+
+static void read_header(transfer_t *t, str_t line)
+{
+	take_header(line, "X-Peridot-Outcome: ", t->outcome,
+		    sizeof(t->outcome));
+}
+
+static void write_headers(transfer_t *t)
+{
+	const load_scenario_t *s = &t->run->scenario;
+	char authorization[LOAD_NAME_BYTES + 16];
+
+	snprintf(authorization, sizeof(authorization), "Bearer %s",
+		 s->customers[t->request->customer].key);
+	transfer_add_header(t, "Authorization", authorization);
+	transfer_add_header(t, "X-Peridot-Class", t->class->name);
+	transfer_add_header(t, "Content-Type", "application/json");
+	if (t->class->once)
+		transfer_add_header(t, "Idempotency-Key", t->id);
+	transfer_add_header(t, "X-Peridot-Request", t->id);
+}
+
+static void write_chat(transfer_t *t)
+{
+	const load_run_t *run = t->run;
+	const load_request_t *r = t->request;
+	buf_t prompt = BUF_INIT;
+
+	write_headers(t);
+	snprintf(t->url, sizeof(t->url), "http://%s/v1/chat/completions",
+		 run->scenario.entries[r->entry]);
+	load_append_prompt(&prompt, run, r);
+	t->hash = load_hash_prompt(buf_view(&prompt));
+	buf_printf(&t->body,
+		   "{\"model\":\"%s\",\"stream\":true,\"x_output_tokens\":%u,"
+		   "\"messages\":[{\"role\":\"user\",\"content\":\"",
+		   run->scenario.model, r->wanted);
+	buf_append_str(&t->body, buf_view(&prompt));
+	buf_printf(&t->body, "\"}]}");
+	buf_release(&prompt);
+}
+
+static void write_call(transfer_t *t)
+{
+	const load_scenario_t *s = &t->run->scenario;
+
+	write_headers(t);
+	snprintf(t->url, sizeof(t->url), "http://%s/v1/services/%s/%s",
+		 s->entries[t->request->entry], t->class->service,
+		 t->class->call);
+	buf_printf(&t->body, "item-%" PRIu64 "-%u", s->seed,
+		   t->request->serial);
+}
+
+/* The answer names the call and the body that was sent, and a call that must
+ * run once has done so. */
+static bool is_call_answer(transfer_t *t)
+{
+	buf_t wanted = BUF_INIT;
+	bool found;
+
+	buf_printf(&wanted, "\"call\":\"%s\",\"body\":\"%" STR_FMT "\"}",
+		   t->class->call, STR_ARG(buf_view(&t->body)));
+	buf_append(&wanted, "", 1);
+	buf_append(&t->line, "", 1);
+	found = strstr(t->line.ptr, wanted.ptr) != NULL;
+	if (t->class->once && !strstr(t->line.ptr, "\"key_run\":1,"))
+		found = false;
+	buf_release(&wanted);
+	return found;
+}
+
+static bool is_chat_answer(const transfer_t *t)
+{
+	return t->done && !t->mismatch &&
+	       t->request->tokens == t->request->wanted;
+}
+
+/* The outcome that the answer states, or that its status means. */
+static load_outcome_t judge(const transfer_t *t, unsigned status, bool whole)
+{
+	static const struct {
+		const char *name;
+		load_outcome_t outcome;
+	} names[] = {
+		{"not-run", LOAD_NOT_RUN},
+		{"failed", LOAD_FAILED},
+		{"unknown", LOAD_UNKNOWN},
+	};
+
+	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++)
+		if (!strcmp(t->outcome, names[i].name))
+			return names[i].outcome;
+	if (!whole)
+		return LOAD_UNKNOWN;
+	return status == 200 ? LOAD_COMPLETED : LOAD_FAILED;
+}
+
+static load_outcome_t judge_chat(transfer_t *t, unsigned status, bool whole)
+{
+	load_outcome_t outcome = judge(t, status, whole);
+
+	return outcome == LOAD_COMPLETED && !is_chat_answer(t) ? LOAD_WRONG :
+								 outcome;
+}
+
+static load_outcome_t judge_call(transfer_t *t, unsigned status, bool whole)
+{
+	load_outcome_t outcome = judge(t, status, whole);
+
+	return outcome == LOAD_COMPLETED && !is_call_answer(t) ? LOAD_WRONG :
+								 outcome;
+}
+
+const load_interface_t *load_native_chat(void)
+{
+	static const load_interface_t interface = {write_chat, read_header,
+						   read_chat, judge_chat};
+
+	return &interface;
+}
+
+const load_interface_t *load_native_call(void)
+{
+	static const load_interface_t interface = {write_call, read_header,
+						   read_call, judge_call};
+
+	return &interface;
+}
--- /dev/null
+++ b/programs/load/platform.c
@@ -0,0 +1,127 @@
+#include "load/transfer.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+/* A prompt has a part that others share, and one of its own. */
+#define MAX_PARTS 2
+
+static void add_line(void *user, const char *line)
+{
+	transfer_t *t = user;
+
+	t->headers = curl_slist_append(t->headers, line);
+}
+
+static size_t make_parts(const transfer_t *t, calls_part_t parts[MAX_PARTS])
+{
+	const load_request_t *r = t->request;
+	unsigned tokens = t->class->prompt_tokens;
+	size_t count = 0;
+
+	if (t->class->prefixes) {
+		parts[count++] = (calls_part_t){
+			(uint64_t)(r->class_index + 1) << 32 | (r->prefix + 1),
+			tokens / 2};
+		tokens -= tokens / 2;
+	}
+	parts[count++] = (calls_part_t){
+		UINT64_C(1) << 48 | (t->run->scenario.seed & UINT32_MAX) << 16 |
+			r->serial,
+		tokens};
+	return count;
+}
+
+static void write_request(transfer_t *t)
+{
+	const load_scenario_t *s = &t->run->scenario;
+	const load_class_t *class = t->class;
+	calls_part_t parts[MAX_PARTS];
+	calls_request_t request = {
+		.id = t->id,
+		.key = s->customers[t->request->customer].key,
+		.patience_ms = transfer_left_ms(t),
+		.prompt_tokens = class->prompt_tokens,
+		.output_tokens = t->request->wanted,
+		.parts = parts,
+		.part_count = make_parts(t, parts)};
+
+	snprintf(t->url, sizeof(t->url), "http://%s%s",
+		 s->entries[t->request->entry], class->path);
+	transfer_add_header(t, "Host", class->host);
+	transfer_add_header(t, "Content-Type", "application/json");
+	calls_write_fields(&request, add_line, t);
+	buf_printf(&t->body, "{\"item\":\"%" PRIu64 "-%u\"}", s->seed,
+		   t->request->serial);
+}
+
+static void read_header(transfer_t *t, str_t line)
+{
+	calls_read_field(&t->answer, line);
+}
+
+/* Events have the numbers from 1 on; after a break, too, none is missing. */
+static void read_line(transfer_t *t, const char *line)
+{
+	if (strncmp(line, "id: ", 4) != 0)
+		return;
+	if (strtoul(line + 4, NULL, 10) == t->request->tokens + 1)
+		transfer_note_token(t);
+	else
+		t->mismatch = true;
+}
+
+static void read_body(transfer_t *t, str_t bytes)
+{
+	if (t->request->wanted) {
+		transfer_split_lines(t, bytes, read_line);
+		return;
+	}
+	transfer_note_first(t);
+	transfer_keep(t, bytes);
+}
+
+/* The stand-in's answer tells the path and the size of the body it got. */
+static bool is_expected(transfer_t *t)
+{
+	buf_t end = BUF_INIT;
+	bool found;
+
+	if (t->request->wanted)
+		return !t->mismatch && t->request->tokens == t->request->wanted;
+	buf_printf(&end, " %s %zu", t->class->path, t->body.len);
+	found = t->line.len >= end.len &&
+		!memcmp(t->line.ptr + t->line.len - end.len, end.ptr, end.len);
+	buf_release(&end);
+	return found;
+}
+
+static load_outcome_t judge(transfer_t *t, unsigned status, bool whole)
+{
+	calls_verdict_t verdict = calls_judge(status, &t->answer, t->id);
+
+	switch (verdict) {
+	case CALLS_ANSWERED:
+		if (!whole)
+			return LOAD_UNKNOWN;
+		return is_expected(t) ? LOAD_COMPLETED : LOAD_WRONG;
+	case CALLS_NOT_RUN:
+		return LOAD_NOT_RUN;
+	case CALLS_FAILED:
+		return LOAD_FAILED;
+	case CALLS_WRONG:
+		return LOAD_WRONG;
+	case CALLS_UNKNOWN:
+		break;
+	}
+	return LOAD_UNKNOWN;
+}
+
+const load_interface_t *load_platform(void)
+{
+	static const load_interface_t interface = {write_request, read_header,
+						   read_body, judge};
+
+	return &interface;
+}
--- a/programs/load/scenario.c
+++ b/programs/load/scenario.c
@@ -136,36 +136,77 @@
 	}
 }
 
-static void read_class(const tomlcheck_table_t *table, const load_scenario_t *s,
-		       load_class_t *class)
+static void read_lengths(const tomlcheck_table_t *table, load_class_t *class)
 {
-	static const char *const known[] = {
-		"name",		  "customers",
-		"rate",		  "service",
-		"call",		  "once",
-		"prefixes",	  "median_tokens",
-		"sigma_percent",  "max_tokens",
-		"first_token_ms", "between_tokens_ms",
-		"deadline_ms",	  NULL};
+	class->median_tokens =
+		(double)require_int(table, "median_tokens", 1, MAX_TOKENS);
+	class->sigma = (double)get_int(table, "sigma_percent", 0, 300, 0) / 100;
+	class->max_tokens =
+		(unsigned)require_int(table, "max_tokens", 1, MAX_TOKENS);
+}
 
-	tomlcheck_keys(table, known);
-	get_name(table, "name", class->name);
-	read_class_customers(table, s, class);
-	read_rate(table, s, class);
-	if (toml_table_get(table->node, STR_LIT("service"))) {
+static void read_path(const tomlcheck_table_t *table, load_class_t *class)
+{
+	str_t path = tomlcheck_get_path(table, "path");
+
+	if (!str_copy(class->path, sizeof(class->path), path) ||
+	    class->path[0] != '/' || strpbrk(class->path, " \r\n\t"))
+		tomlcheck_fault(table, "path", tomlcheck_line(table, "path"),
+				"expected a path of up to 255 bytes without "
+				"blanks that begins with a slash");
+	get_name(table, "host", class->host);
+	class->prompt_tokens =
+		(unsigned)get_int(table, "prompt_tokens", 0, MAX_TOKENS, 0);
+}
+
+static bool has_key(const tomlcheck_table_t *table, const char *key)
+{
+	return toml_table_get(table->node, str_from(key));
+}
+
+/* A call has no length; a request of the platform has one on streams. */
+static void read_kind(const tomlcheck_table_t *table, load_class_t *class)
+{
+	if (has_key(table, "path")) {
+		read_path(table, class);
+		if (has_key(table, "median_tokens"))
+			read_lengths(table, class);
+	} else if (has_key(table, "service")) {
 		get_name(table, "service", class->service);
 		get_name(table, "call", class->call);
 		class->once = tomlcheck_get_bool(table, "once",
 						 TOMLCHECK_OPTIONAL, false);
 	} else {
-		class->median_tokens = (double)require_int(
-			table, "median_tokens", 1, MAX_TOKENS);
-		class->sigma =
-			(double)get_int(table, "sigma_percent", 0, 300, 0) /
-			100;
-		class->max_tokens = (unsigned)require_int(table, "max_tokens",
-							  1, MAX_TOKENS);
+		read_lengths(table, class);
 	}
+}
+
+static void read_class(const tomlcheck_table_t *table, const load_scenario_t *s,
+		       load_class_t *class)
+{
+	static const char *const known[] = {"path",
+					    "host",
+					    "prompt_tokens",
+					    "name",
+					    "customers",
+					    "rate",
+					    "service",
+					    "call",
+					    "once",
+					    "prefixes",
+					    "median_tokens",
+					    "sigma_percent",
+					    "max_tokens",
+					    "first_token_ms",
+					    "between_tokens_ms",
+					    "deadline_ms",
+					    NULL};
+
+	tomlcheck_keys(table, known);
+	get_name(table, "name", class->name);
+	read_class_customers(table, s, class);
+	read_rate(table, s, class);
+	read_kind(table, class);
 	class->prefixes = (unsigned)get_int(table, "prefixes", 0, 10000, 0);
 	class->first_token_us =
 		require_int(table, "first_token_ms", 1, MAX_DEADLINE_MS) *
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -270,7 +270,9 @@
         elif "/stream/" in target:
             after = int(headers.get("last-event-id", "0"))
             whole = mode != "half-stream"
-            self.stream(connection, own, after, EVENTS if whole else 2)
+            counts = headers.get("x-peridotpin-token-counts")
+            wanted = int(counts.split(",")[1]) if counts else EVENTS
+            self.stream(connection, own, after, wanted if whole else 2)
             if not whole:
                 connection.sock.sendall(b"10\r\nid: 3\nda")
                 connection.reset()
--- /dev/null
+++ b/tests/unit/test_calls.c
@@ -0,0 +1,81 @@
+#include "unit.h"
+
+#include "base/buf.h"
+#include "platform/calls.h"
+
+static void add_line(void *user, const char *line)
+{
+	buf_printf(user, "%s\n", line);
+}
+
+/* Guards against load that is not what callers send: hosts would route it
+ * otherwise, and its figures would say nothing. */
+static void test_fields(void)
+{
+	static const calls_part_t parts[] = {{0x5c1e, 800}, {0x91bd, 410}};
+	calls_request_t request = {"r-1", "k1", 3000, 1210, 80, parts, 2};
+	buf_t lines = BUF_INIT;
+
+	calls_write_fields(&request, add_line, &lines);
+	CU_ASSERT(str_equals(buf_view(&lines),
+			     STR_LIT("X-Peridotpin-Attempt-Id: r-1\n"
+				     "X-Peridotpin-Deadline-Ms: 3000\n"
+				     "Authorization: Bearer k1\n"
+				     "X-Peridotpin-Token-Counts: 1210,80\n"
+				     "X-Peridotpin-Prompt-Prefix: "
+				     "5c1e:800,91bd:410\n")));
+	buf_reset(&lines);
+	request = (calls_request_t){.id = "r-2", .key = "", .patience_ms = 1};
+	calls_write_fields(&request, add_line, &lines);
+	CU_ASSERT(str_equals(buf_view(&lines),
+			     STR_LIT("X-Peridotpin-Attempt-Id: r-2\n"
+				     "X-Peridotpin-Deadline-Ms: 1\n")));
+	buf_release(&lines);
+}
+
+static calls_verdict_t judge(unsigned status, const char *id, const char *stamp)
+{
+	calls_answer_t answer = {.stamped = false};
+	buf_t line = BUF_INIT;
+
+	calls_read_field(&answer, STR_LIT("HTTP/1.1 200 OK\r\n"));
+	buf_printf(&line, "x-peridotpin-attempt-id: %s\r\n", id);
+	if (*id)
+		calls_read_field(&answer, buf_view(&line));
+	buf_reset(&line);
+	buf_printf(&line, "X-Peridotpin-Server-Stamp: %s\r\n", stamp);
+	if (*stamp)
+		calls_read_field(&answer, buf_view(&line));
+	calls_read_field(&answer, STR_LIT("\r\n"));
+	buf_release(&line);
+	return calls_judge(status, &answer, "r-1");
+}
+
+/* Guards against a report that counts requests as not run which may have run,
+ * or as answered which only look so. */
+static void test_verdicts(void)
+{
+	static const unsigned promises[] = {408, 421, 429, 503};
+	static const unsigned silent[] = {0, 502, 504};
+
+	CU_ASSERT_EQUAL(judge(200, "r-1", "s"), CALLS_ANSWERED);
+	CU_ASSERT_EQUAL(judge(200, "r-1", ""), CALLS_WRONG);
+	CU_ASSERT_EQUAL(judge(200, "r-2", "s"), CALLS_WRONG);
+	for (size_t i = 0; i < sizeof(promises) / sizeof(*promises); i++)
+		CU_ASSERT_EQUAL(judge(promises[i], "r-1", ""), CALLS_NOT_RUN);
+	for (size_t i = 0; i < sizeof(silent) / sizeof(*silent); i++)
+		CU_ASSERT_EQUAL(judge(silent[i], "", ""), CALLS_UNKNOWN);
+	CU_ASSERT_EQUAL(judge(500, "r-1", "s"), CALLS_FAILED);
+	CU_ASSERT_EQUAL(judge(503, "r-1", "s"), CALLS_FAILED);
+	CU_ASSERT_EQUAL(judge(404, "r-1", ""), CALLS_FAILED);
+	CU_ASSERT_EQUAL(judge(401, "r-1", ""), CALLS_FAILED);
+}
+
+int main(void)
+{
+	CU_TestInfo tests[] = {{"fields", test_fields},
+			       {"verdicts", test_verdicts},
+			       CU_TEST_INFO_NULL};
+
+	return unit_run("calls", tests);
+}
