--- a/lib/state/node_pack.c
+++ b/lib/state/node_pack.c
@@ -38,7 +38,7 @@
 
 static void pack_domain(msgpack_packer *pk, const sheet_domain_t *domain)
 {
-	msgpack_pack_array(pk, 7);
+	msgpack_pack_array(pk, 6);
 	pack_str(pk, domain->name);
 	pack_str(pk, domain->region);
 	msgpack_pack_uint64(pk, domain->state);
@@ -56,12 +56,11 @@
 		msgpack_pack_int64(pk, domain->plans[i].from_s);
 		msgpack_pack_int64(pk, domain->plans[i].until_s);
 	}
-	msgpack_pack_uint64(pk, domain->max_loading);
 }
 
 static void pack_class(msgpack_packer *pk, const sheet_class_t *class)
 {
-	msgpack_pack_array(pk, 10);
+	msgpack_pack_array(pk, 9);
 	pack_str(pk, class->name);
 	msgpack_pack_uint64(pk, class->tier);
 	msgpack_pack_int64(pk, class->first_token_ms);
@@ -69,7 +68,6 @@
 	msgpack_pack_int64(pk, class->timeout_ms);
 	msgpack_pack_uint64(pk, class->floor_percent);
 	msgpack_pack_uint64(pk, class->max_queue);
-	msgpack_pack_uint64(pk, class->expected_tokens);
 	msgpack_pack_uint64(pk, class->max_tokens);
 	pack_bool(pk, class->cross_region);
 }
@@ -90,7 +88,7 @@
 
 static void pack_endpoint(msgpack_packer *pk, const sheet_endpoint_t *endpoint)
 {
-	msgpack_pack_array(pk, 8);
+	msgpack_pack_array(pk, 7);
 	pack_str(pk, endpoint->name);
 	msgpack_pack_uint64(pk, endpoint->domain_index);
 	msgpack_pack_uint64(pk, endpoint->pool_index);
@@ -98,7 +96,6 @@
 	msgpack_pack_uint64(pk, endpoint->state);
 	msgpack_pack_uint64(pk, endpoint->cold_limit);
 	msgpack_pack_uint64(pk, endpoint->max_in_flight);
-	pack_bool(pk, endpoint->checks_fence);
 }
 
 static void pack_base(msgpack_packer *pk, const sheet_t *sheet)
--- a/lib/state/node_read.c
+++ b/lib/state/node_read.c
@@ -121,15 +121,14 @@
 static bool read_domain(node_reader_t *u, const msgpack_object *object,
 			sheet_domain_t *domain)
 {
-	const msgpack_object *f = get_fields(object, 7);
+	const msgpack_object *f = get_fields(object, 6);
 	const msgpack_object_array *hosts;
 	const msgpack_object_array *plans;
 
 	if (!f || !read_str(u, &f[0], &domain->name) ||
 	    !read_str(u, &f[1], &domain->region) ||
 	    !read_state(&f[2], &domain->state) ||
-	    !read_int64(&f[4], &domain->cold_hosts_since_s) ||
-	    !read_unsigned(&f[6], &domain->max_loading))
+	    !read_int64(&f[4], &domain->cold_hosts_since_s))
 		return false;
 	hosts = get_array(&f[3], SHEET_MAX_COLD_HOSTS);
 	plans = get_array(&f[5], SHEET_MAX_PLANS);
@@ -160,7 +159,7 @@
 static bool read_class(node_reader_t *u, const msgpack_object *object,
 		       sheet_class_t *class)
 {
-	const msgpack_object *f = get_fields(object, 10);
+	const msgpack_object *f = get_fields(object, 9);
 
 	return f && read_str(u, &f[0], &class->name) &&
 	       read_unsigned(&f[1], &class->tier) &&
@@ -169,9 +168,8 @@
 	       read_int64(&f[4], &class->timeout_ms) &&
 	       read_unsigned(&f[5], &class->floor_percent) &&
 	       read_unsigned(&f[6], &class->max_queue) &&
-	       read_unsigned(&f[7], &class->expected_tokens) &&
-	       read_unsigned(&f[8], &class->max_tokens) &&
-	       read_bool(&f[9], &class->cross_region);
+	       read_unsigned(&f[7], &class->max_tokens) &&
+	       read_bool(&f[8], &class->cross_region);
 }
 
 static bool read_pool(node_reader_t *u, const msgpack_object *object,
@@ -203,7 +201,7 @@
 static bool read_endpoint(node_reader_t *u, const msgpack_object *object,
 			  sheet_endpoint_t *endpoint)
 {
-	const msgpack_object *f = get_fields(object, 8);
+	const msgpack_object *f = get_fields(object, 7);
 
 	return f && read_str(u, &f[0], &endpoint->name) &&
 	       read_unsigned(&f[1], &endpoint->domain_index) &&
@@ -211,8 +209,7 @@
 	       read_str(u, &f[3], &endpoint->address) &&
 	       read_state(&f[4], &endpoint->state) &&
 	       read_unsigned(&f[5], &endpoint->cold_limit) &&
-	       read_unsigned(&f[6], &endpoint->max_in_flight) &&
-	       read_bool(&f[7], &endpoint->checks_fence);
+	       read_unsigned(&f[6], &endpoint->max_in_flight);
 }
 
 bool node_read_base(node_reader_t *u, const msgpack_object *object)
--- a/lib/state/sheet.c
+++ b/lib/state/sheet.c
@@ -76,8 +76,6 @@
 		return "domain name or region";
 	if (domain->state > SHEET_STATE_OUT)
 		return "domain state";
-	if (domain->max_loading < 1 || domain->max_loading > SHEET_MAX_LOADING)
-		return "domain max_loading";
 	if (domain->cold_host_count > SHEET_MAX_COLD_HOSTS ||
 	    domain->plan_count > SHEET_MAX_PLANS ||
 	    domain->cold_hosts_since_s < 0)
@@ -126,8 +124,7 @@
 		return "class times";
 	if (!is_within(class->floor_percent, 1, SHEET_MAX_FLOOR_PERCENT) ||
 	    !is_within(class->max_queue, 1, SHEET_MAX_QUEUE) ||
-	    !is_within(class->max_tokens, 1, SHEET_MAX_TOKENS) ||
-	    !is_within(class->expected_tokens, 1, class->max_tokens))
+	    !is_within(class->max_tokens, 1, SHEET_MAX_TOKENS))
 		return "class limits";
 	return NULL;
 }
--- a/lib/state/sheet.h
+++ b/lib/state/sheet.h
@@ -32,7 +32,6 @@
 /* Ranges of the values, for TOML and for packed nodes alike. */
 #define SHEET_MIN_TTL_S 60
 #define SHEET_MAX_TTL_S 86400
-#define SHEET_MAX_LOADING 1000
 #define SHEET_MAX_FIRST_TOKEN_MS 600000
 #define SHEET_MAX_BETWEEN_TOKENS_MS 60000
 #define SHEET_MAX_TIMEOUT_MS 3600000
@@ -70,7 +69,6 @@
 	int64_t cold_hosts_since_s; /* Unix time of their last change */
 	sheet_plan_t *plans;
 	size_t plan_count;
-	unsigned max_loading; /* endpoints that may load weights at once */
 } sheet_domain_t;
 
 typedef struct sheet_class {
@@ -79,11 +77,10 @@
 	int64_t first_token_ms;	   /* target */
 	int64_t between_tokens_ms; /* target */
 	int64_t timeout_ms;	   /* a request is given up on after this */
-	unsigned floor_percent;	  /* guaranteed share of a dispatcher's sends */
-	unsigned max_queue;	  /* queued requests at one dispatcher */
-	unsigned expected_tokens; /* first estimate of the output length */
-	unsigned max_tokens;	  /* bound sent to the engine */
-	bool cross_region;	  /* may use endpoints of another region */
+	unsigned floor_percent; /* guaranteed share of a dispatcher's sends */
+	unsigned max_queue;	/* queued requests at one dispatcher */
+	unsigned max_tokens;	/* bound sent to the engine */
+	bool cross_region;	/* may use endpoints of another region */
 } sheet_class_t;
 
 typedef enum sheet_pool_kind {
@@ -114,7 +111,6 @@
 	sheet_state_t state;
 	unsigned cold_limit;	/* requests in flight during cold start */
 	unsigned max_in_flight; /* requests in flight when warm */
-	bool checks_fence;	/* refuses orders with an old fencing number */
 } sheet_endpoint_t;
 
 typedef struct sheet_customer {
--- a/lib/state/sheetcheck.c
+++ b/lib/state/sheetcheck.c
@@ -7,7 +7,6 @@
 #define DEFAULT_TTL_S 3600
 #define DEFAULT_BETWEEN_TOKENS_MS 100
 #define DEFAULT_MAX_QUEUE 100
-#define DEFAULT_EXPECTED_TOKENS 200
 #define DEFAULT_MAX_TOKENS 4096
 #define DEFAULT_WEIGHT 1
 #define DEFAULT_CUSTOMER_IN_FLIGHT 64
@@ -77,11 +76,6 @@
 		tomlcheck_fault(table, "timeout_ms",
 				tomlcheck_line(table, "timeout_ms"),
 				"expected at least first_token_ms");
-	if (class->expected_tokens > class->max_tokens)
-		tomlcheck_fault(table, "expected_tokens",
-				tomlcheck_line(table, "expected_tokens"),
-				"expected at most max_tokens (%u)",
-				class->max_tokens);
 }
 
 static void read_class(const tomlcheck_table_t *table, sheet_class_t *class)
@@ -100,9 +94,6 @@
 		"floor_percent", 1, SHEET_MAX_FLOOR_PERCENT, 1, false};
 	static const tomlcheck_int_t max_queue = {
 		"max_queue", 1, SHEET_MAX_QUEUE, DEFAULT_MAX_QUEUE, false};
-	static const tomlcheck_int_t expected = {
-		"expected_tokens", 1, SHEET_MAX_TOKENS, DEFAULT_EXPECTED_TOKENS,
-		false};
 	static const tomlcheck_int_t max_tokens = {
 		"max_tokens", 1, SHEET_MAX_TOKENS, DEFAULT_MAX_TOKENS, false};
 	size_t faults = table->check->faults;
@@ -113,7 +104,6 @@
 	class->timeout_ms = tomlcheck_get_int(table, &timeout);
 	class->floor_percent = (unsigned)tomlcheck_get_int(table, &floor);
 	class->max_queue = (unsigned)tomlcheck_get_int(table, &max_queue);
-	class->expected_tokens = (unsigned)tomlcheck_get_int(table, &expected);
 	class->max_tokens = (unsigned)tomlcheck_get_int(table, &max_tokens);
 	class->cross_region = tomlcheck_get_bool(table, "cross_region",
 						 TOMLCHECK_OPTIONAL, false);
@@ -123,17 +113,12 @@
 
 static void read_classes(const sheetcheck_reader_t *r)
 {
-	static const char *const keys[] = {"name",
-					   "tier",
-					   "first_token_ms",
-					   "between_tokens_ms",
-					   "timeout_ms",
-					   "floor_percent",
-					   "max_queue",
-					   "expected_tokens",
-					   "max_tokens",
-					   "cross_region",
-					   NULL};
+	static const char *const keys[] = {
+		"name",		  "tier",
+		"first_token_ms", "between_tokens_ms",
+		"timeout_ms",	  "floor_percent",
+		"max_queue",	  "max_tokens",
+		"cross_region",	  NULL};
 	sheet_t *sheet = r->sheet;
 	lineset_t names = {0};
 	unsigned floors = 0;
@@ -294,8 +279,6 @@
 	endpoint->cold_limit = (unsigned)tomlcheck_get_int(table, &cold_limit);
 	endpoint->max_in_flight =
 		(unsigned)tomlcheck_get_int(table, &in_flight);
-	endpoint->checks_fence = tomlcheck_get_bool(table, "checks_fence",
-						    TOMLCHECK_OPTIONAL, false);
 	if (faults == table->check->faults &&
 	    endpoint->cold_limit > endpoint->max_in_flight)
 		tomlcheck_fault(table, "cold_limit",
@@ -307,9 +290,8 @@
 static void read_endpoints(const sheetcheck_reader_t *r)
 {
 	static const char *const keys[] = {
-		"name",		"domain", "model",	"service",
-		"address",	"state",  "cold_limit", "max_in_flight",
-		"checks_fence", NULL};
+		"name",	 "domain",     "model",		"service", "address",
+		"state", "cold_limit", "max_in_flight", NULL};
 	sheet_t *sheet = r->sheet;
 	lineset_t names = {0};
 	lineset_t addresses = {0};
--- a/lib/state/sheetcheck_domains.c
+++ b/lib/state/sheetcheck_domains.c
@@ -1,7 +1,5 @@
 #include "state/sheetcheck_internal.h"
 
-#define DEFAULT_MAX_LOADING 1
-
 static void read_cold_hosts(const sheetcheck_reader_t *r,
 			    const tomlcheck_table_t *table,
 			    sheet_domain_t *domain)
@@ -78,17 +76,9 @@
 
 void sheetcheck_domains(const sheetcheck_reader_t *r)
 {
-	static const char *const keys[] = {"name",
-					   "region",
-					   "state",
-					   "cold_hosts",
-					   "cold_hosts_since",
-					   "max_loading",
-					   "plan",
-					   NULL};
-	static const tomlcheck_int_t max_loading = {"max_loading", 1,
-						    SHEET_MAX_LOADING,
-						    DEFAULT_MAX_LOADING, false};
+	static const char *const keys[] = {
+		"name", "region", "state", "cold_hosts", "cold_hosts_since",
+		"plan", NULL};
 	sheet_t *sheet = r->sheet;
 	lineset_t names = {0};
 
@@ -108,8 +98,6 @@
 		domain->state = (sheet_state_t)tomlcheck_get_choice(
 			&table, "state", sheetcheck_state_names,
 			SHEET_STATE_UP);
-		domain->max_loading =
-			(unsigned)tomlcheck_get_int(&table, &max_loading);
 		read_cold_hosts(r, &table, domain);
 		read_plans(r, &table, domain);
 	}
--- a/programs/ctl/diff.c
+++ b/programs/ctl/diff.c
@@ -79,7 +79,6 @@
 			   STR_ARG(domain->cold_hosts[j].address));
 	buf_printf(value, "]");
 	add_number(fields, "cold_hosts_since", domain->cold_hosts_since_s);
-	add_number(fields, "max_loading", domain->max_loading);
 	value = add_field(fields, "plan");
 	buf_printf(value, "[");
 	for (size_t j = 0; j < domain->plan_count; j++)
@@ -110,7 +109,6 @@
 	add_number(fields, "timeout_ms", row->timeout_ms);
 	add_number(fields, "floor_percent", row->floor_percent);
 	add_number(fields, "max_queue", row->max_queue);
-	add_number(fields, "expected_tokens", row->expected_tokens);
 	add_number(fields, "max_tokens", row->max_tokens);
 	add_bool(fields, "cross_region", row->cross_region);
 }
@@ -178,7 +176,6 @@
 	add_text(fields, "state", str_from(state_names[row->state]));
 	add_number(fields, "cold_limit", row->cold_limit);
 	add_number(fields, "max_in_flight", row->max_in_flight);
-	add_bool(fields, "checks_fence", row->checks_fence);
 }
 
 static size_t count_customers(const sheet_t *sheet)
