--- a/lib/coordination/gossip.c
+++ b/lib/coordination/gossip.c
@@ -1,12 +1,30 @@
 #include "coordination/gossip.h"
 
+#include <arpa/inet.h>
 #include <stdlib.h>
+#include <xxhash.h>
 
 #include "base/msgcodec.h"
 
-#define MESSAGE_FIELDS 8
+#define MESSAGE_FIELDS 10
 #define MEMBER_FIELDS 5
-#define MESSAGE_VERSION 1
+#define MESSAGE_VERSION 2
+/* A tag and the age in one number. Ages are rounded up, since one that shrank
+ * from host to host would keep a lost host alive by hearsay. */
+#define TAG_BYTES 4
+#define TAG_BITS 24
+#define TAG_MASK ((UINT32_C(1) << TAG_BITS) - 1)
+#define TAG_AGE_MS 50
+#define TAG_MAX_AGE UINT8_MAX
+/* Hosts heard of for this long count as known, which is long enough for all to
+ * count the same ones. One that knows fewer, by more than this part, is told of
+ * hosts in full. */
+#define KNOWN_MS 30000
+#define KNOWN_PART 64
+/* Bounds of a message: names are of up to 63 bytes. */
+#define MEMBER_BYTES 168
+#define FULL_BYTES \
+	(GOSSIP_MESSAGE_BYTES - MEMBER_BYTES - GOSSIP_TAGS * TAG_BYTES - 16)
 /* Ages beyond this say nothing more. */
 #define MAX_AGE_MS GOSSIP_COUNT_MS
 
@@ -14,7 +32,8 @@
 	member_t self;
 	member_t *members;
 	size_t count, cap;
-	size_t sampled; /* where the next sample begins */
+	/* Where the next samples begin. */
+	size_t next_new, next_old, next_tag;
 	uint64_t random;
 };
 
@@ -86,7 +105,7 @@
 }
 
 /* Merges what was heard of a host. NULL for this host and old news. */
-static member_t *merge(gossip_t *gossip, const member_t *heard)
+static member_t *merge(gossip_t *gossip, const member_t *heard, int64_t now_ms)
 {
 	member_t *member;
 
@@ -95,13 +114,14 @@
 	member = find(gossip, heard->name);
 	if (member && heard->incarnation < member->incarnation)
 		return NULL;
-	if (!member) {
-		member = add(gossip);
-		*member = *heard;
-		return member;
-	}
-	if (heard->incarnation > member->incarnation) {
+	if (!member || heard->incarnation > member->incarnation) {
+		if (!member)
+			member = add(gossip);
 		*member = *heard;
+		member->since_ms = now_ms;
+		member->tag = XXH32(member->name, strlen(member->name),
+				    (uint32_t)member->incarnation) &
+			      TAG_MASK;
 		return member;
 	}
 	if (heard->heard_ms > member->heard_ms)
@@ -148,7 +168,27 @@
 		    age_ms > MAX_AGE_MS)
 			continue;
 		member.heard_ms = now_ms - (int64_t)age_ms;
-		merge(gossip, &member);
+		merge(gossip, &member, now_ms);
+	}
+}
+
+static void read_tags(gossip_t *gossip, const msgpack_object_bin *tags,
+		      int64_t now_ms)
+{
+	for (uint32_t at = 0; at + TAG_BYTES <= tags->size; at += TAG_BYTES) {
+		uint32_t entry;
+		int64_t heard_ms;
+
+		memcpy(&entry, tags->ptr + at, sizeof(entry));
+		entry = ntohl(entry);
+		heard_ms = now_ms - (int64_t)(entry >> TAG_BITS) * TAG_AGE_MS;
+		for (size_t i = 0; i < gossip->count; i++) {
+			member_t *member = &gossip->members[i];
+
+			if (member->tag == (entry & TAG_MASK) &&
+			    member->heard_ms < heard_ms)
+				member->heard_ms = heard_ms;
+		}
 	}
 }
 
@@ -159,25 +199,29 @@
 	const msgpack_object *fields = root->via.array.ptr;
 	member_t heard;
 	member_t *member;
-	uint64_t version, revision;
+	uint64_t version, revision, known;
 
 	if (root->type != MSGPACK_OBJECT_ARRAY ||
 	    root->via.array.size != MESSAGE_FIELDS ||
 	    !read_number(&fields[0], &version) || version != MESSAGE_VERSION ||
 	    !read_member(&fields[1], &heard, &revision) ||
 	    fields[6].type != MSGPACK_OBJECT_BOOLEAN ||
-	    fields[7].type != MSGPACK_OBJECT_ARRAY)
+	    fields[7].type != MSGPACK_OBJECT_ARRAY ||
+	    fields[8].type != MSGPACK_OBJECT_BIN ||
+	    !read_number(&fields[9], &known) || known > GOSSIP_MAX_MEMBERS)
 		return err_set(err, ERR_INVALID, "read-gossip", "-",
 			       "malformed message");
 	heard.heard_ms = now_ms;
-	member = merge(gossip, &heard);
+	member = merge(gossip, &heard, now_ms);
 	if (!member)
 		return err_set(err, ERR_BAD_STATE, "read-gossip", heard.name,
 			       "from this host or an earlier incarnation");
 	member->revision = (int64_t)revision;
+	member->known = (unsigned)known;
 	member->direct_ms = now_ms;
 	member->leaving = fields[6].via.boolean;
 	read_sample(gossip, &fields[7].via.array, now_ms);
+	read_tags(gossip, &fields[8].via.bin, now_ms);
 	/* The sample may have moved the table. */
 	*sender = find(gossip, heard.name);
 	return ERR_OK;
@@ -215,29 +259,94 @@
 	msgpack_pack_uint64(packer, number);
 }
 
-/* Hosts heard of lately, from where the last sample ended. */
-static size_t take_sample(gossip_t *gossip, int64_t now_ms,
-			  const member_t **sample)
+/* True for a host that others may not know, or not by this incarnation. */
+static bool is_new(const member_t *member, int64_t now_ms)
 {
+	return now_ms - member->since_ms < GOSSIP_NEW_MS;
+}
+
+typedef enum sample_kind { SAMPLE_NEW, SAMPLE_OLD } sample_kind_t;
+
+/* Appends live hosts in full, from where the last sample ended. */
+static size_t pack_sample(gossip_t *gossip, sample_kind_t kind, size_t max,
+			  int64_t now_ms, buf_t *out)
+{
+	size_t *next =
+		kind == SAMPLE_NEW ? &gossip->next_new : &gossip->next_old;
+	msgpack_packer packer;
 	size_t taken = 0;
 
-	for (size_t i = 0; i < gossip->count && taken < GOSSIP_SAMPLE; i++) {
+	msgpack_packer_init(&packer, out, msgcodec_append);
+	for (size_t i = 0; i < gossip->count && taken < max; i++) {
 		const member_t *member =
-			&gossip->members[gossip->sampled++ % gossip->count];
+			&gossip->members[(*next)++ % gossip->count];
+		int64_t age_ms = now_ms - member->heard_ms;
 
-		if (now_ms - member->heard_ms < GOSSIP_LIVE_MS)
-			sample[taken++] = member;
+		if (!gossip_is_live(gossip, member, now_ms) ||
+		    is_new(member, now_ms) != (kind == SAMPLE_NEW))
+			continue;
+		if (out->len + MEMBER_BYTES > FULL_BYTES)
+			break;
+		msgpack_pack_array(&packer, MEMBER_FIELDS);
+		pack_member(&packer, member, age_ms > 0 ? (uint64_t)age_ms : 0);
+		taken++;
 	}
 	return taken;
 }
 
+/* Appends tags of live hosts, from where the last message ended. */
+static void append_tags(gossip_t *gossip, int64_t now_ms, buf_t *out)
+{
+	size_t taken = 0;
+
+	for (size_t i = 0; i < gossip->count && taken < GOSSIP_TAGS; i++) {
+		const member_t *member =
+			&gossip->members[gossip->next_tag++ % gossip->count];
+		int64_t age_ms = now_ms - member->heard_ms;
+		int64_t age = (age_ms + TAG_AGE_MS - 1) / TAG_AGE_MS;
+		uint32_t entry;
+
+		if (!gossip_is_live(gossip, member, now_ms) ||
+		    age > TAG_MAX_AGE)
+			continue;
+		entry = htonl((uint32_t)(age > 0 ? age : 0) << TAG_BITS |
+			      member->tag);
+		buf_append(out, &entry, sizeof(entry));
+		taken++;
+	}
+}
+
+/* Hosts that this one knows of. */
+static unsigned count_known(const gossip_t *gossip, int64_t now_ms)
+{
+	unsigned count = 0;
+
+	for (size_t i = 0; i < gossip->count; i++)
+		count += now_ms - gossip->members[i].heard_ms < KNOWN_MS;
+	return count;
+}
+
+static bool may_know_fewer(const member_t *to, unsigned known, int64_t now_ms)
+{
+	if (is_new(to, now_ms))
+		return true;
+	return now_ms - to->direct_ms < GOSSIP_LIVE_MS &&
+	       to->known + known / KNOWN_PART < known;
+}
+
 void gossip_write(gossip_t *gossip, int64_t revision, bool leaving,
-		  int64_t now_ms, buf_t *out)
+		  const member_t *to, int64_t now_ms, buf_t *out)
 {
-	const member_t *sample[GOSSIP_SAMPLE];
-	size_t count = take_sample(gossip, now_ms, sample);
+	unsigned known = count_known(gossip, now_ms);
+	buf_t sample = BUF_INIT, tags = BUF_INIT;
 	msgpack_packer packer;
+	size_t count, old;
 
+	count = pack_sample(gossip, SAMPLE_NEW, GOSSIP_SAMPLE, now_ms, &sample);
+	old = !to || may_know_fewer(to, known, now_ms) ? GOSSIP_SAMPLE - count :
+							 GOSSIP_OLD_SAMPLE;
+	count += pack_sample(gossip, SAMPLE_OLD, old, now_ms, &sample);
+	append_tags(gossip, now_ms, &tags);
 	msgpack_packer_init(&packer, out, msgcodec_append);
 	msgpack_pack_array(&packer, MESSAGE_FIELDS);
 	msgpack_pack_uint64(&packer, MESSAGE_VERSION);
@@ -247,18 +356,22 @@
 	else
 		msgpack_pack_false(&packer);
 	msgpack_pack_array(&packer, count);
-	for (size_t i = 0; i < count; i++) {
-		int64_t age_ms = now_ms - sample[i]->heard_ms;
-
-		msgpack_pack_array(&packer, MEMBER_FIELDS);
-		pack_member(&packer, sample[i],
-			    age_ms > 0 ? (uint64_t)age_ms : 0);
-	}
+	buf_append_str(out, buf_view(&sample));
+	msgpack_pack_bin_with_body(&packer, tags.ptr, tags.len);
+	msgpack_pack_uint32(&packer, known);
+	buf_release(&sample);
+	buf_release(&tags);
 }
 
-bool gossip_is_live(const member_t *member, int64_t now_ms)
+bool gossip_is_live(const gossip_t *gossip, const member_t *member,
+		    int64_t now_ms)
 {
-	return now_ms - member->heard_ms < GOSSIP_LIVE_MS;
+	int64_t life_ms = GOSSIP_LIVE_MS;
+
+	if (gossip->count > GOSSIP_LIVE_HOSTS)
+		life_ms += (int64_t)(gossip->count - GOSSIP_LIVE_HOSTS) *
+			   GOSSIP_LIVE_PER_HOST_MS;
+	return now_ms - member->heard_ms < life_ms;
 }
 
 static bool is_chosen(const member_t *const *targets, size_t count,
@@ -280,7 +393,7 @@
 		const member_t *member =
 			&gossip->members[(start + i) % gossip->count];
 
-		if (gossip_is_live(member, now_ms) &&
+		if (gossip_is_live(gossip, member, now_ms) &&
 		    !is_chosen(targets, count, member) &&
 		    (!own_domain ||
 		     !strcmp(member->domain, gossip->self.domain)))
--- a/lib/coordination/gossip.h
+++ b/lib/coordination/gossip.h
@@ -11,16 +11,27 @@
  * gossip - which hosts there are, and how new their records are
  *
  * Each host sends a digest to a few others in each round: itself, the revision
- * of its replica, and a sample of the hosts it has heard of. The bytes a host
- * sends and keeps are bounded, however many hosts there are. The module keeps
- * the table and reads and writes messages; it does no input or output.
+ * of its replica, some of the hosts it has heard of in full, and of more of
+ * them only a tag and when they were heard of. A host that is new, to the
+ * sender or as the receiver, is told or tells in full. The bytes a host sends
+ * and keeps are bounded, however many hosts there are. The module keeps the
+ * table and reads and writes messages; it does no input or output.
  */
 #define GOSSIP_MAX_MEMBERS 1024
 #define GOSSIP_FANOUT 3
+/* Hosts told in full: at most, and of those that are not new. */
 #define GOSSIP_SAMPLE 14
+#define GOSSIP_OLD_SAMPLE 2
+/* Hosts told by their tags in a message. */
+#define GOSSIP_TAGS 60
 #define GOSSIP_ROUND_MS 400
-/* A host not heard of for this long is not sent to. */
+/* A host is new for this long after it was first heard of. */
+#define GOSSIP_NEW_MS 10000
+/* A host not heard of for this long is not sent to. News takes longer to reach
+ * all of many hosts: so much more for each above the number. */
 #define GOSSIP_LIVE_MS 5000
+#define GOSSIP_LIVE_HOSTS 100
+#define GOSSIP_LIVE_PER_HOST_MS 25
 /* A host counts for shares of a limit for this long after it was heard of: it
  * may be cut off and go on sending to endpoints. */
 #define GOSSIP_COUNT_MS 60000
@@ -33,8 +44,11 @@
 	char domain[GOSSIP_NAME_BYTES];
 	char ip[GOSSIP_IP_BYTES];
 	uint64_t incarnation; /* grows with each start of the host */
+	uint32_t tag;	      /* stands for name and incarnation */
+	int64_t since_ms;     /* when it was first heard of */
 	int64_t heard_ms;     /* of it, directly or through others */
 	int64_t revision;     /* of its replica, as it said itself */
+	unsigned known;	      /* live hosts that it knows, as it said */
 	int64_t direct_ms;    /* when it said so; 0: never */
 	bool leaving;
 } member_t;
@@ -60,9 +74,10 @@
 err_code_t gossip_read(gossip_t *gossip, str_t message, int64_t now_ms,
 		       const member_t **sender, err_t *err);
 
-/* Appends a message about this host and a sample of the others. */
+/* Appends a message about this host and others for the host `to`, which is NULL
+ * for one that may not be known. */
 void gossip_write(gossip_t *gossip, int64_t revision, bool leaving,
-		  int64_t now_ms, buf_t *out);
+		  const member_t *to, int64_t now_ms, buf_t *out);
 
 /*
  * Chooses whom to send to in this round: mostly hosts of the own domain, whose
@@ -75,7 +90,8 @@
 
 size_t gossip_member_count(const gossip_t *gossip);
 const member_t *gossip_member(const gossip_t *gossip, size_t index);
-bool gossip_is_live(const member_t *member, int64_t now_ms);
+bool gossip_is_live(const gossip_t *gossip, const member_t *member,
+		    int64_t now_ms);
 
 /* Hosts that count for shares, this one included. */
 unsigned gossip_count(const gossip_t *gossip, int64_t now_ms);
--- a/lib/coordination/peersync.c
+++ b/lib/coordination/peersync.c
@@ -308,22 +308,31 @@
 					 all_hosts);
 }
 
+/* Sends to a member, or to all seeds when `to` is NULL. */
+static void send_digest(const peersync_t *peersync, const member_t *to,
+			int64_t now_ms)
+{
+	buf_t message = BUF_INIT;
+
+	gossip_write(peersync->gossip, replica_revision(peersync->replica),
+		     peersync->leaving, to, now_ms, &message);
+	if (to)
+		send_to_ip(peersync, to->ip, buf_view(&message));
+	for (size_t i = 0; !to && i < peersync->seed_count; i++)
+		send_to_ip(peersync, peersync->seeds[i], buf_view(&message));
+	buf_release(&message);
+}
+
 static void send_round(peersync_t *peersync)
 {
 	const member_t *targets[GOSSIP_FANOUT];
 	int64_t now_ms = now_of(peersync);
 	size_t count = gossip_targets(peersync->gossip, now_ms, targets);
-	buf_t message = BUF_INIT;
 
-	gossip_write(peersync->gossip, replica_revision(peersync->replica),
-		     peersync->leaving, now_ms, &message);
 	for (size_t i = 0; i < count; i++)
-		send_to_ip(peersync, targets[i]->ip, buf_view(&message));
+		send_digest(peersync, targets[i], now_ms);
 	if (count < GOSSIP_FANOUT)
-		for (size_t i = 0; i < peersync->seed_count; i++)
-			send_to_ip(peersync, peersync->seeds[i],
-				   buf_view(&message));
-	buf_release(&message);
+		send_digest(peersync, NULL, now_ms);
 }
 
 static void on_round(void *user)
--- a/lib/request/loadsync.c
+++ b/lib/request/loadsync.c
@@ -79,7 +79,7 @@
 	for (size_t i = 0; i < gossip_member_count(gossip); i++) {
 		const member_t *member = gossip_member(gossip, i);
 
-		if (gossip_is_live(member, now_ms) && !member->leaving)
+		if (gossip_is_live(gossip, member, now_ms) && !member->leaving)
 			propose(loadsync,
 				fleet_region(fleet, str_from(member->domain)),
 				member->name, member);
@@ -195,7 +195,7 @@
 	for (size_t i = 0; i < gossip_member_count(gossip); i++) {
 		const member_t *member = gossip_member(gossip, i);
 
-		if (gossip_is_live(member, now_ms) &&
+		if (gossip_is_live(gossip, member, now_ms) &&
 		    str_equals(fleet_region(loadsync->router->fleet,
 					    str_from(member->domain)),
 			       loadsync->router->region))
--- a/programs/routerd/status.c
+++ b/programs/routerd/status.c
@@ -76,8 +76,8 @@
 			json_pack("{s:s, s:s, s:s, s:b, s:b, s:I}", "host",
 				  member->name, "domain", member->domain, "ip",
 				  member->ip, "live",
-				  gossip_is_live(member, now_ms), "leaving",
-				  member->leaving, "sheet_version",
+				  gossip_is_live(gossip, member, now_ms),
+				  "leaving", member->leaving, "sheet_version",
 				  (json_int_t)member->revision));
 	}
 	return rows;
--- a/tests/unit/test_gossip.c
+++ b/tests/unit/test_gossip.c
@@ -21,7 +21,7 @@
 	buf_t message = BUF_INIT;
 	err_code_t code;
 
-	gossip_write(from, revision, false, now_ms, &message);
+	gossip_write(from, revision, false, NULL, now_ms, &message);
 	code = gossip_read(to, buf_view(&message), now_ms, &sender, NULL);
 	buf_release(&message);
 	return code;
@@ -84,7 +84,7 @@
 		gossip_free(other);
 	}
 	CU_ASSERT_EQUAL(gossip_count(gossip, 10), 351);
-	gossip_write(gossip, 1, false, 10, &message);
+	gossip_write(gossip, 1, false, NULL, 10, &message);
 	CU_ASSERT_TRUE(message.len <= GOSSIP_MESSAGE_BYTES);
 	CU_ASSERT_EQUAL(gossip_targets(gossip, 10, targets), GOSSIP_FANOUT);
 	buf_release(&message);
