--- a/lib/request/caller.c
+++ b/lib/request/caller.c
@@ -24,6 +24,8 @@
 #define CALLER_SLOW_BYTES 131072
 /* Body buffers above this size are given back between requests. */
 #define CALLER_KEEP_BODY_BYTES 4096
+/* Time to return for a caller whose body finds no room, spread by as much. */
+#define CALLER_RETRY_MS 500
 
 static void on_timer(void *user);
 static void on_pending(void *user);
@@ -95,14 +97,15 @@
 }
 
 /* Answers a message that can't become a request. */
-static void reject(caller_t *caller, unsigned status, const char *reason)
+static void reject_until(caller_t *caller, unsigned status, const char *reason,
+			 int64_t retry_after_ms)
 {
 	buf_t out = BUF_INIT;
 	own_reply_t reply = {.status = status,
 			     .outcome = OUTCOME_NOT_RUN,
 			     .step = "read",
 			     .reason = reason,
-			     .retry_after_ms = -1,
+			     .retry_after_ms = retry_after_ms,
 			     .close = true};
 	const dialect_t *dialect = caller->router->dialect;
 	char peer[ADDRESS_BYTES];
@@ -118,6 +121,21 @@
 	begin_close(caller);
 }
 
+static void reject(caller_t *caller, unsigned status, const char *reason)
+{
+	reject_until(caller, status, reason, -1);
+}
+
+/* Other bodies fill the host: the caller had better return later. */
+static void reject_body(caller_t *caller)
+{
+	int64_t spread_ms =
+		(int64_t)(router_random(caller->router) % CALLER_RETRY_MS);
+
+	reject_until(caller, 503, "no room for the body",
+		     CALLER_RETRY_MS + spread_ms);
+}
+
 static void on_timer(void *user)
 {
 	caller_t *caller = user;
@@ -173,6 +191,10 @@
 		reject(caller, 413, "the body is too large");
 		return;
 	}
+	if (caller->no_room) {
+		reject_body(caller);
+		return;
+	}
 	if (!head->complete) {
 		if (!caller->timer.due_ms ||
 		    caller->timer.due_ms > router_now_ms(caller->router) +
@@ -197,7 +219,7 @@
 		return;
 	}
 	if (caller->no_room) {
-		reject(caller, 503, "no room for the body");
+		reject_body(caller);
 		return;
 	}
 	loop_timer_cancel(caller->router->loop, &caller->timer);
--- a/tests/standins/fake-engine.c
+++ b/tests/standins/fake-engine.c
@@ -64,8 +64,7 @@
 static pthread_t engine_thread;
 static stream_t streams[MAX_STREAMS];
 static uint64_t next_order;
-/* Read without the lock. */
-static _Atomic uint64_t boot;
+static _Atomic uint64_t boot; /* read without the lock */
 static _Atomic int64_t cold_until_us, cold_noticed_us;
 
 static bool is_cold(void)
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -28,7 +28,7 @@
 static const char *const domain_names[DOMAINS] = {"d0", "d1", "d2"};
 static const char *const region_names[DOMAINS] = {"r0", "r1", "r2"};
 
-static void add_catalog(void)
+static void add_catalog(int64_t version)
 {
 	catalog_split_t split = {STR_LIT("model"), 1};
 	catalog_route_t route = {.name = STR_LIT("stream"),
@@ -47,7 +47,7 @@
 				     .cold_ms = 3000,
 				     .cold_per_s = 12.0};
 
-	catalog = catalog_create(1);
+	catalog = catalog_create(version);
 	catalog_add_route(catalog, &route);
 	catalog_add_service(catalog, &service);
 	catalog_seal(catalog);
@@ -84,7 +84,7 @@
 				 str_from(region_names[i]));
 	for (int i = 0; i < DOMAINS * ENGINES; i++)
 		add_engine(i / ENGINES, i % ENGINES, 0);
-	add_catalog();
+	add_catalog(1);
 }
 
 static void tear_down(void)
@@ -392,6 +392,37 @@
 	tear_down();
 }
 
+/* Pattern: a connection that takes long, while operators work. Guards CONFIG,
+ * LEAVE and COLD: what the send was decided on is looked at again before the
+ * first byte. */
+static void test_outdated(void)
+{
+	endpoint_t *engine;
+
+	set_up();
+	engine = must_place(1, 1000, 100);
+	make_request(1, 1000, 100);
+	request.catalog = catalog_ref(catalog);
+	request.endpoint = engine;
+	CU_ASSERT_FALSE(request_is_outdated(&request));
+	engine->state = ENDPOINT_LINGERING;
+	CU_ASSERT_FALSE(request_is_outdated(&request));
+	engine->state = ENDPOINT_LEAVING;
+	CU_ASSERT_TRUE(request_is_outdated(&request));
+	engine->state = ENDPOINT_READY;
+	fleet_set_evacuated(router->fleet, str_from(engine->domain), true,
+			    catalog, START_MS);
+	CU_ASSERT_TRUE(request_is_outdated(&request));
+	fleet_set_evacuated(router->fleet, str_from(engine->domain), false,
+			    catalog, START_MS);
+	CU_ASSERT_FALSE(request_is_outdated(&request));
+	catalog_unref(catalog);
+	add_catalog(2);
+	CU_ASSERT_TRUE(request_is_outdated(&request));
+	catalog_unref(request.catalog);
+	tear_down();
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {
@@ -407,6 +438,7 @@
 		{"new incarnation", test_new_incarnation},
 		{"costs", test_costs},
 		{"baselines", test_baselines},
+		{"outdated", test_outdated},
 		CU_TEST_INFO_NULL};
 
 	return unit_run("choose", tests);
