--- a/lib/coordination/warmth.c
+++ b/lib/coordination/warmth.c
@@ -37,6 +37,11 @@
 	warmth->unreachable = true;
 }
 
+void warmth_set_refusing(warmth_t *warmth, bool refusing)
+{
+	warmth->refusing = refusing;
+}
+
 void warmth_on_lost(warmth_t *warmth, int64_t now_ms, int64_t until_ms)
 {
 	if (now_ms >= warmth->lost_until_ms)
--- a/lib/coordination/warmth.h
+++ b/lib/coordination/warmth.h
@@ -21,6 +21,8 @@
 typedef struct warmth {
 	char boot[WARMTH_BOOT_BYTES]; /* empty: not known yet */
 	bool unreachable;	      /* nobody answered at its address last */
+	bool refusing; /* it refused work and hasn't offered to take some since
+			*/
 	bool proven;
 	int64_t proven_ms; /* when the request of the last proof was sent */
 	int64_t voided_ms; /* requests sent up to then prove nothing */
@@ -45,6 +47,12 @@
 /* Nobody answered at the engine's address. */
 void warmth_on_unreachable(warmth_t *warmth, int64_t now_ms);
 
+/*
+ * An engine refused work, or answered that it takes some. One that refuses is
+ * asked, not tried with requests: a leaving engine would refuse each of them.
+ */
+void warmth_set_refusing(warmth_t *warmth, bool refusing);
+
 /* A request ended here that the engine may run until `until_ms`. */
 void warmth_on_lost(warmth_t *warmth, int64_t now_ms, int64_t until_ms);
 
--- a/lib/request/choose.c
+++ b/lib/request/choose.c
@@ -87,12 +87,16 @@
 }
 
 /* True when the endpoint is warm, or this host has a part of its cold limit
- * left. An engine that isn't known to be warm is asked. */
+ * left. An engine that refused work or isn't known to be warm is asked. */
 static bool may_send_now(const request_t *request, endpoint_t *endpoint,
 			 int64_t now_ms)
 {
 	const catalog_service_t *service = request->admission.service;
 
+	if (service && service->proves_warmth && endpoint->warmth.refusing) {
+		probe_start(request->router, endpoint);
+		return false;
+	}
 	if (!choose_is_cold(request, endpoint, now_ms))
 		return true;
 	if (!service || !service->proves_warmth)
--- a/lib/request/probe.c
+++ b/lib/request/probe.c
@@ -61,12 +61,19 @@
 
 static const http1_ops_t http_ops = {on_body};
 
+/* True when the endpoint may get requests without being asked first. */
+static bool is_open(const endpoint_t *endpoint, int64_t now_ms)
+{
+	return warmth_is_proven(&endpoint->warmth, now_ms) &&
+	       !endpoint->warmth.refusing;
+}
+
 static void on_answer(probe_t *probe)
 {
 	router_t *router = probe->router;
 	endpoint_t *endpoint = probe->endpoint;
 	int64_t now_ms = router_now_ms(router);
-	bool was_proven = warmth_is_proven(&endpoint->warmth, now_ms);
+	bool was_open = is_open(endpoint, now_ms);
 	reply_t reply = {0};
 
 	router->dialect->ops->read_reply(router->dialect, &probe->http.head,
@@ -74,7 +81,8 @@
 	if (reply.status == 200 && reply.boot.len) {
 		warmth_on_answer(&endpoint->warmth, reply.boot,
 				 reply.cold_ms > 0, probe->sent_ms, now_ms);
-		if (!was_proven && warmth_is_proven(&endpoint->warmth, now_ms))
+		warmth_set_refusing(&endpoint->warmth, false);
+		if (!was_open && is_open(endpoint, now_ms))
 			waiting_on_room(router);
 	}
 	end(probe);
--- a/lib/request/send.c
+++ b/lib/request/send.c
@@ -299,6 +299,8 @@
 	warmth_t *warmth = &request->endpoint->warmth;
 	int64_t now_ms = request_now_ms(request);
 
+	if (failure == SEND_NOT_RUN)
+		warmth_set_refusing(warmth, true);
 	if (failure == SEND_NOT_CONNECTED)
 		warmth_on_unreachable(warmth, now_ms);
 	if (failure == SEND_LOST)
--- a/programs/ctl/diff.c
+++ b/programs/ctl/diff.c
@@ -354,7 +354,7 @@
 	       !memcmp(old->digest, new->digest, SHEET_DIGEST_BYTES);
 }
 
-/* Prints the differences and the warnings; takes over both sheets. */
+/* Prints the differences and the warnings. */
 static int report_diff(sheet_t *old, sheet_t *new)
 {
 	buf_t lines = BUF_INIT;
@@ -363,8 +363,6 @@
 
 	if (is_same_sheet(old, new)) {
 		printf("no difference\n");
-		sheet_free(old);
-		sheet_free(new);
 		return status;
 	}
 	printf("version: %llu -> %llu\n", (unsigned long long)old->version,
@@ -392,10 +390,9 @@
 {
 	sheet_t *old = ctl_load_sheet(args->files[0]);
 	sheet_t *new = ctl_load_sheet(args->files[1]);
+	int status = old && new ? report_diff(old, new) : CTL_EXIT_USAGE;
 
-	if (old && new)
-		return report_diff(old, new);
 	sheet_free(old);
 	sheet_free(new);
-	return CTL_EXIT_USAGE;
+	return status;
 }
--- a/tests/session/test_leaving.sh
+++ b/tests/session/test_leaving.sh
@@ -7,6 +7,8 @@
 . "$(dirname "$0")/fleet.sh"
 workers=8
 prefill_ms=150
+# Fewer than the workers, so that requests wait for an endpoint with room.
+max_in_flight=3
 
 now_ms()
 {
@@ -80,6 +82,8 @@
 	count=$(answered)
 	expect_until "$what: requests are served elsewhere" \
 		answered_above $((count + workers))
+	# Longer than the pause after which an endpoint is tried again.
+	wait_until 10 is_past $((limit + 3000))
 	for name in "$@"
 	do
 		expect_equal "$what: requests at $name after 3 s" 0 \
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -28,6 +28,9 @@
 static const char *const domain_names[DOMAINS] = {"d0", "d1", "d2"};
 static const char *const region_names[DOMAINS] = {"r0", "r1", "r2"};
 
+/* Whether engines are asked for their state, as on the native interface. */
+static bool asks_engines;
+
 static void add_catalog(int64_t version)
 {
 	catalog_split_t split = {STR_LIT("model"), 1};
@@ -45,7 +48,8 @@
 				     .max_connections = 360,
 				     .slots = 64,
 				     .cold_ms = 3000,
-				     .cold_per_s = 12.0};
+				     .cold_per_s = 12.0,
+				     .proves_warmth = asks_engines};
 
 	catalog = catalog_create(version);
 	catalog_add_route(catalog, &route);
@@ -423,6 +427,33 @@
 	tear_down();
 }
 
+/* Pattern: an engine leaves while the others are full. Guards against requests
+ * that it refuses one by one, each of which costs a send of the retry budget:
+ * one that refused is asked before it gets work again. */
+static void test_refusing(void)
+{
+	endpoint_t *engine;
+
+	asks_engines = true;
+	set_up();
+	for (size_t i = 0; i < fleet_count(router->fleet); i++) {
+		warmth_t *warmth = &fleet_at(router->fleet, i)->warmth;
+
+		warmth_on_answer(warmth, STR_LIT("boot"), false, START_MS,
+				 START_MS);
+		fleet_at(router->fleet, i)->cold_units = 1;
+		warmth_set_refusing(warmth, i > 0);
+	}
+	engine = fleet_at(router->fleet, 0);
+	CU_ASSERT_PTR_EQUAL(place(1, 0, 100), engine);
+	warmth_set_refusing(&engine->warmth, true);
+	CU_ASSERT_PTR_NULL(place(1, 0, 100));
+	warmth_set_refusing(&engine->warmth, false);
+	CU_ASSERT_PTR_EQUAL(place(1, 0, 100), engine);
+	tear_down();
+	asks_engines = false;
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {
@@ -439,6 +470,7 @@
 		{"costs", test_costs},
 		{"baselines", test_baselines},
 		{"outdated", test_outdated},
+		{"refusing", test_refusing},
 		CU_TEST_INFO_NULL};
 
 	return unit_run("choose", tests);
