--- a/lib/coordination/balance.c
+++ b/lib/coordination/balance.c
@@ -45,6 +45,17 @@
 	return option->service_ms * (1.0 + (double)option->in_flight / slots);
 }
 
+double balance_sample_share(unsigned hosts)
+{
+	double part = (double)BALANCE_MANY_HOSTS / hosts;
+
+	if (hosts <= BALANCE_MANY_HOSTS)
+		return 1.0;
+	/* Both the hosts that decide and the time between two looks at the
+	 * loads grow with the hosts, the latter several times as fast. */
+	return part * part * part;
+}
+
 double balance_reading_share(const balance_option_t *option,
 			     const balance_rates_t *rates)
 {
--- a/lib/coordination/balance.h
+++ b/lib/coordination/balance.h
@@ -45,6 +45,14 @@
 	double fail_cost_ms;  /* what a failed request loses */
 } balance_rates_t;
 
+/*
+ * Part of the endpoints that one request looks at. Many hosts that all see the
+ * same loads, some time late, would send to the same few endpoints in the
+ * meantime: above BALANCE_MANY_HOSTS each request looks at some that it draws.
+ */
+#define BALANCE_MANY_HOSTS 100
+double balance_sample_share(unsigned hosts);
+
 /* Share of its time that an engine reads prompts, by what was sent lately. */
 double balance_reading_share(const balance_option_t *option,
 			     const balance_rates_t *rates);
--- a/lib/request/choose.c
+++ b/lib/request/choose.c
@@ -300,55 +300,100 @@
 	       choice->reading_share > CHOOSE_SATURATED_SHARE;
 }
 
+/* The search for the cheapest endpoint of a request. */
+typedef struct search {
+	const request_t *request;
+	places_t places;
+	ranking_t ranking;
+	balance_rates_t rates;
+	int64_t now_ms;
+	double share; /* of the endpoints to look at */
+	double best_cost;
+	choose_result_t result;
+	choice_t *choice;
+} search_t;
+
+static bool is_ranked(const ranking_t *ranking, const endpoint_t *endpoint)
+{
+	for (size_t i = 0; i < CHOOSE_RANKS; i++)
+		if (ranking->endpoints[i] == endpoint)
+			return true;
+	return false;
+}
+
+/* Homes of the prompt, and others as the request's draw has it. */
+static bool is_looked_at(const search_t *search, const endpoint_t *endpoint)
+{
+	return search->share >= 1.0 || is_ranked(&search->ranking, endpoint) ||
+	       preference(endpoint, search->request->draw) < search->share;
+}
+
+static void consider(search_t *search, endpoint_t *endpoint)
+{
+	const request_t *request = search->request;
+	const policy_t *policy = request->router->policy;
+	choice_t *choice = search->choice;
+	balance_option_t option;
+	double cost;
+
+	if (!has_room(request, endpoint, search->now_ms) ||
+	    !may_send_now(request, endpoint, search->now_ms)) {
+		if (search->result == CHOOSE_NONE &&
+		    !endpoint->warmth.unreachable)
+			search->result = CHOOSE_LATER;
+		return;
+	}
+	option = describe(request, &search->ranking, endpoint,
+			  search->places.distance[endpoint->domain_index],
+			  search->now_ms);
+	cost = policy->ops->cost(policy, &option, &search->rates);
+	if (choice->endpoint && cost >= search->best_cost)
+		return;
+	search->best_cost = cost;
+	search->result = CHOOSE_OK;
+	choice->endpoint = endpoint;
+	choice->unread_tokens = option.unread_tokens;
+	choice->reading_share = balance_reading_share(&option, &search->rates);
+	choice->alone = !option.backlog_tokens;
+	choice->trip_ms = balance_trip_ms(option.distance);
+	choice->expected_ms =
+		balance_expected_ms(&option, &search->rates) - option.excess_ms;
+}
+
+static void look(search_t *search, size_t count)
+{
+	const router_t *router = search->request->router;
+
+	for (size_t i = 0; i < count; i++)
+		if (is_looked_at(search, router->candidates[i]))
+			consider(search, router->candidates[i]);
+}
+
 choose_result_t choose_endpoint(const request_t *request, choice_t *choice)
 {
 	router_t *router = request->router;
-	const policy_t *policy = router->policy;
-	int64_t now_ms = router_now_ms(router);
-	balance_rates_t rates = {
+	search_t search = {.request = request,
+			   .now_ms = router_now_ms(router),
+			   .share = balance_sample_share(router->all_hosts),
+			   .result = CHOOSE_NONE,
+			   .choice = choice};
+	size_t count;
+
+	search.rates = (balance_rates_t){
 		.tokens_per_ms =
 			router_service(router, request->admission.service_name)
 				->tokens_per_ms,
 		.fail_cost_ms =
 			CHOOSE_FAIL_PART * request->admission.route->target_ms};
-	choose_result_t result = CHOOSE_NONE;
-	double best_cost = 0.0;
-	ranking_t ranking;
-	places_t places;
-	size_t count;
-
 	*choice = (choice_t){.endpoint = NULL};
 	fleet_update_marks(router->fleet);
-	find_places(request, &places);
-	count = list_candidates(request, &places);
-	ranking = rank_endpoints(request, count);
-	for (size_t i = 0; i < count; i++) {
-		endpoint_t *endpoint = router->candidates[i];
-		balance_option_t option;
-		double cost;
-
-		if (!has_room(request, endpoint, now_ms) ||
-		    !may_send_now(request, endpoint, now_ms)) {
-			if (result == CHOOSE_NONE &&
-			    !endpoint->warmth.unreachable)
-				result = CHOOSE_LATER;
-			continue;
-		}
-		option = describe(request, &ranking, endpoint,
-				  places.distance[endpoint->domain_index],
-				  now_ms);
-		cost = policy->ops->cost(policy, &option, &rates);
-		if (choice->endpoint && cost >= best_cost)
-			continue;
-		best_cost = cost;
-		result = CHOOSE_OK;
-		choice->endpoint = endpoint;
-		choice->unread_tokens = option.unread_tokens;
-		choice->reading_share = balance_reading_share(&option, &rates);
-		choice->alone = !option.backlog_tokens;
-		choice->trip_ms = balance_trip_ms(option.distance);
-		choice->expected_ms =
-			balance_expected_ms(&option, &rates) - option.excess_ms;
+	find_places(request, &search.places);
+	count = list_candidates(request, &search.places);
+	search.ranking = rank_endpoints(request, count);
+	look(&search, count);
+	if (!choice->endpoint && search.share < 1.0) {
+		search.share = 1.0;
+		look(&search, count);
 	}
-	return result;
+	return search.result;
 }
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -454,6 +454,41 @@
 	asks_engines = false;
 }
 
+/* How many endpoints hosts choose that see the same loads and have sent nothing
+ * since, one short request each. */
+static unsigned count_chosen(unsigned hosts, unsigned requests)
+{
+	endpoint_t *chosen[200];
+	unsigned count = 0;
+
+	router_set_hosts(router, hosts / 3, hosts);
+	for (unsigned i = 0; i < requests; i++) {
+		choice_t choice;
+		unsigned at = 0;
+
+		make_request(1, 0, 100);
+		request.draw = (uint64_t)(i + 1) * 0x9e3779b97f4a7c15ull;
+		CU_ASSERT_EQUAL(choose_endpoint(&request, &choice), CHOOSE_OK);
+		while (at < count && chosen[at] != choice.endpoint)
+			at++;
+		if (at == count)
+			chosen[count++] = choice.endpoint;
+	}
+	return count;
+}
+
+/* Pattern: 300 hosts that see the same loads, a second late. Guards against all
+ * of them sending to the same engine until they see what they did. */
+static void test_many_hosts_spread(void)
+{
+	set_up();
+	for (int i = ENGINES; i < 100; i++)
+		add_engine(0, i, 0);
+	CU_ASSERT_EQUAL(count_chosen(78, 200), 1);
+	CU_ASSERT(count_chosen(300, 200) > 50);
+	tear_down();
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {
@@ -471,6 +506,7 @@
 		{"baselines", test_baselines},
 		{"outdated", test_outdated},
 		{"refusing", test_refusing},
+		{"many hosts spread", test_many_hosts_spread},
 		CU_TEST_INFO_NULL};
 
 	return unit_run("choose", tests);
