--- a/lib/base/buf.h
+++ b/lib/base/buf.h
@@ -7,7 +7,7 @@
  * buf - growable byte buffer
  *
  * Zero-initialise a buf_t before the first use (BUF_INIT). Running out of
- * memory ends the process: a daemon keeps nothing, its bounded queues keep the
+ * memory ends the process: a host keeps nothing, its bounded queues keep the
  * memory within limits, and no caller could do anything better.
  */
 typedef struct buf {
--- a/lib/coordination/coldshare.h
+++ b/lib/coordination/coldshare.h
@@ -7,7 +7,7 @@
  * coldshare - this host's disjoint share of an endpoint's cold limit
  *
  * The limit is divided among the cold hosts of the endpoint's domain by the
- * sheet alone, so that the sum never exceeds it whatever daemons believe about
+ * sheet alone, so that the sum never exceeds it whatever hosts believe about
  * each other.
  */
 
--- a/lib/coordination/gossip.h
+++ b/lib/coordination/gossip.h
@@ -12,10 +12,10 @@
  *
  * Each host sends a digest to a few others in each round: itself, the revision
  * of its replica, some of the hosts it has heard of in full, and of more of
- * them only a tag and when they were heard of. A host that is new, to the
- * sender or as the receiver, is told or tells in full. The bytes a host sends
- * and keeps are bounded, however many hosts there are. The module keeps the
- * table and reads and writes messages; it does no input or output.
+ * them only a tag and when they were heard of. New hosts are told in full, and
+ * old ones, too, to a host that is new or said that it knows fewer. The bytes a
+ * host sends and keeps are bounded, however many hosts there are. The module
+ * keeps the table and reads and writes messages; it does no input or output.
  */
 #define GOSSIP_MAX_MEMBERS 1024
 #define GOSSIP_FANOUT 3
--- a/lib/coordination/rendezvous.h
+++ b/lib/coordination/rendezvous.h
@@ -8,7 +8,7 @@
 /*
  * rendezvous - highest random weight hashing
  *
- * All daemons compute the same weights from names alone. Removing one host
+ * All hosts compute the same weights from names alone. Removing one host
  * moves only the keys that it held.
  */
 
--- a/programs/peridot-load.c
+++ b/programs/peridot-load.c
@@ -184,12 +184,11 @@
 {
 	static arguments_t a = {.scale = 1, .seed = -1};
 	static load_run_t run;
-	struct argp argp = {
-		.options = options,
-		.parser = parse_option,
-		.args_doc = "SCENARIO",
-		.doc = "Sends the load of a scenario to entry daemons on "
-		       "loopback and verifies each answer."};
+	struct argp argp = {.options = options,
+			    .parser = parse_option,
+			    .args_doc = "SCENARIO",
+			    .doc = "Sends the load of a scenario to hosts on "
+				   "loopback and verifies each answer."};
 	buf_t report = BUF_INIT;
 	err_t err = {0};
 	int status = EXIT_FAILURE;
--- a/tests/unit/test_node.c
+++ b/tests/unit/test_node.c
@@ -111,8 +111,8 @@
 	sheet_free(sheet);
 }
 
-/* A field lost on the way would differ between daemons that read TOML and
- * daemons that read nodes. */
+/* A field lost on the way would differ between hosts that read TOML and
+ * hosts that read nodes. */
 static void test_round_trip(void)
 {
 	sheet_t *sheet = sheets_parse(str_from(sheets_valid));
@@ -229,7 +229,7 @@
 }
 
 /* Well-formed nodes whose content breaks the sheet's rules must not come into
- * force: the daemons use indices and limits without checking them again. */
+ * force: hosts use indices and limits without checking them again. */
 static void test_invalid_content(void)
 {
 	sheet_t *sheet = sheets_parse(str_from(sheets_valid));
