--- a/lib/coordination/balance.c
+++ b/lib/coordination/balance.c
@@ -17,6 +17,9 @@
 /* Reading a shared part of a prompt once more takes capacity from others and
  * is billed: a longer wait is preferred. */
 #define REPEATED_CHARGE_MS_PER_TOKEN 1.2
+/* Copies between engines are billed at a tenth of that. */
+#define COPIED_CHARGE_MS_PER_TOKEN 0.25
+#define COPY_SETUP_MS 6.0
 /* A long prompt on an express endpoint, by its length; any other one beside
  * long prompts. */
 #define EXPRESS_CHARGE_MS_PER_TOKEN 0.1
@@ -103,6 +106,8 @@
 	       charge_ms(option->distance) + reading_ms(option, rates) +
 	       RUNNING_CHARGE_MS * option->in_flight +
 	       REPEATED_CHARGE_MS_PER_TOKEN * (double)option->repeated_tokens +
+	       COPIED_CHARGE_MS_PER_TOKEN * (double)option->copied_tokens +
+	       (option->copied_tokens ? COPY_SETUP_MS : 0.0) +
 	       option->failing * rates->fail_cost_ms + option->lane_ms +
 	       (option->last_resort ? LAST_RESORT_MS : 0.0);
 }
--- a/lib/coordination/balance.h
+++ b/lib/coordination/balance.h
@@ -27,6 +27,8 @@
 	uint64_t unread_tokens;
 	/* Of these, tokens that another endpoint has already read. */
 	uint64_t repeated_tokens;
+	/* Tokens that it would copy from an engine that has read them. */
+	uint64_t copied_tokens;
 	unsigned in_flight; /* requests at the endpoint */
 	/* For the baselines of policy.h: sends of this host since its last one
 	 * to the endpoint; requests there as the hosts told last. */
--- a/lib/coordination/prefixmap.c
+++ b/lib/coordination/prefixmap.c
@@ -23,36 +23,56 @@
 	parts->tokens[parts->count++] = tokens;
 }
 
-static uint32_t *slot(const prefixmap_t *map, uint64_t endpoint, uint64_t part,
-		      uint32_t *tag)
+uint64_t prompt_parts_shared(const prompt_parts_t *parts)
 {
-	uint64_t hash = mix(endpoint, part);
+	uint64_t tokens = 0;
+
+	for (size_t i = 0; i + 1 < parts->count; i++)
+		tokens += parts->tokens[i];
+	return tokens;
+}
 
-	*tag = (uint32_t)(hash >> 32) | 1;
-	return (uint32_t *)&map->entries[hash % PREFIXMAP_ENTRIES];
+uint64_t prefixmap_key(uint64_t engine, uint64_t part)
+{
+	return mix(engine, part);
 }
 
-uint64_t prefixmap_cached(const prefixmap_t *map, uint64_t endpoint,
+static uint32_t tag_of(uint64_t key)
+{
+	return (uint32_t)(key >> 32) | 1;
+}
+
+bool prefixmap_add(prefixmap_t *map, uint64_t key)
+{
+	uint32_t *entry = &map->entries[key % PREFIXMAP_ENTRIES];
+
+	if (*entry == tag_of(key))
+		return false;
+	*entry = tag_of(key);
+	return true;
+}
+
+static bool has_key(const prefixmap_t *map, uint64_t key)
+{
+	return map->entries[key % PREFIXMAP_ENTRIES] == tag_of(key);
+}
+
+uint64_t prefixmap_cached(const prefixmap_t *map, uint64_t engine,
 			  const prompt_parts_t *parts)
 {
 	uint64_t tokens = 0;
-	uint32_t tag;
 
 	for (size_t i = 0; i < parts->count; i++) {
-		if (*slot(map, endpoint, parts->hashes[i], &tag) != tag)
+		if (!has_key(map, prefixmap_key(engine, parts->hashes[i])))
 			break;
 		tokens += parts->tokens[i];
 	}
 	return tokens;
 }
 
-void prefixmap_on_send(prefixmap_t *map, uint64_t endpoint,
+void prefixmap_on_send(prefixmap_t *map, uint64_t engine,
 		       const prompt_parts_t *parts)
 {
-	for (size_t i = 0; i < parts->count; i++) {
-		uint32_t tag;
-		uint32_t *entry = slot(map, endpoint, parts->hashes[i], &tag);
-
-		*entry = tag;
-	}
+	for (size_t i = 0; i < parts->count; i++)
+		prefixmap_add(map, prefixmap_key(engine, parts->hashes[i]));
 }
--- a/lib/request/channel.c
+++ b/lib/request/channel.c
@@ -341,6 +341,7 @@
 		.left_ms = request->ends_ms - router_now_ms(router),
 		.priority = request->admission.priority,
 		.resume_after = str_from(request->last_event_id),
+		.source = str_from(request->source),
 		.body_len = request->body.len,
 		.max_output_tokens =
 			request->admission.route->max_output_tokens,
--- a/lib/request/choose.c
+++ b/lib/request/choose.c
@@ -5,6 +5,7 @@
 #include "coordination/balance.h"
 #include "request/channel.h"
 #include "request/probe.h"
+#include "request/ranking.h"
 
 /* Excess times are forgotten, so that a slow endpoint is tried again. */
 #define CHOOSE_EXCESS_HALF_LIFE_MS 1500.0
@@ -14,19 +15,6 @@
  * a while: beyond it streams there take so long that they miss their end. */
 #define CHOOSE_SATURATED_SHARE 0.6
 
-/*
- * All hosts rank the endpoints for a prompt in the same way. What the first
- * ones can't take goes to the next in rank, so that few endpoints read a shared
- * part; the later in the rank, the less likely one has read it.
- */
-#define CHOOSE_RANKS 4
-static const double rank_unread_part[CHOOSE_RANKS] = {0.0, 0.3, 0.6, 0.8};
-
-typedef struct ranking {
-	const endpoint_t *endpoints[CHOOSE_RANKS]; /* NULL after the last */
-	double weights[CHOOSE_RANKS];
-} ranking_t;
-
 /* What a request may use of each domain, found once a decision. */
 typedef struct places {
 	bool allowed[FLEET_MAX_DOMAINS + 1];
@@ -149,105 +137,6 @@
 				     request->admission.service);
 }
 
-/* A number in [0, 1) that all hosts give to the same prompt and endpoint. */
-static double preference(const endpoint_t *endpoint, uint64_t part)
-{
-	uint64_t x = (endpoint->hash ^ part) * 0x9e3779b97f4a7c15ull;
-
-	x ^= x >> 32;
-	x *= 0xd6e8feb86659fd93ull;
-	return (double)(x >> 11) / 9007199254740992.0; /* 2^53 */
-}
-
-static uint64_t shared_tokens(const request_t *request)
-{
-	const prompt_parts_t *parts = &request->call.parts;
-	uint64_t tokens = 0;
-
-	for (size_t i = 0; i + 1 < parts->count; i++)
-		tokens += parts->tokens[i];
-	return tokens;
-}
-
-static uint64_t cached_tokens(const request_t *request,
-			      const endpoint_t *endpoint)
-{
-	return prefixmap_cached(&request->router->prefixes, endpoint->hash,
-				&request->call.parts);
-}
-
-/* Part of a prompt's shared tokens that the endpoint has not read, unless this
- * host knows better. */
-static double unread_part(const ranking_t *ranking, const endpoint_t *endpoint)
-{
-	for (size_t i = 0; i < CHOOSE_RANKS; i++)
-		if (ranking->endpoints[i] == endpoint)
-			return rank_unread_part[i];
-	return 1.0;
-}
-
-/* Sets the tokens to be read, and those of them that another one has read. */
-static void set_unread(const request_t *request, const ranking_t *ranking,
-		       const endpoint_t *endpoint, balance_option_t *option)
-{
-	uint64_t total = request->call.prompt_tokens;
-	uint64_t cached = cached_tokens(request, endpoint);
-	uint64_t shared = shared_tokens(request);
-	uint64_t unread = total > cached ? total - cached : 0;
-	uint64_t unread_shared = shared > cached ? shared - cached : 0;
-	double part = unread_part(ranking, endpoint);
-
-	option->repeated_tokens = (uint64_t)((double)unread_shared * part);
-	option->unread_tokens =
-		unread - unread_shared + option->repeated_tokens;
-}
-
-/* True when the endpoint's lane is the prompt's own. */
-static bool is_on_lane(const request_t *request, const endpoint_t *endpoint)
-{
-	return balance_lane_charge(request->call.prompt_tokens,
-				   endpoint->express) <= 0.0;
-}
-
-static void insert_ranked(ranking_t *ranking, const endpoint_t *endpoint,
-			  double weight)
-{
-	size_t at = CHOOSE_RANKS;
-
-	while (at && (!ranking->endpoints[at - 1] ||
-		      ranking->weights[at - 1] < weight))
-		at--;
-	for (size_t i = CHOOSE_RANKS - 1; i > at; i--) {
-		ranking->endpoints[i] = ranking->endpoints[i - 1];
-		ranking->weights[i] = ranking->weights[i - 1];
-	}
-	if (at == CHOOSE_RANKS)
-		return;
-	ranking->endpoints[at] = endpoint;
-	ranking->weights[at] = weight;
-}
-
-/* Highest random weight: removing an endpoint moves only its own prompts. */
-static ranking_t rank_endpoints(const request_t *request, size_t count)
-{
-	const router_t *router = request->router;
-	const prompt_parts_t *parts = &request->call.parts;
-	ranking_t ranking = {{NULL}, {0.0}};
-
-	if (parts->count < 2)
-		return ranking;
-	for (size_t i = 0; i < count; i++) {
-		const endpoint_t *endpoint = router->candidates[i];
-		double weight;
-
-		weight = preference(endpoint, parts->hashes[parts->count - 2]);
-		if (is_on_lane(request, endpoint))
-			weight += 1.0; /* before all others */
-		insert_ranked(&ranking, endpoint, weight);
-	}
-	return ranking;
-}
-
 static double excess_now(const endpoint_t *endpoint, int64_t now_ms)
 {
 	double age = (double)(now_ms - endpoint->excess_set_ms);
@@ -280,7 +169,7 @@
 	if (engine) {
 		option.backlog_tokens = load.backlog_tokens;
 		option.tokens_per_s = (double)load.tokens_per_s;
-		set_unread(request, ranking, endpoint, &option);
+		ranking_set_tokens(ranking, request, endpoint, &option);
 		option.service_ms = ROUTER_ENGINE_BASE_MS;
 		option.lane_ms = balance_lane_charge(
 			request->call.prompt_tokens, endpoint->express);
@@ -313,19 +202,13 @@
 	choice_t *choice;
 } search_t;
 
-static bool is_ranked(const ranking_t *ranking, const endpoint_t *endpoint)
-{
-	for (size_t i = 0; i < CHOOSE_RANKS; i++)
-		if (ranking->endpoints[i] == endpoint)
-			return true;
-	return false;
-}
-
 /* Homes of the prompt, and others as the request's draw has it. */
 static bool is_looked_at(const search_t *search, const endpoint_t *endpoint)
 {
-	return search->share >= 1.0 || is_ranked(&search->ranking, endpoint) ||
-	       preference(endpoint, search->request->draw) < search->share;
+	return search->share >= 1.0 ||
+	       ranking_contains(&search->ranking, endpoint) ||
+	       ranking_preference(endpoint, search->request->draw) <
+		       search->share;
 }
 
 static void consider(search_t *search, endpoint_t *endpoint)
@@ -389,11 +272,14 @@
 	fleet_update_marks(router->fleet);
 	find_places(request, &search.places);
 	count = list_candidates(request, &search.places);
-	search.ranking = rank_endpoints(request, count);
+	search.ranking = ranking_make(request, count);
 	look(&search, count);
 	if (!choice->endpoint && search.share < 1.0) {
 		search.share = 1.0;
 		look(&search, count);
 	}
+	if (choice->endpoint)
+		choice->source =
+			ranking_find_source(&search.ranking, choice->endpoint);
 	return search.result;
 }
--- a/lib/request/choose.h
+++ b/lib/request/choose.h
@@ -14,11 +14,12 @@
 
 typedef struct choice {
 	endpoint_t *endpoint;
-	uint64_t unread_tokens; /* that it will have to read */
-	bool alone;		/* it has nothing else to read */
-	double trip_ms;		/* to it and back */
-	double reading_share;	/* of its time that it reads prompts */
-	double expected_ms;	/* until the first token or answer */
+	const endpoint_t *source; /* that has read more of it; or NULL */
+	uint64_t unread_tokens;	  /* that it will have to read */
+	bool alone;		  /* it has nothing else to read */
+	double trip_ms;		  /* to it and back */
+	double reading_share;	  /* of its time that it reads prompts */
+	double expected_ms;	  /* until the first token or answer */
 } choice_t;
 
 /*
--- a/lib/request/dialect.h
+++ b/lib/request/dialect.h
@@ -57,6 +57,7 @@
 	int64_t left_ms;
 	unsigned priority;  /* 0 is the highest */
 	str_t resume_after; /* id of the last event passed on */
+	str_t source;	    /* address of an engine to copy read parts from */
 	size_t body_len;
 	unsigned max_output_tokens; /* 0: no bound */
 	str_t trace;		    /* context for the endpoint; ptr NULL */
--- a/lib/request/loadsync.c
+++ b/lib/request/loadsync.c
@@ -32,6 +32,8 @@
 	relay_t relays[LOADSYNC_MAX_REGIONS];
 	size_t relay_count;
 	loadboard_entry_t entries[MAX_ENDPOINTS];
+	/* A relay: keys from other regions, for the hosts of its own. */
+	prefixnews_t foreign;
 };
 
 static int64_t now_of(const loadsync_t *loadsync)
@@ -86,6 +88,16 @@
 	}
 }
 
+/* Sends a message and releases it. */
+static void send_message(const loadsync_t *loadsync, const char *ip,
+			 buf_t *message)
+{
+	metrics_add(METRIC_CONTROL_BYTES_SENT, STR_LIT(""), message->len);
+	if (!udp_send(loadsync->fd, ip, loadsync->port, buf_view(message)))
+		metrics_inc(METRIC_GOSSIP_UNSENT);
+	buf_release(message);
+}
+
 /* Sends entries in messages of bounded size. */
 static void send_entries(const loadsync_t *loadsync, const char *ip,
 			 loadboard_kind_t kind, uint32_t source, size_t count)
@@ -98,12 +110,7 @@
 
 		loadboard_write(kind, source, loadsync->entries + at, part,
 				&message);
-		metrics_add(METRIC_CONTROL_BYTES_SENT, STR_LIT(""),
-			    message.len);
-		if (!udp_send(loadsync->fd, ip, loadsync->port,
-			      buf_view(&message)))
-			metrics_inc(METRIC_GOSSIP_UNSENT);
-		buf_release(&message);
+		send_message(loadsync, ip, &message);
 	}
 }
 
@@ -235,6 +242,55 @@
 	}
 }
 
+static void send_keys(const loadsync_t *loadsync, const char *ip,
+		      prefixnews_kind_t kind, const prefixnews_t *news)
+{
+	for (size_t at = 0; at < news->count; at += PREFIXNEWS_MESSAGE_KEYS) {
+		size_t part = news->count - at < PREFIXNEWS_MESSAGE_KEYS ?
+				      news->count - at :
+				      PREFIXNEWS_MESSAGE_KEYS;
+		buf_t message = BUF_INIT;
+
+		prefixnews_write(kind, news->keys + at, part, &message);
+		send_message(loadsync, ip, &message);
+	}
+}
+
+/* A relay tells the keys of its region to the others, and all to its region. */
+static void tell_keys(const loadsync_t *loadsync)
+{
+	const gossip_t *gossip = peersync_gossip(loadsync->peersync);
+	const prefixnews_t *news = &loadsync->router->prefix_news;
+
+	for (size_t i = 0; i < loadsync->relay_count; i++)
+		if (loadsync->relays[i].member)
+			send_keys(loadsync, loadsync->relays[i].member->ip,
+				  PREFIXNEWS_REGION, news);
+	for (size_t i = 0; i < gossip_member_count(gossip); i++) {
+		const member_t *member = gossip_member(gossip, i);
+
+		if (!is_in_region(loadsync, member))
+			continue;
+		send_keys(loadsync, member->ip, PREFIXNEWS_ALL, news);
+		send_keys(loadsync, member->ip, PREFIXNEWS_ALL,
+			  &loadsync->foreign);
+	}
+}
+
+/* Tells which parts engines have read since the last round. */
+static void tell_news(loadsync_t *loadsync)
+{
+	const relay_t *relay = get_relay(loadsync, loadsync->router->region);
+	prefixnews_t *news = &loadsync->router->prefix_news;
+
+	if (is_relay(loadsync))
+		tell_keys(loadsync);
+	else if (relay)
+		send_keys(loadsync, relay->member->ip, PREFIXNEWS_HOST, news);
+	news->count = 0;
+	loadsync->foreign.count = 0;
+}
+
 static void on_round(void *user)
 {
 	loadsync_t *loadsync = user;
@@ -247,11 +303,39 @@
 		tell_other_relays(loadsync);
 		tell_region(loadsync, round_ms);
 	}
+	tell_news(loadsync);
 	read_board(loadsync);
 	loop_timer_set(loadsync->router->loop, &loadsync->timer, round_ms,
 		       on_round, loadsync);
 }
 
+/* Keeps what the hosts of the own region say for the other relays, and what
+ * these say for the own region. */
+static err_code_t read_news(loadsync_t *loadsync, str_t message, err_t *err)
+{
+	router_t *router = loadsync->router;
+	prefixnews_t fresh = {.count = 0};
+	prefixnews_kind_t kind;
+	prefixnews_t *queue;
+
+	if (prefixnews_read(message, &router->prefixes, &kind, &fresh, err))
+		return err->code;
+	if (kind == PREFIXNEWS_ALL)
+		return ERR_OK;
+	queue = kind == PREFIXNEWS_HOST ? &router->prefix_news :
+					  &loadsync->foreign;
+	for (size_t i = 0; i < fresh.count; i++)
+		prefixnews_add(queue, fresh.keys[i]);
+	return ERR_OK;
+}
+
+static err_code_t read_datagram(loadsync_t *loadsync, str_t message, err_t *err)
+{
+	if (prefixnews_is_message(message))
+		return read_news(loadsync, message, err);
+	return loadboard_read(loadsync->board, message, now_of(loadsync), err);
+}
+
 static void on_datagram(void *user, uint32_t events)
 {
 	loadsync_t *loadsync = user;
@@ -263,8 +347,7 @@
 		err_t err;
 
 		metrics_add(METRIC_CONTROL_BYTES_RECEIVED, STR_LIT(""), len);
-		if (loadboard_read(loadsync->board, (str_t){buffer, len},
-				   now_of(loadsync), &err))
+		if (read_datagram(loadsync, (str_t){buffer, len}, &err))
 			plog_write(PLOG_MESSAGE_INVALID, "peer=%s step=%s",
 				   err.peer, err.step);
 	}
--- a/lib/request/reply.c
+++ b/lib/request/reply.c
@@ -81,6 +81,11 @@
 		REPLY_EXCESS_WEIGHT *
 		((excess_ms > 0.0 ? excess_ms : 0.0) - endpoint->excess_ms);
 	endpoint->excess_set_ms = now_ms;
+	if (request->reads_shared)
+		prefixnews_add_parts(&request->router->prefix_news,
+				     endpoint->memory_hash,
+				     &request->call.parts);
+	request->reads_shared = false;
 	request_release_backlog(request, endpoint);
 }
 
--- a/lib/request/request.h
+++ b/lib/request/request.h
@@ -4,6 +4,7 @@
 #include "request/admit.h"
 #include "request/events.h"
 #include "request/router.h"
+#include "transport/address.h"
 
 /*
  * request - one caller's request from its last byte to its final answer
@@ -69,9 +70,11 @@
 	int64_t sent_ms;
 	uint64_t backlog_tokens; /* counted at the endpoint until its answer */
 	uint64_t unread_tokens;	 /* that the endpoint had to read at the send */
-	bool alone;		 /* it had nothing else to read then */
-	double trip_ms;		 /* to the endpoint and back */
-	double reading_share;	 /* of its time that it read prompts then */
+	bool reads_shared;	 /* its shared parts were not read there */
+	char source[ADDRESS_BYTES]; /* of the engine that has read more */
+	bool alone;		    /* it had nothing else to read then */
+	double trip_ms;		    /* to the endpoint and back */
+	double reading_share;	    /* of its time that it read prompts then */
 	double expected_ms;
 	int64_t progress_ms; /* when the endpoint last sent something */
 	/* The answer. */
--- a/lib/request/router.h
+++ b/lib/request/router.h
@@ -4,6 +4,7 @@
 #include "coordination/floors.h"
 #include "coordination/policy.h"
 #include "coordination/prefixmap.h"
+#include "coordination/prefixnews.h"
 #include "coordination/repeats.h"
 #include "request/dialect.h"
 #include "request/tracer.h"
@@ -72,6 +73,7 @@
 	catalog_t *catalog; /* NULL until the first one is known */
 	fleet_t *fleet;
 	prefixmap_t prefixes;
+	prefixnews_t prefix_news; /* to be told to other hosts */
 	service_stats_t *services;
 	unsigned domain_hosts; /* hosts of this domain, this one included */
 	unsigned all_hosts;
--- a/lib/request/send.c
+++ b/lib/request/send.c
@@ -122,6 +122,8 @@
 	endpoint->last_send = ++request->router->send_count;
 	request->backlog_tokens = choice->unread_tokens;
 	request->alone = choice->alone;
+	str_copy(request->source, sizeof(request->source),
+		 str_from(choice->source ? choice->source->address : ""));
 	request->trip_ms = choice->trip_ms;
 	request->reading_share = choice->reading_share;
 	request->unread_tokens = choice->unread_tokens;
@@ -134,7 +136,11 @@
 				 REQUEST_SENT;
 	coldgate_on_send(&endpoint->gate, request_now_ms(request));
 	breaker_on_send(&endpoint->breaker, request_now_ms(request));
-	prefixmap_on_send(&request->router->prefixes, endpoint->hash,
+	request->reads_shared =
+		prefixmap_cached(&request->router->prefixes,
+				 endpoint->memory_hash, &request->call.parts) <
+		prompt_parts_shared(&request->call.parts);
+	prefixmap_on_send(&request->router->prefixes, endpoint->memory_hash,
 			  &request->call.parts);
 }
 
@@ -243,7 +249,7 @@
 	plog_write(PLOG_REQUEST_SENT,
 		   "id=%" STR_FMT " endpoint=%s send=%u wait_ms=%lld "
 		   "left_ms=%lld expected_ms=%.0f in_flight=%u unread=%llu "
-		   "backlog=%llu reading=%.2f cold=%d version=%lld",
+		   "backlog=%llu reading=%.2f source=%s cold=%d version=%lld",
 		   STR_ARG(request->call.id), request->endpoint->id,
 		   request->sends,
 		   (long long)(request->sent_ms - request->arrived_ms),
@@ -252,6 +258,7 @@
 		   (unsigned long long)request->unread_tokens,
 		   (unsigned long long)request->endpoint->backlog_tokens,
 		   request->reading_share,
+		   request->source[0] ? request->source : "-",
 		   choose_is_cold(request, request->endpoint, request->sent_ms),
 		   (long long)catalog_version(request->catalog));
 }
--- a/lib/state/catalog.h
+++ b/lib/state/catalog.h
@@ -63,9 +63,10 @@
 	unsigned slots;		  /* of one model engine; 0: a plain service */
 	int64_t cold_ms;	  /* how long an endpoint stays cold */
 	double cold_per_s;	  /* requests that a cold endpoint bears */
-	bool bounded;		  /* an endpoint takes no more than its slots */
-	bool proves_warmth;	  /* endpoints are cold unless warmth.h knows
-				   * better; each host has units of the limit */
+	bool copies_parts;  /* engines copy read prompt parts from others */
+	bool bounded;	    /* an endpoint takes no more than its slots */
+	bool proves_warmth; /* endpoints are cold unless warmth.h knows
+			     * better; each host has units of the limit */
 } catalog_service_t;
 
 typedef struct catalog_customer {
--- a/lib/state/fleet.c
+++ b/lib/state/fleet.c
@@ -181,6 +181,8 @@
 	endpoint->service_index = get_service(fleet, record->service);
 	endpoint->domain_index = (unsigned)get_domain(fleet, record->domain);
 	endpoint->hash = XXH64(record->id.ptr, record->id.len, 0);
+	endpoint->memory_hash = XXH64(record->id.ptr, record->id.len,
+				      (uint64_t)record->incarnation);
 	endpoint->incarnation = record->incarnation;
 	return endpoint;
 }
--- a/lib/state/fleet.h
+++ b/lib/state/fleet.h
@@ -47,7 +47,8 @@
 	char *id, *service, *address, *domain;
 	unsigned service_index; /* see fleet_find_service() */
 	unsigned domain_index;	/* see fleet_domain_at() */
-	uint64_t hash;
+	uint64_t hash;		/* of its id */
+	uint64_t memory_hash;	/* and of its incarnation, for prefixmap.h */
 	endpoint_state_t state;
 	unsigned refs;
 	unsigned slots;
--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -5,6 +5,7 @@
 
 #include "coordination/gossip.h"
 #include "coordination/loadboard.h"
+#include "coordination/prefixnews.h"
 #include "coordination/pullcodec.h"
 #include "coordination/sheetsync.h"
 #include "platform/headers.h"
@@ -338,6 +339,21 @@
 	loadboard_free(board);
 }
 
+static void run_prefix_news(str_t input, uint64_t draw)
+{
+	static prefixmap_t map;
+	prefixnews_t fresh = {.count = 0};
+	prefixnews_kind_t kind;
+	bool is_message = prefixnews_is_message(input);
+	err_t err;
+
+	(void)draw;
+	if (prefixnews_read(input, &map, &kind, &fresh, &err))
+		return;
+	require(is_message, "a message is known by its kind");
+	require(fresh.count <= PREFIXNEWS_MAX, "the queue is bounded");
+}
+
 static void ignore_record(void *user, str_t key, str_t value)
 {
 	(void)user;
@@ -406,6 +422,7 @@
 	{"node", run_node},
 	{"gossip", run_gossip},
 	{"loads", run_loads},
+	{"prefix-news", run_prefix_news},
 	{"pull", run_pull},
 	{"frame", run_frame},
 	{NULL, NULL}};
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -28,6 +28,9 @@
 static const char *const domain_names[DOMAINS] = {"d0", "d1", "d2"};
 static const char *const region_names[DOMAINS] = {"r0", "r1", "r2"};
 
+/* Whether engines copy read parts from each other. */
+static bool copies_parts = true;
+
 /* Whether engines are asked for their state, as on the native interface. */
 static bool asks_engines;
 
@@ -49,6 +52,7 @@
 				     .slots = 64,
 				     .cold_ms = 3000,
 				     .cold_per_s = 12.0,
+				     .copies_parts = copies_parts,
 				     .proves_warmth = asks_engines};
 
 	catalog = catalog_create(version);
@@ -209,6 +213,94 @@
 	tear_down();
 }
 
+/* Other hosts told that the engine has read the shared parts of a thing. */
+static void note_read(const endpoint_t *engine, unsigned thing, unsigned shared)
+{
+	const prompt_parts_t *parts;
+
+	parts = &make_request(thing, shared, 1)->call.parts;
+	prefixmap_add(&router->prefixes,
+		      prefixmap_key(engine->memory_hash, parts->hashes[0]));
+}
+
+static choice_t choose(unsigned thing, unsigned shared, unsigned own)
+{
+	choice_t choice;
+
+	CU_ASSERT_EQUAL(
+		choose_endpoint(make_request(thing, shared, own), &choice),
+		CHOOSE_OK);
+	return choice;
+}
+
+/* Pattern: one thing gets much of the traffic, and this host has sent none of
+ * it. Guards against a shared part that is read once more although an engine
+ * could copy it, and against waiting for a busy engine that others may copy
+ * from. */
+static void test_copy_of_hot_thing(void)
+{
+	endpoint_t *home;
+	choice_t choice;
+
+	set_up();
+	home = must_place(3, 5000, 6000);
+	CU_ASSERT_PTR_NULL(choose(3, 5000, 6000).source);
+	note_read(home, 3, 5000);
+	choice = choose(3, 5000, 6000);
+	CU_ASSERT_PTR_EQUAL(choice.endpoint, home);
+	CU_ASSERT_PTR_NULL(choice.source);
+	CU_ASSERT_EQUAL(choice.unread_tokens, 6000);
+
+	endpoint_count_tokens(home, FULL_TOKENS, START_MS);
+	choice = choose(3, 5000, 6000);
+	CU_ASSERT_PTR_NOT_EQUAL(choice.endpoint, home);
+	CU_ASSERT_PTR_EQUAL(choice.source, home);
+	CU_ASSERT_EQUAL(choice.unread_tokens, 6000);
+	/* Each of two holders is the other's source: it may have given the
+	 * part up since. */
+	note_read(choice.endpoint, 3, 5000);
+	CU_ASSERT_PTR_EQUAL(choose(3, 5000, 6000).source, home);
+	tear_down();
+}
+
+/* Guards against engines that are told to copy from one that is leaving, fails
+ * or has started anew, or where engines can't copy. */
+static void test_no_source(void)
+{
+	endpoint_record_t record = {.id = STR_LIT("new"),
+				    .service = STR_LIT("model"),
+				    .address = STR_LIT("127.0.0.1:1"),
+				    .domain = STR_LIT("d1"),
+				    .slots = 64,
+				    .incarnation = 5};
+	endpoint_t *holder;
+
+	set_up();
+	holder = fleet_put(router->fleet, &record, START_MS);
+	holder->total = (load_t){0, 80000, 64};
+	note_read(holder, 3, 5000);
+	CU_ASSERT_PTR_EQUAL(choose(3, 5000, 6000).source, holder);
+	breaker_on_fault(&holder->breaker, BREAKER_UNREACHABLE, START_MS);
+	CU_ASSERT_PTR_NULL(choose(3, 5000, 6000).source);
+	breaker_on_success(&holder->breaker, START_MS);
+	holder->state = ENDPOINT_LEAVING;
+	CU_ASSERT_PTR_NULL(choose(3, 5000, 6000).source);
+	record.incarnation = 6;
+	holder = fleet_put(router->fleet, &record, START_MS);
+	holder->total = (load_t){0, 80000, 64};
+	CU_ASSERT_PTR_NULL(choose(3, 5000, 6000).source);
+	tear_down();
+
+	copies_parts = false;
+	set_up();
+	holder = fleet_put(router->fleet, &record, START_MS);
+	holder->total = (load_t){0, 80000, 64};
+	note_read(holder, 3, 5000);
+	CU_ASSERT_PTR_NULL(choose(3, 5000, 6000).source);
+	tear_down();
+	copies_parts = true;
+}
+
 /* Pattern: the same load, sent by other hosts. Guards against a host that sees
  * its own few sends only. */
 static void test_load_of_others(void)
@@ -496,6 +588,8 @@
 		{"short prompts stay", test_short_prompts_stay},
 		{"lanes", test_lanes},
 		{"hot thing", test_hot_thing},
+		{"copy of hot thing", test_copy_of_hot_thing},
+		{"no source", test_no_source},
 		{"load of others", test_load_of_others},
 		{"failing engine", test_failing_engine},
 		{"taken out", test_taken_out},
--- a/tests/unit/test_headers.c
+++ b/tests/unit/test_headers.c
@@ -27,6 +27,7 @@
 	"X-Peridotpin-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n"
 	"Authorization: bearer key1\r\nX-Peridotpin-Tenant: forged\r\n"
 	"X-Peridotpin-Hold: 1\r\nKv-From: 1.2.3.4:5/x\r\n"
+	"Kv-Fetch: 1.2.3.4:5\r\n"
 	"X-Peridotpin-Expect-Instance: other\r\nX-Kept: yes\r\n"
 	"Connection: close, X-Gone\r\nX-Gone: 1\r\nContent-Length: 0\r\n\r\n";
 
@@ -63,13 +64,15 @@
 		"X-Kept: yes\r\nX-Peridotpin-Deadline-Ms: 1200\r\n"
 		"X-Peridotpin-Expect-Instance: i-1\r\n"
 		"X-Peridotpin-Tenant: t1\r\n"
-		"X-Peridotpin-Request-Priority: 9\r\nLast-Event-Id: 4\r\n"
+		"X-Peridotpin-Request-Priority: 9\r\n"
+		"Kv-Fetch: 10.0.0.9:80\r\nLast-Event-Id: 4\r\n"
 		"Content-Length: 0\r\n\r\n";
 	const dialect_t *dialect = headers_dialect();
 	send_terms_t terms = {.endpoint_id = STR_LIT("i-1"),
 			      .customer = STR_LIT("t1"),
 			      .left_ms = 1200,
 			      .priority = 12,
+			      .source = STR_LIT("10.0.0.9:80"),
 			      .resume_after = STR_LIT("4")};
 	buf_t out = BUF_INIT;
 	http1_t http;
--- a/tests/unit/test_records.c
+++ b/tests/unit/test_records.c
@@ -20,7 +20,7 @@
 	"\"max_attempts\":1,\"public\":true}],"
 	"\"services\":[{\"name\":\"s1\",\"health_path\":\"/healthz\","
 	"\"max_connections\":360,\"cold_start_s\":3.0,\"cold_per_s\":12.0,"
-	"\"engine\":{\"slots\":64}}],"
+	"\"engine\":{\"slots\":64,\"moves\":true}}],"
 	"\"limits\":{\"max_header_bytes\":1000,\"max_body_bytes\":2000,"
 	"\"header_timeout_ms\":300,\"idle_timeout_ms\":400},"
 	"\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"k1\",\"k2\"],"
@@ -57,6 +57,8 @@
 	CU_ASSERT_FALSE(admit_region(&admission, STR_LIT("east")));
 	CU_ASSERT_FALSE(admit_region(&admission, STR_LIT("west")));
 	CU_ASSERT_EQUAL(catalog_get_limits(catalog)->idle_timeout_ms, 400);
+	CU_ASSERT_TRUE(
+		catalog_find_service(catalog, STR_LIT("s1"))->copies_parts);
 	catalog_unref(catalog);
 }
 
