--- /dev/null
+++ b/lib/coordination/retryafter.c
@@ -0,0 +1,25 @@
+#include "coordination/retryafter.h"
+
+#define BUSY_MIN_MS 250
+#define BUSY_MAX_MS 500
+/* A host that has just started reads the configuration within the first. */
+#define ABSENT_MIN_MS 800
+#define ABSENT_MAX_MS 4000
+
+static int64_t draw(int64_t min_ms, int64_t max_ms, uint64_t random)
+{
+	if (max_ms <= min_ms)
+		return min_ms;
+	return min_ms + (int64_t)(random % (uint64_t)(max_ms - min_ms));
+}
+
+int64_t retryafter_ms(retryafter_cause_t cause, int64_t left_ms,
+		      uint64_t random)
+{
+	int64_t most_ms = left_ms / RETRYAFTER_PATIENCE_PART;
+
+	if (cause == RETRYAFTER_BUSY)
+		return draw(BUSY_MIN_MS, BUSY_MAX_MS, random);
+	return draw(ABSENT_MIN_MS,
+		    most_ms < ABSENT_MAX_MS ? most_ms : ABSENT_MAX_MS, random);
+}
--- a/lib/request/answer.c
+++ b/lib/request/answer.c
@@ -6,10 +6,9 @@
 #include "base/histogram.h"
 #include "base/metrics.h"
 #include "base/plog.h"
+#include "coordination/retryafter.h"
 #include "request/caller.h"
 
-/* Callers wait for a time to return up to a third of what they have left. */
-#define ANSWER_RETRY_PART 3
 #define ANSWER_MIN_RETRY_MS 50
 #define ANSWER_STATUS_BYTES 8
 
@@ -116,7 +115,7 @@
 		    int64_t retry_after_ms)
 {
 	int64_t left_ms = request->ends_ms - router_now_ms(request->router);
-	int64_t most_ms = left_ms / ANSWER_RETRY_PART;
+	int64_t most_ms = left_ms / RETRYAFTER_PATIENCE_PART;
 	const catalog_route_t *route = request->admission.route;
 	own_reply_t reply = make_reply(request, status, reason);
 
--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -6,6 +6,7 @@
 
 #include "base/metrics.h"
 #include "base/plog.h"
+#include "coordination/retryafter.h"
 #include "request/answer.h"
 #include "request/caller.h"
 #include "request/channel.h"
@@ -19,10 +20,6 @@
 #define REQUEST_WAIT_PART 0.125
 /* The same for an engine that reads too much; then it is sent all the same. */
 #define REQUEST_SATURATED_WAIT_PART 0.7
-/* Time to return that a refused caller gets, spread by as much again. */
-#define REQUEST_RETRY_MS 250
-/* The same while no configuration is known: it takes longer to come. */
-#define REQUEST_START_RETRY_MS 800
 static void on_end_timer(void *user);
 
 int64_t request_now_ms(const request_t *request)
@@ -61,10 +58,11 @@
 
 static int64_t retry_after(const request_t *request)
 {
-	int64_t ms = request->router->catalog ? REQUEST_RETRY_MS :
-						REQUEST_START_RETRY_MS;
+	bool is_absent = !request->router->catalog || request->lacks_endpoints;
 
-	return ms + (int64_t)(router_random(request->router) % (uint64_t)ms);
+	return retryafter_ms(is_absent ? RETRYAFTER_ABSENT : RETRYAFTER_BUSY,
+			     request->ends_ms - request_now_ms(request),
+			     router_random(request->router));
 }
 
 /* The call itself is faulty: no host could serve it. */
@@ -246,6 +244,7 @@
 {
 	int64_t expected_ms = waiting_expected_ms(request);
 	int64_t left_ms = request->ends_ms - request_now_ms(request);
+	int64_t least_ms = retry_after(request);
 	bool is_full = waiting_is_full(request);
 
 	if (request->was_queued || request->runs ||
@@ -254,8 +253,8 @@
 		waiting_add(request, true);
 		return;
 	}
-	if (expected_ms < REQUEST_RETRY_MS)
-		expected_ms = retry_after(request);
+	if (expected_ms < least_ms)
+		expected_ms = least_ms;
 	answer_not_run(request, 503,
 		       is_full ? "too many requests of the class wait" :
 				 "the expected wait is too long",
@@ -305,6 +304,8 @@
 		return;
 	if (!is_behind_others(request))
 		result = choose_endpoint(request, &choice);
+	request->lacks_endpoints =
+		result == CHOOSE_NONE && !request->tried_count;
 	if (hold(request, result, &choice))
 		return;
 	if (result != CHOOSE_OK)
--- a/lib/request/request.h
+++ b/lib/request/request.h
@@ -70,6 +70,7 @@
 	int64_t sent_ms;
 	uint64_t backlog_tokens; /* counted at the endpoint until its answer */
 	uint64_t unread_tokens;	 /* that the endpoint had to read at the send */
+	bool lacks_endpoints;	 /* none is known that may ever get it */
 	bool reads_shared;	 /* its shared parts were not read there */
 	char source[ADDRESS_BYTES]; /* of the engine that has read more */
 	bool alone;		    /* it had nothing else to read then */
