--- a/lib/request/loadsync.c
+++ b/lib/request/loadsync.c
@@ -1,36 +1,27 @@
 #include "request/loadsync.h"
 
 #include <stdlib.h>
-#include <string.h>
 #include <sys/epoll.h>
 #include <unistd.h>
 #include <xxhash.h>
 
 #include "base/metrics.h"
 #include "base/plog.h"
+#include "request/relays.h"
 #include "transport/udp.h"
 
 #define MESSAGE_BYTES 2048
 #define MAX_ENDPOINTS 4096
 
-/* The relay of a region; `member` is NULL for this host. */
-typedef struct relay {
-	str_t region;
-	uint32_t weight;
-	const member_t *member;
-} relay_t;
-
 struct loadsync {
 	router_t *router;
-	const peersync_t *peersync;
 	loadboard_t *board;
 	char *name;
-	uint32_t host; /* hash of the name */
+	uint32_t host; /* its number in messages */
 	unsigned port;
 	int fd;
 	loop_timer_t timer;
-	relay_t relays[LOADSYNC_MAX_REGIONS];
-	size_t relay_count;
+	relays_t relays;
 	loadboard_entry_t entries[MAX_ENDPOINTS];
 	/* A relay: keys from other regions, for the hosts of its own. */
 	prefixnews_t foreign;
@@ -41,53 +32,6 @@
 	return router_now_ms(loadsync->router);
 }
 
-static relay_t *get_relay(loadsync_t *loadsync, str_t region)
-{
-	for (size_t i = 0; i < loadsync->relay_count; i++)
-		if (str_equals(loadsync->relays[i].region, region))
-			return &loadsync->relays[i];
-	if (loadsync->relay_count == LOADSYNC_MAX_REGIONS)
-		return NULL;
-	loadsync->relays[loadsync->relay_count] = (relay_t){.region = region};
-	return &loadsync->relays[loadsync->relay_count++];
-}
-
-/* A host's number in messages; the highest of a region is its relay. */
-static uint32_t number_of(const char *name)
-{
-	return (uint32_t)XXH64(name, strlen(name), 0) | 1;
-}
-
-static void propose(loadsync_t *loadsync, str_t region, const char *name,
-		    const member_t *member)
-{
-	relay_t *relay = get_relay(loadsync, region);
-	uint32_t weight = number_of(name);
-
-	if (relay && weight > relay->weight) {
-		relay->weight = weight;
-		relay->member = member;
-	}
-}
-
-static void find_relays(loadsync_t *loadsync)
-{
-	const gossip_t *gossip = peersync_gossip(loadsync->peersync);
-	const fleet_t *fleet = loadsync->router->fleet;
-	int64_t now_ms = now_of(loadsync);
-
-	loadsync->relay_count = 0;
-	propose(loadsync, loadsync->router->region, loadsync->name, NULL);
-	for (size_t i = 0; i < gossip_member_count(gossip); i++) {
-		const member_t *member = gossip_member(gossip, i);
-
-		if (gossip_is_live(gossip, member, now_ms) && !member->leaving)
-			propose(loadsync,
-				fleet_region(fleet, str_from(member->domain)),
-				member->name, member);
-	}
-}
-
 /* Sends a message and releases it. */
 static void send_message(const loadsync_t *loadsync, const char *ip,
 			 buf_t *message)
@@ -149,10 +93,10 @@
 /* Tells the own loads to the relay of the region, or notes them as it does. */
 static void tell_relay(loadsync_t *loadsync)
 {
-	const relay_t *relay = get_relay(loadsync, loadsync->router->region);
+	const relay_t *relay = relays_own(&loadsync->relays);
 	size_t count = gather_own(loadsync);
 
-	if (!count || !relay)
+	if (!count)
 		return;
 	if (relay->member)
 		send_entries(loadsync, relay->member->ip, LOADBOARD_HOST,
@@ -161,13 +105,6 @@
 		note_own(loadsync, count);
 }
 
-static bool is_relay(loadsync_t *loadsync)
-{
-	const relay_t *relay = get_relay(loadsync, loadsync->router->region);
-
-	return relay && !relay->member;
-}
-
 /* A relay tells the other relays what the hosts of its region said. */
 static void tell_other_relays(loadsync_t *loadsync)
 {
@@ -176,8 +113,8 @@
 				     now_of(loadsync), loadsync->entries,
 				     MAX_ENDPOINTS);
 
-	for (size_t i = 0; i < loadsync->relay_count && count; i++) {
-		const relay_t *relay = &loadsync->relays[i];
+	for (size_t i = 0; i < loadsync->relays.count && count; i++) {
+		const relay_t *relay = &loadsync->relays.list[i];
 
 		if (relay->member && !str_equals(relay->region, region))
 			send_entries(loadsync, relay->member->ip,
@@ -187,20 +124,10 @@
 	}
 }
 
-static bool is_in_region(const loadsync_t *loadsync, const member_t *member)
-{
-	const gossip_t *gossip = peersync_gossip(loadsync->peersync);
-
-	return gossip_is_live(gossip, member, now_of(loadsync)) &&
-	       str_equals(fleet_region(loadsync->router->fleet,
-				       str_from(member->domain)),
-			  loadsync->router->region);
-}
-
 /* A relay tells the sums to the hosts of its region, itself included. */
 static void tell_region(loadsync_t *loadsync, int64_t round_ms)
 {
-	const gossip_t *gossip = peersync_gossip(loadsync->peersync);
+	const gossip_t *gossip = peersync_gossip(loadsync->relays.peersync);
 	int64_t now_ms = now_of(loadsync);
 	size_t count = loadboard_sum(loadsync->board, LOADBOARD_ALL, now_ms,
 				     loadsync->entries, MAX_ENDPOINTS);
@@ -211,13 +138,14 @@
 	if (!count)
 		return;
 	for (size_t i = 0; i < gossip_member_count(gossip); i++)
-		receivers += is_in_region(loadsync, gossip_member(gossip, i));
+		receivers += relays_in_region(&loadsync->relays,
+					      gossip_member(gossip, i));
 	count = loadboard_heaviest(loadsync->entries, count,
 				   loadboard_max_sums(receivers, round_ms));
 	for (size_t i = 0; i < gossip_member_count(gossip); i++) {
 		const member_t *member = gossip_member(gossip, i);
 
-		if (is_in_region(loadsync, member))
+		if (relays_in_region(&loadsync->relays, member))
 			send_entries(loadsync, member->ip, LOADBOARD_SUMS,
 				     loadsync->host, count);
 	}
@@ -260,17 +188,17 @@
 /* A relay tells the keys of its region to the others, and all to its region. */
 static void tell_keys(const loadsync_t *loadsync)
 {
-	const gossip_t *gossip = peersync_gossip(loadsync->peersync);
+	const gossip_t *gossip = peersync_gossip(loadsync->relays.peersync);
 	const prefixnews_t *news = &loadsync->router->prefix_news;
 
-	for (size_t i = 0; i < loadsync->relay_count; i++)
-		if (loadsync->relays[i].member)
-			send_keys(loadsync, loadsync->relays[i].member->ip,
+	for (size_t i = 0; i < loadsync->relays.count; i++)
+		if (loadsync->relays.list[i].member)
+			send_keys(loadsync, loadsync->relays.list[i].member->ip,
 				  PREFIXNEWS_REGION, news);
 	for (size_t i = 0; i < gossip_member_count(gossip); i++) {
 		const member_t *member = gossip_member(gossip, i);
 
-		if (!is_in_region(loadsync, member))
+		if (!relays_in_region(&loadsync->relays, member))
 			continue;
 		send_keys(loadsync, member->ip, PREFIXNEWS_ALL, news);
 		send_keys(loadsync, member->ip, PREFIXNEWS_ALL,
@@ -281,12 +209,12 @@
 /* Tells which parts engines have read since the last round. */
 static void tell_news(loadsync_t *loadsync)
 {
-	const relay_t *relay = get_relay(loadsync, loadsync->router->region);
+	const relay_t *relay = relays_own(&loadsync->relays);
 	prefixnews_t *news = &loadsync->router->prefix_news;
 
-	if (is_relay(loadsync))
+	if (relays_is_self(&loadsync->relays))
 		tell_keys(loadsync);
-	else if (relay)
+	else
 		send_keys(loadsync, relay->member->ip, PREFIXNEWS_HOST, news);
 	news->count = 0;
 	loadsync->foreign.count = 0;
@@ -298,8 +226,8 @@
 	int64_t round_ms = loadboard_round_ms(loadsync->router->all_hosts);
 
 	loadboard_set_round(loadsync->board, round_ms);
-	find_relays(loadsync);
-	if (is_relay(loadsync)) {
+	relays_find(&loadsync->relays);
+	if (relays_is_self(&loadsync->relays)) {
 		tell_relay(loadsync);
 		tell_other_relays(loadsync);
 		tell_region(loadsync, round_ms);
@@ -371,9 +299,10 @@
 	if (!loadsync || !(loadsync->name = str_dup(str_from(name))))
 		abort();
 	loadsync->router = router;
-	loadsync->peersync = peersync;
+	loadsync->relays = (relays_t){
+		.router = router, .peersync = peersync, .name = loadsync->name};
 	loadsync->board = loadboard_create();
-	loadsync->host = number_of(name);
+	loadsync->host = relays_number(name);
 	loadsync->port = port;
 	loadsync->fd = fd;
 	loop_watch(router->loop, fd, EPOLLIN, on_datagram, loadsync);
--- a/lib/request/loadsync.h
+++ b/lib/request/loadsync.h
@@ -10,13 +10,10 @@
  *
  * In each round a host sends its loads to the relay host of its region; relays
  * send each other the sums of their regions, and the sums over all to the hosts
- * of their own; see loadboard.h. The relay of a region is the live host with
- * the highest random weight, so that no host is set aside for it and another
- * takes over when it is gone. Rounds are further apart when there are more
- * hosts.
+ * of their own; see loadboard.h and relays.h. The keys of prompt parts that
+ * engines have read go the same way, see prefixnews.h. Rounds are further apart
+ * when there are more hosts.
  */
-#define LOADSYNC_MAX_REGIONS 16
-
 typedef struct loadsync loadsync_t;
 
 /* `port` is the same on all hosts. NULL with `err` set when it is in use. */
--- /dev/null
+++ b/lib/request/relays.c
@@ -0,0 +1,75 @@
+#include "request/relays.h"
+
+#include <assert.h>
+#include <string.h>
+#include <xxhash.h>
+
+uint32_t relays_number(const char *name)
+{
+	return (uint32_t)XXH64(name, strlen(name), 0) | 1;
+}
+
+static relay_t *get_relay(relays_t *relays, str_t region)
+{
+	for (size_t i = 0; i < relays->count; i++)
+		if (str_equals(relays->list[i].region, region))
+			return &relays->list[i];
+	if (relays->count == RELAYS_MAX_REGIONS)
+		return NULL;
+	relays->list[relays->count] = (relay_t){.region = region};
+	return &relays->list[relays->count++];
+}
+
+static void propose(relays_t *relays, str_t region, const char *name,
+		    const member_t *member)
+{
+	relay_t *relay = get_relay(relays, region);
+	uint32_t weight = relays_number(name);
+
+	if (relay && weight > relay->weight) {
+		relay->weight = weight;
+		relay->member = member;
+	}
+}
+
+static str_t region_of(const relays_t *relays, const member_t *member)
+{
+	return fleet_region(relays->router->fleet, str_from(member->domain));
+}
+
+void relays_find(relays_t *relays)
+{
+	const gossip_t *gossip = peersync_gossip(relays->peersync);
+	int64_t now_ms = router_now_ms(relays->router);
+
+	relays->count = 0;
+	propose(relays, relays->router->region, relays->name, NULL);
+	for (size_t i = 0; i < gossip_member_count(gossip); i++) {
+		const member_t *member = gossip_member(gossip, i);
+
+		if (gossip_is_live(gossip, member, now_ms) && !member->leaving)
+			propose(relays, region_of(relays, member), member->name,
+				member);
+	}
+}
+
+const relay_t *relays_own(const relays_t *relays)
+{
+	/* relays_find() proposes this host for its region first. */
+	assert(relays->count);
+	return &relays->list[0];
+}
+
+bool relays_is_self(const relays_t *relays)
+{
+	return !relays_own(relays)->member;
+}
+
+bool relays_in_region(const relays_t *relays, const member_t *member)
+{
+	const router_t *router = relays->router;
+	const gossip_t *gossip = peersync_gossip(relays->peersync);
+
+	return gossip_is_live(gossip, member, router_now_ms(router)) &&
+	       str_equals(region_of(relays, member), router->region);
+}
