--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -108,6 +108,8 @@
         self.hosts = hosts
         self.random = random.Random(seed)
         self.net = "127.%d.%d" % (self.random.randrange(20, 220), seed % 250)
+        self.signalled = set()  # processes that were told to end
+        self.host_locks = [threading.Lock() for _ in range(hosts)]
         self.work = tempfile.TemporaryDirectory()
         self.processes = {}
         self.proxies = {}
@@ -131,12 +133,19 @@
             self.processes[name] = subprocess.Popen(command, stdout=out,
                                                     stderr=out)
 
+    def check_alive(self, name, process):
+        """False, and a breach unless it was signalled, when it has ended."""
+        if process.poll() is None:
+            return True
+        if process.pid not in self.signalled:
+            self.breaches.append("%s ended by itself with %d" % (
+                name, process.returncode))
+        return False
+
     def stop(self, name, number):
         process = self.processes.pop(name, None)
         if process:
-            if process.poll() is not None:
-                self.breaches.append("%s ended by itself with %d" % (
-                    name, process.returncode))
+            if not self.check_alive(name, process):
                 return
             process.send_signal(signal.SIGCONT)
             process.send_signal(number)
@@ -214,6 +223,21 @@
                                    "--settings=" + path, "--log-level=warn"],
                    "h%d.log" % index)
 
+    def restart_host(self, index, number):
+        """Signals the host, and starts it anew once it has ended. A signal may
+        reach a host that another one is ending: it is started once then."""
+        process = self.processes.get("h%d" % index)
+        if not process:
+            return
+        self.check_alive("h%d" % index, process)
+        self.signalled.add(process.pid)
+        process.send_signal(signal.SIGCONT)
+        process.send_signal(number)
+        process.wait(20)
+        with self.host_locks[index]:
+            if self.processes.get("h%d" % index) is process:
+                self.start_host(index)
+
     def collect(self, index):
         """Takes the list of runs from a server."""
         try:
@@ -285,8 +309,7 @@
                          "/control/mode", {"next": ",".join(modes)})
         elif kind in ("kill", "term"):
             number = signal.SIGKILL if kind == "kill" else signal.SIGTERM
-            self.later(0, lambda: (self.stop(host, number),
-                                   self.start_host(int(host[1:]))))
+            self.later(0, lambda: self.restart_host(int(host[1:]), number))
         elif kind == "pause" and host in self.processes:
             process = self.processes[host]
             process.send_signal(signal.SIGSTOP)
