--- a/lib/coordination/balance.c
+++ b/lib/coordination/balance.c
@@ -17,7 +17,8 @@
 /* Reading a shared part of a prompt once more takes capacity from others and
  * is billed: a longer wait is preferred. */
 #define REPEATED_CHARGE_MS_PER_TOKEN 1.2
-/* Copies between engines are billed at a tenth of that. */
+/* A copy costs little of an engine's time, but memory on one more engine, and
+ * is billed, too. It takes some ms before its first token arrives. */
 #define COPIED_CHARGE_MS_PER_TOKEN 0.25
 #define COPY_SETUP_MS 6.0
 /* A long prompt on an express endpoint, by its length; any other one beside
--- a/lib/coordination/prefixnews.c
+++ b/lib/coordination/prefixnews.c
@@ -4,12 +4,18 @@
 
 #define MESSAGE_FIELDS 2
 
-bool prefixnews_add(prefixnews_t *news, uint64_t key)
+void prefixnews_add(prefixnews_t *news, uint64_t key)
 {
 	if (news->count == PREFIXNEWS_MAX)
-		return false;
-	news->keys[news->count++] = key;
-	return true;
+		news->left_out++;
+	else
+		news->keys[news->count++] = key;
+}
+
+void prefixnews_clear(prefixnews_t *news)
+{
+	news->count = 0;
+	news->left_out = 0;
 }
 
 void prefixnews_add_parts(prefixnews_t *news, uint64_t engine,
--- a/lib/coordination/prefixnews.h
+++ b/lib/coordination/prefixnews.h
@@ -32,10 +32,14 @@
 typedef struct prefixnews {
 	uint64_t keys[PREFIXNEWS_MAX];
 	size_t count;
+	size_t left_out; /* keys that came when the queue was full */
 } prefixnews_t;
 
-/* Queues a key; false when the queue is full. */
-bool prefixnews_add(prefixnews_t *news, uint64_t key);
+/* Queues a key, or counts it as left out when the queue is full. */
+void prefixnews_add(prefixnews_t *news, uint64_t key);
+
+/* Empties the queue for the next round. */
+void prefixnews_clear(prefixnews_t *news);
 
 /* Queues the keys of a prompt's shared parts, all but the last, at an engine.
  */
--- a/lib/request/loadsync.c
+++ b/lib/request/loadsync.c
@@ -216,8 +216,10 @@
 		tell_keys(loadsync);
 	else
 		send_keys(loadsync, relay->member->ip, PREFIXNEWS_HOST, news);
-	news->count = 0;
-	loadsync->foreign.count = 0;
+	metrics_add(METRIC_PREFIX_NEWS_LEFT_OUT, STR_LIT(""),
+		    news->left_out + loadsync->foreign.left_out);
+	prefixnews_clear(news);
+	prefixnews_clear(&loadsync->foreign);
 }
 
 static void on_round(void *user)
--- a/tests/unit/test_prefixnews.c
+++ b/tests/unit/test_prefixnews.c
@@ -78,9 +78,13 @@
 	prefixnews_t news = {.count = 0};
 
 	for (uint64_t i = 0; i < PREFIXNEWS_MAX; i++)
-		CU_ASSERT_TRUE(prefixnews_add(&news, i));
-	CU_ASSERT_FALSE(prefixnews_add(&news, 9));
+		prefixnews_add(&news, i);
+	CU_ASSERT_EQUAL(news.left_out, 0);
+	prefixnews_add(&news, 9);
 	CU_ASSERT_EQUAL(news.count, PREFIXNEWS_MAX);
+	CU_ASSERT_EQUAL(news.left_out, 1);
+	prefixnews_clear(&news);
+	CU_ASSERT_EQUAL(news.count + news.left_out, 0);
 }
 
 /* Guards against messages of other kinds or without sense that change the map,
