--- a/tests/session/test_host.sh
+++ b/tests/session/test_host.sh
@@ -25,6 +25,18 @@
 	control "$s1" /control/seen
 }
 
+# raw NAME TEXT: sends these bytes and no more; prints the status of the answer,
+# or that the host closed without one. Waits until the host closes.
+raw()
+{
+	local answer
+	exec 9<>"/dev/tcp/${address[h1]%:*}/${address[h1]#*:}"
+	printf '%b' "$2" >&9
+	answer=$(timeout 8 head -n 1 <&9 | tr -d '\r')
+	exec 9>&-
+	printf '%s: %s\n' "$1" "${answer:-closed}"
+}
+
 {
 	echo "== served"
 	try ok plain-1 /once/a?b=1 -d 12345
@@ -54,6 +66,15 @@
 	head -c 20000 /dev/zero >"$work/large"
 	try ok large-body /once/a --data-binary "@$work/large"
 	try ok large-head /once/a -H "X-Long: $(head -c 6000 /dev/zero | tr '\0' x)"
+	echo "== malformed, truncated and slow"
+	raw no-http 'nonsense\r\n\r\n'
+	raw bad-length 'POST /once/a HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1x\r\n\r\n'
+	raw two-framings 'POST /once/a HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n'
+	raw bad-chunk 'POST /once/a HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n'
+	raw slow-head 'GET /once/a HTTP/1.1\r\nHost: h.ex'
+	raw slow-body 'POST /once/a HTTP/1.1\r\nHost: h.example\r\nContent-Length: 9\r\n\r\n123'
+	raw idle ''
+	control "$s1" /control/seen
 } >"$work/transcript" 2>&1
 golden=$(dirname "$0")/golden/host.txt
 compare_golden "transcript of a host" "$golden" "$work/transcript"
