--- a/lib/coordination/peersync.c
+++ b/lib/coordination/peersync.c
@@ -16,6 +16,8 @@
 
 #define MAX_SEEDS 8
 #define READ_BYTES 8192
+/* A question has a few numbers; only answers have records. */
+#define MAX_QUESTION_BYTES 256
 #define SILENCE_MS 1000
 /* Shares are divided by one host more than are known: one may just start. */
 #define SPARE_HOSTS 1
@@ -132,6 +134,11 @@
 		end_pull(pull);
 		return false;
 	}
+	if (!pull->asks && pull->in.len > MAX_QUESTION_BYTES) {
+		note_invalid(pull->peer, "question");
+		end_pull(pull);
+		return false;
+	}
 	if (!content.ptr)
 		return true;
 	if (pull->asks) {
--- a/lib/request/caller.c
+++ b/lib/request/caller.c
@@ -21,7 +21,13 @@
 /* Bytes kept of what a caller sends while its request runs. */
 #define CALLER_PENDING_BYTES 65536
 /* An answer above this waits until the caller has taken some of it. */
-#define CALLER_SLOW_BYTES 131072
+#define CALLER_SLOW_BYTES 65536
+/* The same while the answers of all callers together are above the total,
+ * within the memory of a small host. */
+#define CALLER_CROWDED_BYTES 4096
+#define CALLER_MAX_UNSENT_BYTES (8 * 1024 * 1024)
+/* A new connection's first request is on its way for this long. */
+#define CALLER_FIRST_REQUEST_MS 250
 /* Body buffers above this size are given back between requests. */
 #define CALLER_KEEP_BODY_BYTES 4096
 /* Time to return for a caller whose body finds no room, spread by as much. */
@@ -51,6 +57,14 @@
 		       caller);
 }
 
+static void count_unsent(caller_t *caller)
+{
+	size_t unsent = tcp_unsent(&caller->tcp);
+
+	caller->router->unsent_bytes += unsent - caller->unsent;
+	caller->unsent = unsent;
+}
+
 static void destroy(caller_t *caller)
 {
 	router_t *router = caller->router;
@@ -59,6 +73,7 @@
 		return;
 	loop_timer_cancel(router->loop, &caller->timer);
 	tcp_close(&caller->tcp);
+	count_unsent(caller);
 	if (caller->request)
 		request_abandon(caller->request);
 	caller->request = NULL;
@@ -292,6 +307,7 @@
 			destroy(caller);
 			return;
 		}
+		count_unsent(caller);
 		if (caller->closing && !caller->lingering &&
 		    !tcp_unsent(&caller->tcp))
 			begin_linger(caller);
@@ -310,6 +326,7 @@
 	if (!caller)
 		abort();
 	caller->router = router;
+	caller->opened_ms = router_now_ms(router);
 	tcp_open(&caller->tcp, router->loop, fd, on_io, caller);
 	http1_init(&caller->http, &http_ops, HTTP_REQUEST,
 		   limits_of(caller).head_bytes);
@@ -338,11 +355,15 @@
 void caller_send(caller_t *caller, str_t data)
 {
 	tcp_send(&caller->tcp, data);
+	count_unsent(caller);
 }
 
 bool caller_is_slow(const caller_t *caller)
 {
-	return tcp_unsent(&caller->tcp) > CALLER_SLOW_BYTES;
+	bool crowded = caller->router->unsent_bytes > CALLER_MAX_UNSENT_BYTES;
+
+	return tcp_unsent(&caller->tcp) >
+	       (crowded ? CALLER_CROWDED_BYTES : CALLER_SLOW_BYTES);
 }
 
 bool caller_must_close(const caller_t *caller)
@@ -379,14 +400,24 @@
 	destroy(caller);
 }
 
+/* True when no request has come on the connection, nor is one to be read. */
+static bool is_idle(const caller_t *caller)
+{
+	int64_t age_ms = router_now_ms(caller->router) - caller->opened_ms;
+
+	return !caller->request && !caller->closing &&
+	       !http1_has_begun(&caller->http) &&
+	       age_ms >= CALLER_FIRST_REQUEST_MS &&
+	       !tcp_has_input(&caller->tcp);
+}
+
 void caller_close_idle(router_t *router)
 {
 	caller_t *next;
 
 	for (caller_t *caller = router->callers; caller; caller = next) {
 		next = caller->next;
-		if (!caller->request && !caller->closing &&
-		    !http1_has_begun(&caller->http))
+		if (is_idle(caller))
 			begin_close(caller);
 	}
 }
--- a/lib/request/caller.h
+++ b/lib/request/caller.h
@@ -16,10 +16,12 @@
 	http1_t http;
 	buf_t body;
 	buf_t pending; /* bytes after the request that runs */
+	size_t unsent; /* bytes of answers, as counted in the router */
 	request_t *request;
 	loop_timer_t timer; /* head, idle or lingering time */
-	bool closing;	    /* no further request is read */
-	bool lingering;	    /* reads off what the caller still sends */
+	int64_t opened_ms;
+	bool closing;	/* no further request is read */
+	bool lingering; /* reads off what the caller still sends */
 	bool too_large;
 	bool no_room;	/* the bodies of all requests are too many */
 	bool continued; /* 100 Continue was sent */
@@ -47,7 +49,8 @@
  */
 void caller_break_off(caller_t *caller, bool reset);
 
-/* Ends connections without a request in progress in an orderly way. */
+/* Ends connections without a request in progress, or about to be read, in an
+ * orderly way. */
 void caller_close_idle(router_t *router);
 void caller_close_all(router_t *router);
 
--- a/programs/host/host.c
+++ b/programs/host/host.c
@@ -36,7 +36,8 @@
 				 .repeat_slack = settings->repeat_slack,
 				 .repeat_window_ms = settings->repeat_window_ms,
 				 .cold_overshoot = settings->cold_overshoot,
-				 .cold_slack = settings->cold_slack};
+				 .cold_slack = settings->cold_slack,
+				 .drain_ms = settings->drain_ms};
 }
 
 static void read_seeds(host_t *host, const hostsettings_t *settings)
@@ -174,11 +175,14 @@
 }
 
 /* New connections go to another host: one that is accepted late in a stop may
- * bring a request that can't be finished. */
+ * bring a request that can't be finished. Those that wait are accepted first,
+ * since closing would reset them although their callers may have sent a
+ * request. */
 static void close_listener(host_t *host)
 {
 	if (host->listen_fd < 0)
 		return;
+	caller_accept(host->router, host->listen_fd);
 	loop_unwatch(host->loop, host->listen_fd);
 	close(host->listen_fd);
 	host->listen_fd = -1;
--- /dev/null
+++ b/tests/session/test_stop_accept.sh
@@ -0,0 +1,63 @@
+#!/bin/bash
+# A planned stop while callers connect. Guards against requests on connections
+# that the host had just accepted, or that wait to be accepted, being cut off
+# without an answer when it stops listening.
+build=$1
+. "$(dirname "$0")/lib.sh"
+. "$(dirname "$0")/hosts.sh"
+
+# connect ADDRESS COUNT: opens connections, sends a request on each at once and
+# prints the first line of each answer, or "cut" when there is none.
+connect()
+{
+	python3 - "$1" "$2" <<-'END'
+	import socket, sys
+	host, port = sys.argv[1].split(":")
+	socks = []
+	for number in range(int(sys.argv[2])):
+	    sock = socket.create_connection((host, int(port)), 5)
+	    sock.settimeout(5)
+	    sock.sendall(b"GET /once/a HTTP/1.1\r\nHost: h.example\r\n"
+	                 b"Authorization: Bearer k1\r\n"
+	                 b"X-Peridotpin-Attempt-Id: late-%d\r\n\r\n" % number)
+	    socks.append(sock)
+	print("sent", flush=True)
+	for sock in socks:
+	    try:
+	        answer = sock.recv(4096).split(b"\r\n")[0].decode()
+	    except OSError:
+	        answer = ""
+	    print(answer or "cut", flush=True)
+	END
+}
+
+max_connections=2000
+start_store
+start_server s1 101
+put_config 3 '"k1"'
+put_server s1 101 plain d1 ready
+start_host h1 1 d1
+ask h1 before /once/a >"$work/before"
+pass_or_fail "a request is served" grep -q ': 200 ' "$work/before"
+
+# The host is stopped and does not run while its time to accept ends; the
+# connections and their requests wait in the kernel meanwhile.
+kill -TERM "${pid[h1]}"
+sleep 2
+kill -STOP "${pid[h1]}"
+connect "${address[h1]}" 40 >"$work/late" &
+asker=$!
+wait_until 5 grep -q sent "$work/late"
+sleep 1
+kill -CONT "${pid[h1]}"
+wait "$asker"
+expect_equal "answers to requests that waited to be accepted" 40 \
+	"$(grep -c '^HTTP/1.1 200' "$work/late")"
+expect_equal "requests cut off without an answer" 0 \
+	"$(grep -c '^cut' "$work/late")"
+wait "${pid[h1]}"
+expect_equal "the stop ends with status 0" 0 $?
+unset "pid[h1]"
+pass_or_fail "nothing was left" grep -q 'E1003 stopped callers=0 requests=0' \
+	"$work/h1.out"
+finish
--- a/tests/unit/test_records.c
+++ b/tests/unit/test_records.c
@@ -110,13 +110,14 @@
 		"{\"version\":7,\"routes\":[{\"hostname\":\"h\","
 		"\"prefix\":\"/\",\"route_type\":\"other\"}]}";
 	static const char *const texts[] = {
-		"",
-		"[]",
-		"{}",
-		"{\"version\":\"7\"}",
+		"", "[]", "{}", "{\"version\":\"7\"}",
 		"{\"version\":7,\"routes\":[{\"name\":\"r\"}]}",
-		"{\"version\":7,\"routes\":[{\"prefix\":\"/\"}]}",
-		odd_route};
+		"{\"version\":7,\"routes\":[{\"prefix\":\"/\"}]}", odd_route,
+		/* Not an empty list: it would take every route away. */
+		"{\"version\":9,\"routes\":7,\"services\":[]}",
+		"{\"version\":9,\"routes\":[],\"services\":{}}",
+		"{\"version\":9,\"routes\":[],\"services\":[],\"tenants\":3}",
+		"{\"version\":9,\"services\":[]}"};
 	err_t err;
 
 	for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++)
