--- a/Makefile
+++ b/Makefile
@@ -80,9 +80,9 @@
 	$(patsubst %,lib/base/%.c,buf err histogram mclock metrics \
 	msgcodec plog str) \
 	$(patsubst %,lib/coordination/%.c,balance breaker coldgate floors gossip \
-	loadboard peersync policy prefixmap \
+	loadboard notice peersync policy prefixmap \
 	prefixnews pullcodec repeats retryafter warmth) \
-	$(patsubst %,lib/state/%.c,catalog fleet hostsettings replica) \
+	$(patsubst %,lib/state/%.c,catalog fleet hostsettings noticebook replica) \
 	$(patsubst %,lib/transport/%.c,address frame http1 httptext loop monitor tcp \
 	udp)
 HOSTD_LIBS := http_parser jansson b64 msgpackc xxhash
--- a/lib/coordination/prefixnews.c
+++ b/lib/coordination/prefixnews.c
@@ -3,6 +3,8 @@
 #include "base/msgcodec.h"
 
 #define MESSAGE_FIELDS 2
+/* Stands for the hash of a part in the key of an endpoint that leaves. */
+#define LEAVING_PART 0x6c656176696e6721ull
 
 void prefixnews_add(prefixnews_t *news, uint64_t key)
 {
@@ -25,6 +27,11 @@
 		prefixnews_add(news, prefixmap_key(engine, parts->hashes[i]));
 }
 
+uint64_t prefixnews_leaving_key(uint64_t engine)
+{
+	return prefixmap_key(engine, LEAVING_PART);
+}
+
 /* An array of fewer than 16 fields and a kind below 128 take a byte each. */
 bool prefixnews_is_message(str_t message)
 {
--- a/lib/coordination/prefixnews.h
+++ b/lib/coordination/prefixnews.h
@@ -46,6 +46,10 @@
 void prefixnews_add_parts(prefixnews_t *news, uint64_t engine,
 			  const prompt_parts_t *parts);
 
+/* The key by which hosts tell each other that an endpoint leaves: that of a
+ * part which no prompt has. */
+uint64_t prefixnews_leaving_key(uint64_t engine);
+
 /* True for a message of these kinds, which may be malformed all the same. */
 bool prefixnews_is_message(str_t message);
 
--- a/lib/coordination/retryafter.c
+++ b/lib/coordination/retryafter.c
@@ -13,6 +13,11 @@
 	return min_ms + (int64_t)(random % (uint64_t)(max_ms - min_ms));
 }
 
+int64_t retryafter_pause_ms(int64_t paused_ms, uint64_t random)
+{
+	return paused_ms + draw(BUSY_MIN_MS, BUSY_MAX_MS, random);
+}
+
 int64_t retryafter_ms(retryafter_cause_t cause, int64_t left_ms,
 		      uint64_t random)
 {
--- a/lib/coordination/retryafter.h
+++ b/lib/coordination/retryafter.h
@@ -25,4 +25,8 @@
 int64_t retryafter_ms(retryafter_cause_t cause, int64_t left_ms,
 		      uint64_t random);
 
+/* The same where every endpoint asked for a pause, the first of which ends in
+ * `paused_ms`: none comes back before it, nor all at once after it. */
+int64_t retryafter_pause_ms(int64_t paused_ms, uint64_t random);
+
 #endif
--- a/lib/protocol/native.c
+++ b/lib/protocol/native.c
@@ -17,6 +17,7 @@
 #define HEADER_TIMEOUT STR_LIT("X-Peridot-Timeout-Ms")
 #define HEADER_MAX_TOKENS STR_LIT("X-Peridot-Max-Tokens")
 #define HEADER_NOT_RUN STR_LIT("X-Peridot-Not-Run")
+#define HEADER_LEAVING STR_LIT("X-Peridot-Leaving")
 #define HEADER_COLD STR_LIT("X-Peridot-Cold-Ms")
 #define HEADER_TRACE STR_LIT("traceparent")
 #define HEADER_LAST_EVENT STR_LIT("Last-Event-ID")
@@ -27,6 +28,7 @@
 #define CHAT_ROUTE STR_LIT(NATIVE_CHAT_PATH "/")
 #define MS_PER_S 1000
 #define STATUS_MISDIRECTED 421
+#define STATUS_UNAVAILABLE 503
 
 void native_append_key(buf_t *out, const uint8_t *digest, size_t len)
 {
@@ -217,17 +219,21 @@
 	str_t type = httptext_value(head, HEADER_CONTENT_TYPE);
 
 	(void)dialect;
-	*reply = (reply_t){.status = head->status,
-			   .id = httptext_value(head, HEADER_REQUEST),
-			   .stamped = true, /* plain services have no stamp */
-			   .not_run =
-				   http1_find(head, HEADER_NOT_RUN).ptr != NULL,
-			   .misdirected = head->status == STATUS_MISDIRECTED,
-			   .encoded = httptext_is_encoded(head),
-			   .is_events = str_starts_with(type, EVENTS_TYPE),
-			   .cold_ms = httptext_read_ms(head, HEADER_COLD),
-			   .boot = httptext_value(head, HEADER_BOOT),
-			   .keep_alive_ms = httptext_keep_alive_ms(head)};
+	*reply = (reply_t){
+		.status = head->status,
+		.id = httptext_value(head, HEADER_REQUEST),
+		.stamped = true, /* plain services have no stamp */
+		.not_run = http1_find(head, HEADER_NOT_RUN).ptr != NULL,
+		.misdirected = head->status == STATUS_MISDIRECTED,
+		.encoded = httptext_is_encoded(head),
+		.is_events = str_starts_with(type, EVENTS_TYPE),
+		.cold_ms = httptext_read_ms(head, HEADER_COLD),
+		.boot = httptext_value(head, HEADER_BOOT),
+		.leaving = http1_find(head, HEADER_LEAVING).ptr != NULL,
+		.keep_alive_ms = httptext_keep_alive_ms(head)};
+	if (reply->status == STATUS_UNAVAILABLE)
+		reply->wants_pause =
+			httptext_retry_after(head, &reply->pause_ms);
 }
 
 /* Fields of an endpoint's answer that are of use to the router only. */
--- a/lib/request/channel.c
+++ b/lib/request/channel.c
@@ -3,8 +3,10 @@
 #include <limits.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
+#include <xxhash.h>
 
 #include "base/plog.h"
+#include "request/notices.h"
 
 /* A message states the time that is left when connecting begins. */
 #define CHANNEL_CONNECT_MS 450
@@ -19,6 +21,10 @@
 #define CHANNEL_FRESH_MS 1000
 #define CHANNEL_HEAD_BYTES 32768
 #define CHANNEL_MIN_LIMIT 4
+/* Interim answers, and those to other requests, before a request's own. */
+#define CHANNEL_MAX_STRAYS 8
+/* Bytes of a refusal or of an answer to another request. */
+#define CHANNEL_MAX_IGNORED_BYTES 65536
 
 static void on_io(void *user, uint32_t events);
 
@@ -75,6 +81,7 @@
 
 	channel->head_read = true;
 	dialect->ops->read_reply(dialect, &channel->http.head, reply);
+	notices_take(channel->router, channel->endpoint, reply);
 	success = reply->status >= 200 && reply->status < 300;
 	channel->foreign = reply->status < 200 ||
 			   (reply->id.ptr && !str_equals(reply->id, own_id));
@@ -89,6 +96,11 @@
 				      reply);
 }
 
+static bool is_refusal(const reply_t *reply)
+{
+	return reply->not_run || reply->misdirected;
+}
+
 static void on_body(http1_t *http, str_t data)
 {
 	channel_t *channel =
@@ -98,7 +110,9 @@
 		return;
 	if (!channel->head_read)
 		classify(channel);
-	if (!channel->foreign && !channel->broken)
+	if (channel->foreign || channel->broken || is_refusal(&channel->reply))
+		channel->ignored_bytes += data.len;
+	else
 		request_on_reply_body(channel->request, data);
 }
 
@@ -131,6 +145,23 @@
 	endpoint->idle = channel;
 }
 
+static uint64_t hash_id(const request_t *request)
+{
+	return XXH64(request->call.id.ptr, request->call.id.len, 0);
+}
+
+/* True when a late copy of an earlier answer would pass for this request's. */
+static bool has_answered(const channel_t *channel, const request_t *request)
+{
+	uint64_t id = hash_id(request);
+
+	for (unsigned i = 0; i < channel->answers && i < CHANNEL_ANSWERED_IDS;
+	     i++)
+		if (channel->answered_ids[i] == id)
+			return true;
+	return false;
+}
+
 /* The request's own answer is complete; `rest` bytes follow it. */
 static void on_answer(channel_t *channel, size_t rest, bool at_end)
 {
@@ -138,11 +169,14 @@
 	bool kept = !rest && !at_end && channel->http.head.keep_alive &&
 		    (channel->reply.id.ptr || !request->call.id.ptr) &&
 		    !tcp_unsent(&channel->tcp) &&
-		    channel->endpoint->state != ENDPOINT_GONE;
+		    channel->endpoint->state != ENDPOINT_GONE &&
+		    notices_check(channel->router, channel->endpoint) !=
+			    NOTICE_LEAVING;
 
 	channel->request = NULL;
 	request->channel = NULL;
-	channel->answers++;
+	channel->answered_ids[channel->answers++ % CHANNEL_ANSWERED_IDS] =
+		hash_id(request);
 	request_on_reply_end(request, &channel->http.head, &channel->reply);
 	if (kept)
 		keep(channel);
@@ -150,6 +184,18 @@
 		destroy(channel);
 }
 
+/* Gives up an answer that has no end. A refusal is complete with its head. */
+static void fail_too_long(channel_t *channel)
+{
+	bool refused = channel->head_read && !channel->foreign &&
+		       is_refusal(&channel->reply);
+
+	plog_write(PLOG_ANSWER_TOO_LONG, "endpoint=%s strays=%u ignored=%zu",
+		   channel->endpoint->id, channel->strays,
+		   channel->ignored_bytes);
+	fail(channel, refused ? SEND_NOT_RUN : SEND_LOST);
+}
+
 /* RETURN VALUE: true when the connection is still open and in use. */
 static bool on_message(channel_t *channel, size_t rest, bool at_end)
 {
@@ -159,7 +205,10 @@
 		plog_write(PLOG_ANSWER_FOREIGN, "endpoint=%s status=%u",
 			   channel->endpoint->id, channel->reply.status);
 		next_answer(channel);
-		return true;
+		if (++channel->strays <= CHANNEL_MAX_STRAYS)
+			return true;
+		fail_too_long(channel);
+		return false;
 	}
 	if (channel->broken) {
 		fail(channel, SEND_LOST);
@@ -191,6 +240,10 @@
 			fail(channel, SEND_LOST);
 			return;
 		}
+		if (channel->ignored_bytes > CHANNEL_MAX_IGNORED_BYTES) {
+			fail_too_long(channel);
+			return;
+		}
 	}
 }
 
@@ -368,10 +421,11 @@
 				    router_now_ms(router)))) {
 		uint64_t before = channel->tcp.written;
 
-		if (tcp_send(&channel->tcp, message) ||
-		    channel->tcp.written > before)
+		if (!has_answered(channel, request) &&
+		    (tcp_send(&channel->tcp, message) ||
+		     channel->tcp.written > before))
 			break;
-		destroy(channel); /* broken before a byte was sent */
+		destroy(channel); /* not a byte was sent */
 	}
 	if (!channel) {
 		channel = open_channel(request, endpoint, err);
@@ -380,6 +434,8 @@
 		tcp_send(&channel->tcp, message);
 	}
 	channel->request = request;
+	channel->strays = 0;
+	channel->ignored_bytes = 0;
 	request->channel = channel;
 	if (!channel->tcp.connecting)
 		request_on_sent(request);
--- a/lib/request/channel.h
+++ b/lib/request/channel.h
@@ -4,6 +4,9 @@
 #include "request/request.h"
 #include "transport/tcp.h"
 
+/* Answers whose late copies are told from an answer to a new request. */
+#define CHANNEL_ANSWERED_IDS 4
+
 /*
  * channel - a connection to an endpoint, with one request at a time
  *
@@ -23,6 +26,10 @@
 	int64_t idle_since_ms;
 	int64_t idle_limit_ms;
 	unsigned answers;
+	/* Hashes of the ids of the last answers. */
+	uint64_t answered_ids[CHANNEL_ANSWERED_IDS];
+	unsigned strays;      /* answers to nobody since the request was sent */
+	size_t ignored_bytes; /* of answers that are not passed on */
 	reply_t reply;
 	bool head_read; /* the head of the present answer was classified */
 	bool foreign;	/* the present answer is not for our request */
--- a/lib/request/choose.c
+++ b/lib/request/choose.c
@@ -4,6 +4,7 @@
 
 #include "coordination/balance.h"
 #include "request/channel.h"
+#include "request/notices.h"
 #include "request/probe.h"
 #include "request/ranking.h"
 
@@ -101,6 +102,7 @@
 		endpoint->state == ENDPOINT_LINGERING) &&
 	       (int)endpoint->service_index == service &&
 	       places->allowed[endpoint->domain_index] &&
+	       notices_check(request->router, endpoint) != NOTICE_LEAVING &&
 	       !request_was_tried(request, endpoint);
 }
 
@@ -164,6 +166,8 @@
 		.excess_ms = excess_now(endpoint, now_ms),
 		.failing = breaker_failing(&endpoint->breaker, now_ms),
 		.last_resort = endpoint->state == ENDPOINT_LINGERING ||
+			       notices_check(request->router, endpoint) ==
+				       NOTICE_LAST_RESORT ||
 			       breaker_is_open(&endpoint->breaker, now_ms)};
 
 	if (engine) {
@@ -198,6 +202,7 @@
 	int64_t now_ms;
 	double share; /* of the endpoints to look at */
 	double best_cost;
+	bool any_busy; /* an endpoint has no room, but not by a pause */
 	choose_result_t result;
 	choice_t *choice;
 } search_t;
@@ -211,6 +216,23 @@
 		       search->share;
 }
 
+/* True when the endpoint asked for a pause; notes when it ends. */
+static bool is_paused(search_t *search, const endpoint_t *endpoint)
+{
+	const router_t *router = search->request->router;
+	choice_t *choice = search->choice;
+	int64_t opens_ms;
+
+	if (notices_check(router, endpoint) != NOTICE_PAUSED)
+		return false;
+	opens_ms = notice_opens_ms(endpoint_notice(endpoint), search->now_ms);
+	if (!choice->opens_ms || opens_ms < choice->opens_ms)
+		choice->opens_ms = opens_ms;
+	if (search->result == CHOOSE_NONE)
+		search->result = CHOOSE_LATER;
+	return true;
+}
+
 static void consider(search_t *search, endpoint_t *endpoint)
 {
 	const request_t *request = search->request;
@@ -219,8 +241,11 @@
 	balance_option_t option;
 	double cost;
 
+	if (is_paused(search, endpoint))
+		return;
 	if (!has_room(request, endpoint, search->now_ms) ||
 	    !may_send_now(request, endpoint, search->now_ms)) {
+		search->any_busy = true;
 		if (search->result == CHOOSE_NONE &&
 		    !endpoint->warmth.unreachable)
 			search->result = CHOOSE_LATER;
@@ -278,6 +303,8 @@
 		search.share = 1.0;
 		look(&search, count);
 	}
+	if (search.any_busy)
+		choice->opens_ms = 0;
 	if (choice->endpoint)
 		choice->source =
 			ranking_find_source(&search.ranking, choice->endpoint);
--- a/lib/request/choose.h
+++ b/lib/request/choose.h
@@ -20,6 +20,9 @@
 	double trip_ms;		  /* to it and back */
 	double reading_share;	  /* of its time that it reads prompts */
 	double expected_ms;	  /* until the first token or answer */
+	int64_t opens_ms; /* CHOOSE_LATER: when the first of the endpoints, all
+			     of which asked for a pause, takes requests again;
+			     0: some have no room for another reason */
 } choice_t;
 
 /*
--- a/lib/request/dialect.h
+++ b/lib/request/dialect.h
@@ -76,6 +76,9 @@
 	int64_t cold_ms;       /* the endpoint stays cold so long; -1 */
 	str_t boot;	       /* changes with each start of the endpoint */
 	int64_t keep_alive_ms; /* idle time allowed on the connection; -1 */
+	bool leaving;	       /* the endpoint takes no new work any more */
+	bool wants_pause;      /* it wants no request for `pause_ms` */
+	int64_t pause_ms;      /* -1: it can't be read */
 } reply_t;
 
 typedef enum reply_framing {
--- a/lib/request/loadsync.c
+++ b/lib/request/loadsync.c
@@ -7,6 +7,7 @@
 
 #include "base/metrics.h"
 #include "base/plog.h"
+#include "request/notices.h"
 #include "request/relays.h"
 #include "transport/udp.h"
 
@@ -255,6 +256,8 @@
 
 	if (prefixnews_read(message, &router->prefixes, &kind, &fresh, err))
 		return err->code;
+	for (size_t i = 0; i < fresh.count; i++)
+		notices_take_hint(router, fresh.keys[i]);
 	if (kind == PREFIXNEWS_ALL)
 		return ERR_OK;
 	queue = kind == PREFIXNEWS_HOST ? &router->prefix_news :
--- a/lib/request/probe.c
+++ b/lib/request/probe.c
@@ -4,6 +4,7 @@
 #include <sys/epoll.h>
 
 #include "base/plog.h"
+#include "request/notices.h"
 #include "request/waiting.h"
 #include "transport/tcp.h"
 
@@ -78,6 +79,7 @@
 
 	router->dialect->ops->read_reply(router->dialect, &probe->http.head,
 					 &reply);
+	notices_take(router, endpoint, &reply);
 	if (reply.status == 200 && reply.boot.len) {
 		warmth_on_answer(&endpoint->warmth, reply.boot,
 				 reply.cold_ms > 0, probe->sent_ms, now_ms);
--- a/lib/request/ranking.c
+++ b/lib/request/ranking.c
@@ -1,5 +1,7 @@
 #include "request/ranking.h"
 
+#include "request/notices.h"
+
 static const double unread_parts[RANKING_SIZE] = {0.0, 0.3, 0.6, 0.8};
 /* Shared parts of fewer tokens are read: a copy takes some ms, too. */
 #define RANKING_MIN_COPY_TOKENS 100
@@ -81,9 +83,11 @@
 }
 
 /* True when other engines may copy what this one has read. */
-static bool may_be_source(const endpoint_t *endpoint, int64_t now_ms)
+static bool may_be_source(const router_t *router, const endpoint_t *endpoint,
+			  int64_t now_ms)
 {
 	return endpoint->state == ENDPOINT_READY &&
+	       notices_check(router, endpoint) == NOTICE_OPEN &&
 	       !breaker_is_open(&endpoint->breaker, now_ms);
 }
 
@@ -114,7 +118,7 @@
 		uint64_t cached = cached_tokens(request, endpoint);
 
 		if (cached >= RANKING_MIN_COPY_TOKENS &&
-		    may_be_source(endpoint, now_ms))
+		    may_be_source(router, endpoint, now_ms))
 			note_holder(ranking, endpoint,
 				    cached < shared ? cached : shared);
 	}
--- a/lib/request/reply.c
+++ b/lib/request/reply.c
@@ -1,11 +1,16 @@
 #include "request/request_internal.h"
 
+#include "base/plog.h"
 #include "request/answer.h"
 #include "request/caller.h"
 #include "request/channel.h"
 
-/* Answers up to this size are held until they are whole. */
-#define REPLY_HOLD_BYTES (256 * 1024)
+/* Answers up to this size are held until they are whole; of all requests
+ * together no more than the total, within the memory of a small host. */
+#define REPLY_HOLD_BYTES (128 * 1024)
+#define REPLY_MAX_HELD_BYTES (8 * 1024 * 1024)
+/* An event that is longer has no end. */
+#define REPLY_MAX_EVENT_BYTES (128 * 1024)
 /* Weight of the newest answer in mean times. */
 #define REPLY_MEAN_WEIGHT 0.1
 #define REPLY_EXCESS_WEIGHT 0.3
@@ -127,6 +132,7 @@
 		learn(request);
 	}
 	note_pause(request);
+	request->progress_ms = request_now_ms(request);
 	request->event_count++;
 	if (event->id.ptr)
 		str_copy(request->last_event_id, sizeof(request->last_event_id),
@@ -151,17 +157,49 @@
 		channel_set_reading(request->channel, false);
 }
 
-void request_on_reply_body(request_t *request, str_t data)
+static void count_held(request_t *request)
 {
-	const reply_t *reply = &request->reply;
+	size_t held = request->answer.cap + request->events.bytes.cap;
 
-	request->progress_ms = request_now_ms(request);
-	if (reply->not_run || reply->misdirected)
+	request->router->held_bytes += held - request->held_bytes;
+	request->held_bytes = held;
+}
+
+/* An event without an end gives the endpoint up. */
+static void check_event(request_t *request)
+{
+	size_t len = events_rest(&request->events).len;
+
+	if (len <= REPLY_MAX_EVENT_BYTES)
 		return;
-	if (is_event_stream(request, reply)) {
-		pass_events(request, data);
+	plog_write(PLOG_ANSWER_TOO_LONG, "endpoint=%s event=%zu",
+		   request->endpoint->id, len);
+	channel_cancel(request->channel);
+	request->channel = NULL;
+	request_on_failure(request, SEND_LOST);
+}
+
+static void take_events(request_t *request, str_t data)
+{
+	pass_events(request, data);
+	count_held(request);
+	check_event(request);
+}
+
+static bool must_pass_on(const request_t *request)
+{
+	return request->answer.len > REPLY_HOLD_BYTES ||
+	       request->router->held_bytes > REPLY_MAX_HELD_BYTES;
+}
+
+/* Progress of a stream is a whole event, of any other answer each byte. */
+void request_on_reply_body(request_t *request, str_t data)
+{
+	if (is_event_stream(request, &request->reply)) {
+		take_events(request, data);
 		return;
 	}
+	request->progress_ms = request_now_ms(request);
 	if (request->state == REQUEST_ANSWERING) {
 		answer_part(request, data);
 		if (caller_is_slow(request->caller))
@@ -169,11 +207,12 @@
 		return;
 	}
 	buf_append_str(&request->answer, data);
-	if (request->answer.len > REPLY_HOLD_BYTES) {
+	if (must_pass_on(request)) {
 		answer_begin(request, request->reply_head);
 		answer_part(request, buf_view(&request->answer));
 		buf_release(&request->answer);
 	}
+	count_held(request);
 }
 
 void request_resume_reading(request_t *request)
--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -59,7 +59,11 @@
 static int64_t retry_after(const request_t *request)
 {
 	bool is_absent = !request->router->catalog || request->lacks_endpoints;
+	int64_t paused_ms = request->opens_ms - request_now_ms(request);
 
+	if (paused_ms > 0)
+		return retryafter_pause_ms(paused_ms,
+					   router_random(request->router));
 	return retryafter_ms(is_absent ? RETRYAFTER_ABSENT : RETRYAFTER_BUSY,
 			     request->ends_ms - request_now_ms(request),
 			     router_random(request->router));
@@ -119,6 +123,7 @@
 	waiting_remove(request);
 	customers_leave(request);
 	catalog_unref(request->catalog);
+	router->held_bytes -= request->held_bytes;
 	buf_release(&request->answer);
 	events_release(&request->events);
 	router->request_count--;
@@ -226,15 +231,15 @@
 	return false;
 }
 
-/* True while the request may still wait for this part of its target; a stream
- * that broke off waits from its last event on. */
-static bool may_wait(const request_t *request, double part)
+/* True while the request may still wait for this part of its target, until
+ * `until_ms` at least; a stream that broke off waits from its last event on. */
+static bool may_wait(const request_t *request, double part, int64_t until_ms)
 {
 	int64_t since_ms = request->state == REQUEST_ANSWERING ?
 				   request->progress_ms :
 				   request->arrived_ms;
 
-	return (double)(request_now_ms(request) - since_ms) <
+	return (double)(until_ms - since_ms) <
 	       part * request->admission.route->target_ms;
 }
 
@@ -242,11 +247,14 @@
  * queue or it would wait too long; then it had better return later. */
 static void queue_up(request_t *request)
 {
+	int64_t paused_ms = request->opens_ms - request_now_ms(request);
 	int64_t expected_ms = waiting_expected_ms(request);
 	int64_t left_ms = request->ends_ms - request_now_ms(request);
 	int64_t least_ms = retry_after(request);
 	bool is_full = waiting_is_full(request);
 
+	if (expected_ms < paused_ms)
+		expected_ms = paused_ms;
 	if (request->was_queued || request->runs ||
 	    (!is_full && expected_ms <= left_ms)) {
 		request->was_queued = true;
@@ -265,12 +273,17 @@
 static bool hold(request_t *request, choose_result_t result,
 		 const choice_t *choice)
 {
+	int64_t now_ms = request_now_ms(request);
+	int64_t opens_ms =
+		choice->opens_ms > now_ms ? choice->opens_ms : now_ms;
+
 	if (result == CHOOSE_LATER && request->admission.route->waits_to_end)
 		queue_up(request);
-	else if (result == CHOOSE_LATER && may_wait(request, REQUEST_WAIT_PART))
+	else if (result == CHOOSE_LATER &&
+		 may_wait(request, REQUEST_WAIT_PART, opens_ms))
 		waiting_add(request, true);
 	else if (result == CHOOSE_OK && choose_is_saturated(request, choice) &&
-		 may_wait(request, REQUEST_SATURATED_WAIT_PART))
+		 may_wait(request, REQUEST_SATURATED_WAIT_PART, now_ms))
 		waiting_add(request, false);
 	else
 		return false;
@@ -306,6 +319,7 @@
 		result = choose_endpoint(request, &choice);
 	request->lacks_endpoints =
 		result == CHOOSE_NONE && !request->tried_count;
+	request->opens_ms = result == CHOOSE_LATER ? choice.opens_ms : 0;
 	if (hold(request, result, &choice))
 		return;
 	if (result != CHOOSE_OK)
--- a/lib/request/request.h
+++ b/lib/request/request.h
@@ -71,6 +71,8 @@
 	uint64_t backlog_tokens; /* counted at the endpoint until its answer */
 	uint64_t unread_tokens;	 /* that the endpoint had to read at the send */
 	bool lacks_endpoints;	 /* none is known that may ever get it */
+	int64_t opens_ms;	 /* when the first of them that asked for a
+				    pause takes requests again; 0: none did */
 	bool reads_shared;	 /* its shared parts were not read there */
 	char source[ADDRESS_BYTES]; /* of the engine that has read more */
 	bool alone;		    /* it had nothing else to read then */
@@ -80,6 +82,7 @@
 	int64_t progress_ms; /* when the endpoint last sent something */
 	/* The answer. */
 	buf_t answer;
+	size_t held_bytes; /* of the answer, as counted in the router */
 	events_t events;
 	char last_event_id[REQUEST_EVENT_ID_BYTES];
 	bool chunked;
--- a/lib/request/router.c
+++ b/lib/request/router.c
@@ -91,6 +91,7 @@
 	loop_timer_cancel(router->loop, &router->wait_timer);
 	for (size_t i = 0; i < fleet_count(router->fleet); i++)
 		channel_drop_idle(router, fleet_at(router->fleet, i));
+	probe_stop_all(router);
 	fleet_free(router->fleet);
 	catalog_unref(router->catalog);
 	while (router->services) {
@@ -100,7 +101,6 @@
 		free(service->name);
 		free(service);
 	}
-	probe_stop_all(router);
 	customers_free(router);
 	free_garbage(router);
 	free(router->garbage);
--- a/lib/request/router.h
+++ b/lib/request/router.h
@@ -28,6 +28,7 @@
 	int64_t repeat_window_ms;
 	double cold_overshoot;
 	double cold_slack;
+	int64_t drain_ms; /* time to stop sending to a leaving endpoint */
 } router_bounds_t;
 
 typedef struct router_options {
@@ -80,7 +81,9 @@
 	bool stopping;
 	bool leaving; /* refuses new requests */
 	int64_t started_ms;
-	size_t body_bytes; /* of requests, kept until they are answered */
+	size_t body_bytes;   /* of requests, kept until they are answered */
+	size_t held_bytes;   /* of answers, not passed on yet */
+	size_t unsent_bytes; /* of answers, that callers have not taken yet */
 	size_t caller_count;
 	size_t request_count;
 	uint64_t send_count;
--- a/lib/request/send.c
+++ b/lib/request/send.c
@@ -5,6 +5,7 @@
 #include "request/caller.h"
 #include "request/channel.h"
 #include "request/choose.h"
+#include "request/notices.h"
 #include "request/waiting.h"
 
 /* Sends of one request that failed in any way before it is given up. */
@@ -135,6 +136,9 @@
 				 REQUEST_ANSWERING :
 				 REQUEST_SENT;
 	coldgate_on_send(&endpoint->gate, request_now_ms(request));
+	if (endpoint->noted)
+		notice_on_send(&endpoint->noted->notice,
+			       request_now_ms(request));
 	breaker_on_send(&endpoint->breaker, request_now_ms(request));
 	request->reads_shared =
 		prefixmap_cached(&request->router->prefixes,
@@ -179,6 +183,7 @@
 
 	return request->catalog != router->catalog ||
 	       is_above_cold_units(request) ||
+	       notices_forbid(router, endpoint) ||
 	       (endpoint->state != ENDPOINT_READY &&
 		endpoint->state != ENDPOINT_LINGERING) ||
 	       fleet_is_evacuated(router->fleet, str_from(endpoint->domain));
@@ -285,11 +290,14 @@
 		breaker_on_fault(breaker, BREAKER_UNREACHABLE, now_ms);
 		return;
 	case SEND_NOT_RUN:
-		breaker_on_fault(breaker,
-				 request->reply.misdirected ?
-					 BREAKER_UNREACHABLE :
-					 BREAKER_REQUEST_FAILED,
-				 now_ms);
+		/* A pause that was asked for says all that the breaker would
+		 * guess. */
+		if (!request->reply.wants_pause)
+			breaker_on_fault(breaker,
+					 request->reply.misdirected ?
+						 BREAKER_UNREACHABLE :
+						 BREAKER_REQUEST_FAILED,
+					 now_ms);
 		return;
 	case SEND_OUTDATED:
 		return;
--- a/lib/state/fleet.c
+++ b/lib/state/fleet.c
@@ -22,6 +22,7 @@
 	char **services;
 	size_t service_count;
 	bool marks_are_stale;
+	noticebook_t notices;
 };
 
 static char *copy_text(str_t s)
@@ -124,6 +125,7 @@
 	free(endpoint->service);
 	free(endpoint->address);
 	free(endpoint->domain);
+	noticebook_unref(endpoint->noted);
 	free(endpoint);
 }
 
@@ -141,6 +143,7 @@
 	for (size_t i = 0; i < fleet->service_count; i++)
 		free(fleet->services[i]);
 	free(fleet->services);
+	noticebook_release(&fleet->notices);
 	free(fleet);
 }
 
@@ -184,6 +187,8 @@
 	endpoint->memory_hash = XXH64(record->id.ptr, record->id.len,
 				      (uint64_t)record->incarnation);
 	endpoint->incarnation = record->incarnation;
+	endpoint->noted =
+		noticebook_find(&fleet->notices, endpoint->memory_hash);
 	return endpoint;
 }
 
@@ -381,6 +386,29 @@
 	return fleet->endpoints[index];
 }
 
+notice_t *fleet_notice(fleet_t *fleet, endpoint_t *endpoint)
+{
+	if (endpoint->noted)
+		return &endpoint->noted->notice;
+	endpoint->noted =
+		noticebook_get(&fleet->notices, endpoint->memory_hash);
+	/* An answer may come after the record of its endpoint was replaced. */
+	for (size_t i = 0; i < fleet->count; i++) {
+		endpoint_t *other = fleet->endpoints[i];
+
+		if (other->memory_hash == endpoint->memory_hash &&
+		    !other->noted)
+			other->noted = noticebook_get(&fleet->notices,
+						      other->memory_hash);
+	}
+	return &endpoint->noted->notice;
+}
+
+const notice_t *endpoint_notice(const endpoint_t *endpoint)
+{
+	return endpoint->noted ? &endpoint->noted->notice : NULL;
+}
+
 static double faded_rate(const endpoint_t *endpoint, int64_t now_ms)
 {
 	double age = (double)(now_ms - endpoint->rate_ms);
--- a/lib/state/fleet.h
+++ b/lib/state/fleet.h
@@ -6,6 +6,7 @@
 #include "coordination/loadboard.h"
 #include "coordination/warmth.h"
 #include "state/catalog.h"
+#include "state/noticebook.h"
 
 /*
  * fleet - the endpoints that this host knows, and what it has seen of each
@@ -61,7 +62,8 @@
 	unsigned cold_units;
 	unsigned held_units; /* when the sheet last changed */
 	warmth_t warmth;
-	int64_t probed_ms; /* when it was last asked for its state */
+	int64_t probed_ms;	   /* when it was last asked for its state */
+	noticebook_entry_t *noted; /* what it asked of hosts; NULL: nothing */
 	/* What this host has sent and seen. */
 	coldgate_t gate;
 	breaker_t breaker;
@@ -138,6 +140,12 @@
 size_t fleet_count(const fleet_t *fleet);
 endpoint_t *fleet_at(const fleet_t *fleet, size_t index);
 
+/* The notice of the endpoint's process, to be changed. */
+notice_t *fleet_notice(fleet_t *fleet, endpoint_t *endpoint);
+
+/* The same, to be asked; NULL when there is none. */
+const notice_t *endpoint_notice(const endpoint_t *endpoint);
+
 /* Counts the prompt tokens of a send. */
 void endpoint_count_tokens(endpoint_t *endpoint, uint64_t tokens,
 			   int64_t now_ms);
--- a/lib/state/hostsettings.c
+++ b/lib/state/hostsettings.c
@@ -9,6 +9,7 @@
 #define GRACE_MS 8000
 /* Balancers take this long to stop sending to a host that isn't ready. */
 #define ACCEPT_MS 2600
+#define DRAIN_MS 3000
 #define REPEAT_RATIO 0.1
 #define REPEAT_WINDOW_MS 10000
 
@@ -17,6 +18,7 @@
 	*settings = (hostsettings_t){.text = str_dup(text),
 				     .grace_ms = GRACE_MS,
 				     .accept_ms = ACCEPT_MS,
+				     .drain_ms = DRAIN_MS,
 				     .repeat_ratio = REPEAT_RATIO,
 				     .repeat_window_ms = REPEAT_WINDOW_MS,
 				     .cold_overshoot = 1.0};
--- a/lib/state/hostsettings.h
+++ b/lib/state/hostsettings.h
@@ -37,6 +37,7 @@
 	 * come after readiness has ended. */
 	int64_t grace_ms;
 	int64_t accept_ms;
+	int64_t drain_ms; /* time to stop sending to a leaving endpoint */
 	double repeat_ratio;
 	int64_t repeat_window_ms;
 	double repeat_slack;
--- a/lib/transport/httptext.c
+++ b/lib/transport/httptext.c
@@ -81,6 +81,49 @@
 	return -1;
 }
 
+static bool is_digit(str_t text)
+{
+	return text.len && text.ptr[0] >= '0' && text.ptr[0] <= '9';
+}
+
+/* Takes the digits after a decimal point; those below a ms don't count. */
+static int64_t take_fraction_ms(str_t *text)
+{
+	int64_t unit_ms = MS_PER_S;
+	int64_t ms = 0;
+
+	*text = (str_t){text->ptr + 1, text->len - 1};
+	for (; is_digit(*text); *text = (str_t){text->ptr + 1, text->len - 1}) {
+		unit_ms /= 10;
+		ms += unit_ms * (text->ptr[0] - '0');
+	}
+	return ms;
+}
+
+bool httptext_retry_after(const http1_head_t *head, int64_t *ms)
+{
+	str_t value = httptext_value(head, STR_LIT("Retry-After"));
+	uint64_t seconds;
+
+	*ms = -1;
+	if (!value.ptr)
+		return false;
+	if (!httptext_take_number(&value, 10, &seconds))
+		return true;
+	while (is_digit(value)) { /* digits that did not fit */
+		seconds = UINT64_MAX;
+		value = (str_t){value.ptr + 1, value.len - 1};
+	}
+	if (seconds > INT32_MAX / MS_PER_S - 1)
+		seconds = INT32_MAX / MS_PER_S - 1;
+	*ms = (int64_t)seconds * MS_PER_S;
+	if (value.len && value.ptr[0] == '.')
+		*ms += take_fraction_ms(&value);
+	if (value.len)
+		*ms = -1; /* a date, or anything else */
+	return true;
+}
+
 bool httptext_is_encoded(const http1_head_t *head)
 {
 	str_t coding = httptext_value(head, STR_LIT("Content-Encoding"));
--- a/lib/transport/httptext.h
+++ b/lib/transport/httptext.h
@@ -28,6 +28,14 @@
 /* The parameter `timeout` of Keep-Alive, in ms; -1 without one. */
 int64_t httptext_keep_alive_ms(const http1_head_t *head);
 
+/*
+ * Reads Retry-After, a number of seconds that may have a fraction.
+ *
+ * RETURN VALUE: false when there is none. `ms` is -1 when it can't be read, and
+ * at most INT32_MAX.
+ */
+bool httptext_retry_after(const http1_head_t *head, int64_t *ms);
+
 /* True when the body has a content coding. */
 bool httptext_is_encoded(const http1_head_t *head);
 
--- a/lib/transport/tcp.c
+++ b/lib/transport/tcp.c
@@ -200,6 +200,11 @@
 		return false;
 	if (written == data.len)
 		return true;
+	/* A slow peer may never take all: what it took is given back. */
+	if (tcp->out_sent > tcp_unsent(tcp)) {
+		buf_consume(&tcp->out, tcp->out_sent);
+		tcp->out_sent = 0;
+	}
 	buf_append(&tcp->out, data.ptr + written, data.len - written);
 	update_watch(tcp);
 	return true;
--- a/tests/session/hosts.sh
+++ b/tests/session/hosts.sh
@@ -69,7 +69,7 @@
 \"target_latency_ms\":400,\"priority\":0,\"service\":\"plain\",\
 \"max_attempts\":1,\"public\":false}],\
 \"services\":[{\"name\":\"plain\",\"health_path\":\"/healthz\",\
-\"max_connections\":100,\"cold_start_s\":0.0,\"cold_per_s\":0.0}],\
+\"max_connections\":${max_connections:-100},\"cold_start_s\":0.0,\"cold_per_s\":0.0}],\
 \"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":10000,\
 \"header_timeout_ms\":1000,\"idle_timeout_ms\":3000},\
 \"tenants\":[{\"name\":\"desk\",\"api_keys\":[$2],\"priority\":0}]}"
--- /dev/null
+++ b/tests/session/test_trouble_native.sh
@@ -0,0 +1,164 @@
+#!/bin/bash
+# The same troubles of endpoints as in test_trouble.sh on the project's own
+# interface: bytes without end, dripping and slow streams, late copies, answers
+# that break off, endpoints that leave or ask for a pause.
+build=$1
+. "$(dirname "$0")/lib.sh"
+. "$(dirname "$0")/fleet.sh"
+
+standin=$(dirname "$0")/../standins/platform.py
+domains=(north)
+hosts_per_domain=1
+courier_timeout_ms=1500
+chat_timeout_ms=3000
+cold_limit=40
+max_in_flight=40
+for name in service-1 engine-1
+do
+	start_program $name python3 "$standin" native \
+		"$net.$((100 + ${#endpoint_domain[@]})):8000" $name
+	endpoint_domain[$name]=north
+	endpoint_kind[$name]=${name%-1}
+done
+endpoint_kind[engine-1]=model
+write_sheet "$work/sheet.toml"
+sheet_file=$work/sheet.toml
+start_host north 1
+wait_until 10 answered_as 200 call_service north-1 claim_status '{}'
+
+# control NAME PATH: calls a control path of a stand-in.
+control()
+{
+	curl -sS -m 5 "http://${address[$1]}/control/$2"
+}
+
+# many COUNT COMMAND...: runs the command so often at the same time; prints
+# status, curl's exit code and time of each.
+many()
+{
+	local i count=$1 jobs=()
+	shift
+	for i in $(seq "$count")
+	do
+		"$@" >"$work/many.$i" &
+		jobs+=($!)
+	done
+	wait "${jobs[@]}"
+	cat "$work"/many.*
+	rm -f "$work"/many.*
+}
+
+timed=(curl -s -m 8 -o /dev/null -w '%{http_code} %{exitcode} %{time_total}\n'
+	-H "Authorization: Bearer $customer_key")
+book()
+{
+	"${timed[@]}" --data-binary '{}' \
+		"http://${address[north-1]}/v1/services/claims/book_return"
+}
+
+chat()
+{
+	"${timed[@]}" -H 'X-Peridot-Class: chat' --data-binary \
+		'{"model":"bear","stream":true,"messages":[{"role":"user","content":"a"}]}' \
+		"http://${address[north-1]}/v1/chat/completions"
+}
+
+none_whole()
+{
+	! grep -q '^200 0 ' "$1"
+}
+
+ended_by()
+{
+	awk -v most="$1" '$3 > most { late = 1 } END { exit late || !NR }' "$2"
+}
+
+reached()
+{
+	control "$1" seen >"$work/seen"
+	test "$(grep -c " $2\$" "$work/seen")" -ge 20
+}
+
+peak_kb()
+{
+	sed -n 's/^VmHWM:[^0-9]*\([0-9]*\).*/\1/p' "/proc/${pid[north-1]}/status"
+}
+
+before_kb=$(peak_kb)
+for shape in endless-head endless-interim endless-garbage endless-chunked \
+	endless-close endless-foreign
+do
+	control service-1 "always?mode=$shape"
+	many 20 book >"$work/$shape"
+	pass_or_fail "$shape is met by 20 requests" reached service-1 $shape
+	pass_or_fail "$shape is no success" none_whole "$work/$shape"
+	pass_or_fail "$shape ends within 0.5 s of the timeout" \
+		ended_by 2.0 "$work/$shape"
+done
+control service-1 "always?mode=ok"
+for shape in endless-event drip-stream
+do
+	control engine-1 "always?mode=$shape"
+	many 20 chat >"$work/$shape"
+	pass_or_fail "$shape is met by 20 requests" reached engine-1 $shape
+	# A stream's end tells of its failure: [DONE] never came.
+	pass_or_fail "$shape ends within 0.5 s of the timeout" \
+		ended_by 3.5 "$work/$shape"
+done
+control engine-1 "always?mode=ok"
+pass_or_fail "memory grows by less than 16 MB ($before_kb to $(peak_kb) kB)" \
+	test $(($(peak_kb) - before_kb)) -lt 16384
+sleep 2 # the breakers of the troubled endpoints
+
+control engine-1 "mode?next=slow-stream"
+ask north-1 match_report slow 20 true >"$work/status"
+expect_equal "a slow stream is whole" "data: [DONE]" \
+	"$(grep . "$work/body" | tail -1)"
+
+control service-1 "mode?next=late-copy"
+call_service north-1 book_return '{"n":1}' >"$work/status"
+sleep 0.3
+call_service north-1 claim_status '{"n":2}' >"$work/status"
+pass_or_fail "a late copy reaches nobody" \
+	sh -c "! grep -q 'a late copy' '$work/body'"
+control service-1 "mode?next=late-same-copy"
+call_service north-1 book_return '{"n":1}' -H 'X-Peridot-Request: same' \
+	>"$work/status"
+call_service north-1 book_return '{"n":2}' -H 'X-Peridot-Request: same' \
+	>"$work/status"
+pass_or_fail "nor one with the id of the next request" \
+	sh -c "! grep -q 'a late copy' '$work/body'"
+
+for shape in cut-length cut-chunked cut-close end-length end-chunked
+do
+	control service-1 "mode?next=$shape"
+	expect_equal "$shape is no success" "502 unknown" \
+		"$(call_service north-1 book_return '{}') $(header X-Peridot-Outcome)"
+	sleep 0.5
+done
+
+# reaching COUNT: requests that reach the service, of so many.
+reaching()
+{
+	local before i
+	before=$(control service-1 count)
+	for i in $(seq "$1")
+	do
+		call_service north-1 book_return '{}' -m 1 >>"$work/status"
+	done
+	echo $(($(control service-1 count) - before))
+}
+
+sleep 2
+control service-1 "mode?next=pause"
+call_service north-1 book_return '{}' -m 1 >"$work/status"
+expect_equal "nothing reaches it during its pause" 0 "$(reaching 2)"
+sleep 3
+expect_until "it gets requests again after its pause" \
+	answered_as 200 call_service north-1 book_return '{}'
+control service-1 "mode?next=leaving"
+expect_equal "the answer of one that leaves" 200 \
+	"$(call_service north-1 book_return '{}')"
+expect_equal "nothing reaches it after that" 0 "$(reaching 2)"
+pass_or_fail "the host still runs" kill -0 "${pid[north-1]}"
+finish
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Stand-in of the platform for session tests: its store and its servers.
 
-Usage: platform.py store ADDRESS | platform.py server ADDRESS ID [NEXT]
+Usage: platform.py store ADDRESS | platform.py server|native ADDRESS ID
 
 Speaks the published protocol over plain sockets, so that a test can break it at
 any byte. A GET of /control/... on the same address changes what it does:
@@ -13,8 +13,13 @@
                                        that it had when it answers again
           /control/forget              drops the history: watches get 410
   server: /control/mode?next=M         how the next requests are answered, see
-                                       MODES; several separated by commas
+                                       MODES and ENDLESS; several separated by
+                                       commas
+          /control/always?mode=M       how all others are answered
           /control/seen                lists the requests that arrived
+          /control/count               how many requests have arrived so far
+
+A server of kind "native" speaks the project's own interface instead.
 """
 
 import base64
@@ -28,10 +33,41 @@
 MODES = (
     "ok", "shed", "misdirected", "reset", "silent", "error", "truncate",
     "foreign", "unstamped", "extra", "garbage", "close-after", "half-stream",
+    "late-copy", "late-id-copy", "late-same-copy", "cut-length", "cut-chunked", "cut-close",
+    "end-length", "end-chunked", "cut-large",
+    "drip-stream", "slow-stream", "leaving", "leaving-error", "busy",
+    "pause", "pause-part", "pause-odd", "pause-negative", "pause-absurd",
+    "large",
+)
+# Bytes without end, until the caller closes.
+ENDLESS = (
+    "endless-head", "endless-interim", "endless-garbage", "endless-chunked",
+    "endless-close", "endless-extra", "endless-foreign", "endless-event",
+    "endless-refusal",
 )
 EVENTS = 5
 POLL_S = 0.01
 SILENT_S = 30
+DRIP_S = 0.3
+SLOW_EVENTS = 20
+SLOW_EVENT_S = 0.19
+LATE_S = 0.15
+LARGE_BYTES = 8 * 1024 * 1024
+RETRY_AFTER = {"pause": "3", "pause-part": "0.7", "pause-odd": "soon",
+               "pause-negative": "-3", "pause-absurd": "99999999999999999999"}
+# Headers of the platform's protocol, and those of the project's own.
+NAMES = {
+    "server": {"id": "X-Peridotpin-Attempt-Id",
+               "stamp": "X-Peridotpin-Server-Stamp",
+               "target": "X-Peridotpin-Expect-Instance",
+               "not-run": "X-Peridotpin-Not-Executed",
+               "leaving": "Server-Leaving"},
+    "native": {"id": "X-Peridot-Request",
+               "stamp": "X-Stamp",
+               "target": "X-Peridot-Endpoint",
+               "not-run": "X-Peridot-Not-Run",
+               "leaving": "X-Peridot-Leaving"},
+}
 
 
 class Connection:
@@ -182,24 +218,34 @@
 class Server:
     """A server of one service: plain answers and streams of events."""
 
-    def __init__(self, name):
+    def __init__(self, name, kind):
         self.name = name
+        self.names = NAMES[kind]
+        self.native = kind == "native"
         self.lock = threading.Lock()
         self.modes = []
+        self.usual = "ok"
         self.seen = []
+        self.count = 0
 
     def take_mode(self):
         with self.lock:
-            return self.modes.pop(0) if self.modes else "ok"
+            return self.modes.pop(0) if self.modes else self.usual
 
     def control(self, connection, url):
         query = dict(urllib.parse.parse_qsl(url.query))
         if url.path == "/control/mode":
             wanted = query["next"].split(",")
-            assert all(mode in MODES for mode in wanted)
+            assert all(mode in MODES + ENDLESS for mode in wanted)
             with self.lock:
                 self.modes = wanted
             connection.answer(200, [], b"")
+        elif url.path == "/control/always":
+            assert query["mode"] in MODES + ENDLESS
+            self.usual = query["mode"]
+            connection.answer(200, [], b"")
+        elif url.path == "/control/count":
+            connection.answer(200, [], str(self.count).encode())
         else:
             with self.lock:
                 text = "".join(line + "\n" for line in self.seen)
@@ -210,12 +256,13 @@
         method, target, headers, _, body = request
         resume = headers.get("last-event-id", "-")
         with self.lock:
+            self.count += 1
             self.seen.append("%s %s id=%s body=%d tenant=%s resume=%s %s" % (
-                method, target, headers.get("x-peridotpin-attempt-id"),
+                method, target, headers.get(self.names["id"].lower()),
                 len(body), headers.get("x-peridotpin-tenant", "-"), resume,
                 mode))
 
-    def stream(self, connection, own, after, count):
+    def stream(self, connection, own, after, count, pause_s=POLL_S):
         head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
         head += "".join("%s: %s\r\n" % field for field in own)
         head += "Transfer-Encoding: chunked\r\n\r\n"
@@ -223,25 +270,143 @@
         for number in range(after + 1, count + 1):
             event = ("id: %d\ndata: %s\n\n" % (number, self.name)).encode()
             connection.sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
-            time.sleep(POLL_S)
+            time.sleep(pause_s)
+        if self.native and count > 2:
+            done = b"data: [DONE]\n\n"
+            connection.sock.sendall(b"%x\r\n%s\r\n" % (len(done), done))
+
+    def send_head(self, connection, status, fields):
+        head = "HTTP/1.1 %d X\r\n" % status
+        head += "".join("%s: %s\r\n" % field for field in fields)
+        connection.sock.sendall(head.encode() + b"\r\n")
+
+    def flood(self, connection, mode, own, text):
+        """Sends bytes that never make up an answer's end."""
+        sock = connection.sock
+        chunk = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
+        chunked = [("Transfer-Encoding", "chunked")]
+        endless = b"x" * 16384
+        if mode == "endless-head":
+            sock.sendall(b"HTTP/1.1 200 OK\r\n")
+            endless = b"X-Long: " + b"x" * 1000 + b"\r\n"
+        elif mode == "endless-interim":
+            endless = b"HTTP/1.1 100 Continue\r\n\r\n"
+        elif mode == "endless-chunked":
+            self.send_head(connection, 200, own + chunked)
+            endless = chunk
+        elif mode == "endless-close":
+            self.send_head(connection, 200, own)
+        elif mode == "endless-extra":
+            connection.answer(200, own, text)
+        elif mode == "endless-foreign":
+            self.send_head(connection, 200,
+                           [(own[0][0], "other"), own[1]] + chunked)
+            endless = chunk
+        elif mode == "endless-refusal":
+            self.send_head(connection, 503, own[:1] + chunked
+                           + [(self.names["not-run"], "1")])
+            endless = chunk
+        elif mode == "endless-event":
+            self.send_head(connection, 200, own + chunked
+                           + [("Content-Type", "text/event-stream")])
+            sock.sendall(b"6\r\ndata: \r\n")
+            endless = chunk
+        while True:
+            sock.sendall(endless)
+
+    def drip(self, connection, own):
+        """A stream that sends bytes, but never a whole event."""
+        self.send_head(connection, 200, own + [
+            ("Content-Type", "text/event-stream"),
+            ("Transfer-Encoding", "chunked")])
+        while True:
+            connection.sock.sendall(b"1\r\nd\r\n")
+            time.sleep(DRIP_S)
+
+    def cut(self, connection, mode, own):
+        """Breaks an answer off in the middle, by each framing."""
+        part = b"a part"
+        if mode == "cut-large":
+            self.send_head(connection, 200, own + [
+                ("Content-Length", str(LARGE_BYTES))])
+            part = b"x" * (LARGE_BYTES // 8)
+            connection.sock.sendall(part)
+        elif mode.endswith("-length"):
+            self.send_head(connection, 200, own + [("Content-Length", "100")])
+            connection.sock.sendall(part)
+        elif mode.endswith("-chunked"):
+            self.send_head(connection, 200,
+                           own + [("Transfer-Encoding", "chunked")])
+            connection.sock.sendall(b"6\r\na part\r\n")
+        else:
+            self.send_head(connection, 200, own)
+            connection.sock.sendall(part)
+        time.sleep(LATE_S)  # the part arrives before the reset
+        if mode.startswith("cut-"):
+            connection.reset()
 
     def run(self, connection, request, mode):
         """Answers one request; False when the connection has ended."""
         _, target, headers, _, body = request
-        own = [("X-Peridotpin-Attempt-Id",
-                headers.get("x-peridotpin-attempt-id", "")),
-               ("X-Peridotpin-Server-Stamp", "stamp-" + self.name)]
+        own = [(self.names["id"], headers.get(self.names["id"].lower(), "")),
+               (self.names["stamp"], "stamp-" + self.name)]
+        if self.native:
+            own.append(("X-Peridot-Boot", "boot-1"))
+        streams = "/stream/" in target or b'"stream":true' in body
         text = ("%s %s %d" % (self.name, target, len(body))).encode()
         if mode == "shed":
             connection.answer(503, own[:1] + [
-                ("X-Peridotpin-Not-Executed", "1")], b"")
+                (self.names["not-run"], "1")], b"")
+        elif mode in RETRY_AFTER:
+            connection.answer(503, own[:1] + [
+                (self.names["not-run"], "1"),
+                ("Retry-After", RETRY_AFTER[mode])], b"")
+        elif mode == "leaving":
+            connection.answer(200, own + [(self.names["leaving"], "1")], text)
+        elif mode == "leaving-error":
+            connection.answer(500, own + [(self.names["leaving"], "1")],
+                              b"failed")
+        elif mode == "late-copy":
+            connection.answer(200, own, text)
+            time.sleep(LATE_S)
+            connection.answer(200, own, b"a late copy")
+        elif mode == "late-id-copy":
+            # The copy comes where the next answer is due, without an id.
+            connection.answer(200, own, text)
+            following = connection.read_request()
+            if following is None:
+                return False
+            self.note(following, mode)
+            connection.answer(200, own[1:], b"a late copy")
+            return False
+        elif mode == "late-same-copy":
+            # The same with the id of the request before.
+            connection.answer(200, own, text)
+            following = connection.read_request()
+            if following is None:
+                return False
+            self.note(following, mode)
+            connection.answer(200, own, b"a late copy")
+            return False
+        elif mode == "busy":
+            time.sleep(LATE_S)
+            connection.answer(200, own, text)
+        elif mode == "large":
+            connection.answer(200, own, b"x" * LARGE_BYTES)
+        elif mode in ENDLESS:
+            self.flood(connection, mode, own, text)
+        elif mode == "drip-stream":
+            self.drip(connection, own)
+        elif mode.startswith(("cut-", "end-")):
+            self.cut(connection, mode, own)
+            return False
         elif mode == "misdirected":
             connection.answer(421, own[:1], b"")
         elif mode == "error":
             connection.answer(500, own, b"failed")
         elif mode == "foreign":
-            connection.answer(200, [("X-Peridotpin-Attempt-Id", "other"),
-                                    own[1]], b"of another")
+            connection.answer(200, [(own[0][0], "other"), own[1]],
+                              b"of another")
             connection.answer(200, own, text)
         elif mode == "unstamped":
             connection.answer(200, own[:1], text)
@@ -267,12 +432,15 @@
             connection.sock.sendall(
                 b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort")
             return False
-        elif "/stream/" in target:
+        elif streams:
             after = int(headers.get("last-event-id", "0"))
             whole = mode != "half-stream"
             counts = headers.get("x-peridotpin-token-counts")
             wanted = int(counts.split(",")[1]) if counts else EVENTS
-            self.stream(connection, own, after, wanted if whole else 2)
+            if mode == "slow-stream":
+                self.stream(connection, own, after, SLOW_EVENTS, SLOW_EVENT_S)
+            else:
+                self.stream(connection, own, after, wanted if whole else 2)
             if not whole:
                 connection.sock.sendall(b"10\r\nid: 3\nda")
                 connection.reset()
@@ -291,9 +459,12 @@
             if url.path.startswith("/control/"):
                 self.control(connection, url)
                 continue
-            if request[2].get("x-peridotpin-expect-instance") != self.name:
+            if request[2].get(self.names["target"].lower()) != self.name:
                 connection.answer(421, [], b"")
                 continue
+            if url.path == "/v1/load":
+                connection.answer(200, [("X-Peridot-Boot", "boot-1")], b"{}")
+                continue
             mode = self.take_mode()
             self.note(request, mode)
             if not self.run(connection, request, mode):
@@ -311,7 +482,7 @@
 
 def main():
     kind, address = sys.argv[1:3]
-    part = Store() if kind == "store" else Server(sys.argv[3])
+    part = Store() if kind == "store" else Server(sys.argv[3], kind)
     host, port = address.split(":")
     listener = socket.socket()
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -301,6 +301,88 @@
 	copies_parts = true;
 }
 
+/* Pattern: every engine asks for a pause, the longest first. Guards against a
+ * request, or a copy of prompt parts, that reaches one during its pause, and
+ * against callers who are told a time at which there is still no engine. */
+static void test_all_paused(void)
+{
+	choice_t choice;
+
+	set_up();
+	for (int i = 0; i < DOMAINS * ENGINES; i++)
+		notice_on_pause(
+			fleet_notice(router->fleet, fleet_at(router->fleet, i)),
+			4000 - i * 100, START_MS);
+	CU_ASSERT_EQUAL(choose_endpoint(make_request(3, 5000, 6000), &choice),
+			CHOOSE_LATER);
+	CU_ASSERT_EQUAL(choice.opens_ms,
+			START_MS + 4000 - (DOMAINS * ENGINES - 1) * 100);
+	mclock_manual_advance(&clock_now, choice.opens_ms - START_MS);
+	CU_ASSERT_PTR_EQUAL(must_place(3, 5000, 6000),
+			    fleet_at(router->fleet, DOMAINS * ENGINES - 1));
+	tear_down();
+}
+
+/* Guards against a pause or a leave that ends with a change of the endpoint's
+ * record, and against a successor that is shut out by it. */
+static void test_notice_outlives_record(void)
+{
+	endpoint_record_t record = {.id = STR_LIT("new"),
+				    .service = STR_LIT("model"),
+				    .address = STR_LIT("127.0.0.1:1"),
+				    .domain = STR_LIT("d1"),
+				    .slots = 64,
+				    .incarnation = 5};
+	endpoint_t *endpoint;
+	endpoint_t *old;
+
+	set_up();
+	endpoint = fleet_put(router->fleet, &record, START_MS);
+	notice_on_leaving(fleet_notice(router->fleet, endpoint), true,
+			  START_MS);
+	record.leaving = true;
+	fleet_put(router->fleet, &record, START_MS);
+	fleet_remove(router->fleet, record.id, START_MS);
+	record.leaving = false;
+	endpoint = fleet_put(router->fleet, &record, START_MS);
+	CU_ASSERT_TRUE(
+		notice_forbids(endpoint_notice(endpoint), 3000, START_MS));
+	old = endpoint;
+	endpoint_ref(old);
+	record.incarnation = 6;
+	endpoint = fleet_put(router->fleet, &record, START_MS);
+	CU_ASSERT_PTR_NULL(endpoint_notice(endpoint));
+	endpoint_unref(old);
+
+	/* An answer that comes after the record was replaced counts, too. */
+	old = endpoint;
+	endpoint_ref(old);
+	record.address = (str_t)STR_LIT("127.0.0.1:2");
+	endpoint = fleet_put(router->fleet, &record, START_MS);
+	CU_ASSERT_PTR_NOT_EQUAL(old, endpoint);
+	notice_on_pause(fleet_notice(router->fleet, old), 2000, START_MS);
+	CU_ASSERT_TRUE(notice_forbids(endpoint_notice(endpoint), 3000,
+				      START_MS + 1999));
+	endpoint_unref(old);
+	tear_down();
+}
+
+/* Pattern: the engine that has read a hot thing leaves or pauses. Guards
+ * against copies from it. */
+static void test_no_copy_from_paused(void)
+{
+	endpoint_t *holder;
+
+	set_up();
+	holder = must_place(3, 5000, 6000);
+	note_read(holder, 3, 5000);
+	endpoint_count_tokens(holder, FULL_TOKENS, START_MS);
+	CU_ASSERT_PTR_EQUAL(choose(3, 5000, 6000).source, holder);
+	notice_on_pause(fleet_notice(router->fleet, holder), 2000, START_MS);
+	CU_ASSERT_PTR_NULL(choose(3, 5000, 6000).source);
+	tear_down();
+}
+
 /* Pattern: the same load, sent by other hosts. Guards against a host that sees
  * its own few sends only. */
 static void test_load_of_others(void)
@@ -596,6 +678,9 @@
 		{"hot thing", test_hot_thing},
 		{"copy of hot thing", test_copy_of_hot_thing},
 		{"no source", test_no_source},
+		{"all paused", test_all_paused},
+		{"notice outlives record", test_notice_outlives_record},
+		{"no copy from paused", test_no_copy_from_paused},
 		{"load of others", test_load_of_others},
 		{"failing engine", test_failing_engine},
 		{"taken out", test_taken_out},
--- a/tests/unit/test_headers.c
+++ b/tests/unit/test_headers.c
@@ -107,6 +107,69 @@
 	http1_release(&http);
 }
 
+static reply_t read_answer(const char *status, const char *fields)
+{
+	const dialect_t *dialect = headers_dialect();
+	buf_t text = BUF_INIT;
+	reply_t reply;
+	http1_t http;
+
+	buf_printf(&text, "HTTP/1.1 %s X\r\n%sContent-Length: 0\r\n\r\n%c",
+		   status, fields, '\0');
+	read_head(&http, HTTP_RESPONSE, text.ptr);
+	dialect->ops->read_reply(dialect, &http.head, &reply);
+	http1_release(&http);
+	buf_release(&text);
+	return reply;
+}
+
+/* Guards against a pause that is read as none, or as one without an end. */
+static void test_pause(void)
+{
+	static const struct {
+		const char *value;
+		int64_t ms;
+	} rows[] = {{"3", 3000},
+		    {"0.7", 700},
+		    {"2.0509", 2050},
+		    {"1.", 1000},
+		    {"0", 0},
+		    {"-3", -1},
+		    {"", -1},
+		    {"soon", -1},
+		    {"3x", -1},
+		    {"Fri, 04 Dec 2026 11:00:00 GMT", -1},
+		    {"99999999999999999999999", 2147482000},
+		    {"3000000", 2147482000}};
+
+	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		buf_t field = BUF_INIT;
+		reply_t reply;
+
+		buf_printf(&field, "Retry-After: %s\r\n%c", rows[i].value,
+			   '\0');
+		reply = read_answer("503", field.ptr);
+		CU_ASSERT_TRUE(reply.wants_pause);
+		CU_ASSERT_EQUAL(reply.pause_ms, rows[i].ms);
+		buf_release(&field);
+	}
+	CU_ASSERT_FALSE(read_answer("503", "").wants_pause);
+	/* Of other answers it says when the caller may return. */
+	CU_ASSERT_FALSE(read_answer("429", "Retry-After: 3\r\n").wants_pause);
+}
+
+/* Guards against a leaving endpoint that is heard only in some answers. */
+static void test_says_it_leaves(void)
+{
+	static const char *const statuses[] = {"200", "204", "404", "429",
+					       "500", "503", "504"};
+
+	for (size_t i = 0; i < sizeof(statuses) / sizeof(statuses[0]); i++)
+		CU_ASSERT_TRUE(read_answer(statuses[i], "server-leaving: 1\r\n")
+				       .leaving);
+	CU_ASSERT_FALSE(read_answer("200", "").leaving);
+}
+
 /* Guards against a time to return that a caller can't read. */
 static void test_own_reply(void)
 {
@@ -133,6 +196,8 @@
 	CU_TestInfo tests[] = {{"call", test_call},
 			       {"send", test_send},
 			       {"reply", test_reply},
+			       {"pause", test_pause},
+			       {"says it leaves", test_says_it_leaves},
 			       {"own reply", test_own_reply},
 			       CU_TEST_INFO_NULL};
 
--- /dev/null
+++ b/tests/unit/test_notice.c
@@ -0,0 +1,152 @@
+#include "unit.h"
+
+#include "state/noticebook.h"
+
+#define START_MS 1000000
+#define DRAIN_MS 3000
+#define PROCESS 7
+
+/* Sends as fast as the notice allows between two moments; RETURN VALUE: how
+ * many requests that were. */
+static unsigned send_all(notice_t *notice, int64_t from_ms, int64_t to_ms)
+{
+	unsigned sent = 0;
+
+	for (int64_t ms = from_ms; ms < to_ms; ms++)
+		for (int i = 0; i < 100; i++) {
+			if (notice_check(notice, DRAIN_MS, ms) != NOTICE_OPEN)
+				break;
+			notice_on_send(notice, ms);
+			sent++;
+		}
+	return sent;
+}
+
+/* Pattern: a queue waits for an endpoint that asked for a pause of 3 s. Guards
+ * against a request during the pause, a trial included, and against the whole
+ * queue at its end. */
+static void test_pause_then_slow_start(void)
+{
+	notice_t notice = {.hinted_ms = 0};
+
+	CU_ASSERT_EQUAL(notice_on_pause(&notice, 3000, START_MS), 3000);
+	CU_ASSERT_EQUAL(send_all(&notice, START_MS, START_MS + 3000), 0);
+	CU_ASSERT_TRUE(notice_forbids(&notice, DRAIN_MS, START_MS + 2999));
+	CU_ASSERT_EQUAL(send_all(&notice, START_MS + 3000,
+				 START_MS + 3000 + NOTICE_STEP_MS),
+			1);
+	CU_ASSERT_EQUAL(send_all(&notice, START_MS + 3000 + NOTICE_STEP_MS,
+				 START_MS + 3000 + 2 * NOTICE_STEP_MS),
+			1);
+	CU_ASSERT_EQUAL(send_all(&notice, START_MS + 3000 + 2 * NOTICE_STEP_MS,
+				 START_MS + 3000 + 3 * NOTICE_STEP_MS),
+			2);
+	/* Then it is an endpoint like any other. */
+	CU_ASSERT_TRUE(
+		send_all(&notice,
+			 START_MS + 3000 + NOTICE_STEPS * NOTICE_STEP_MS,
+			 START_MS + 3001 + NOTICE_STEPS * NOTICE_STEP_MS) > 50);
+}
+
+/* Guards against a later, shorter pause that ends an earlier one too soon:
+ * answers to requests that were on their way come in any order. */
+static void test_pauses_overlap(void)
+{
+	notice_t notice = {.hinted_ms = 0};
+
+	notice_on_pause(&notice, 5000, START_MS);
+	notice_on_pause(&notice, 1000, START_MS + 100);
+	CU_ASSERT_EQUAL(notice_check(&notice, DRAIN_MS, START_MS + 4999),
+			NOTICE_PAUSED);
+	CU_ASSERT_EQUAL(notice_opens_ms(&notice, START_MS + 200),
+			START_MS + 5000);
+	/* A trial that is refused again begins a new pause. */
+	notice_on_send(&notice, START_MS + 5000);
+	notice_on_pause(&notice, 1000, START_MS + 5010);
+	CU_ASSERT_EQUAL(send_all(&notice, START_MS + 5010, START_MS + 6010), 0);
+	CU_ASSERT_EQUAL(send_all(&notice, START_MS + 6010, START_MS + 6020), 1);
+}
+
+/* Guards against a faulty number that shuts an endpoint out for good, or that
+ * counts as no pause. */
+static void test_odd_pauses(void)
+{
+	notice_t notice = {.hinted_ms = 0};
+
+	CU_ASSERT_EQUAL(notice_on_pause(&notice, -1, START_MS),
+			NOTICE_DEFAULT_PAUSE_MS);
+	CU_ASSERT_EQUAL(notice_on_pause(&notice, INT32_MAX, START_MS),
+			NOTICE_MAX_PAUSE_MS);
+	CU_ASSERT_EQUAL(notice_opens_ms(&notice, START_MS),
+			START_MS + NOTICE_MAX_PAUSE_MS);
+	CU_ASSERT_EQUAL(notice_on_pause(&notice, 0, START_MS), 0);
+}
+
+/* Guards DRAIN: one that said so itself gets nothing more, and nothing that
+ * other hosts say makes it less. */
+static void test_leaving(void)
+{
+	notice_t notice = {.hinted_ms = 0};
+
+	notice_on_leaving(&notice, true, START_MS);
+	notice_on_hint(&notice, START_MS);
+	CU_ASSERT_EQUAL(notice_check(&notice, DRAIN_MS, START_MS),
+			NOTICE_LEAVING);
+	CU_ASSERT_EQUAL(notice_check(&notice, DRAIN_MS, START_MS + 86400000),
+			NOTICE_LEAVING);
+	CU_ASSERT_TRUE(notice_forbids(&notice, DRAIN_MS, START_MS));
+	/* Where a record names no process, its successor is found by trying. */
+	notice = (notice_t){.hinted_ms = 0};
+	notice_on_leaving(&notice, false, START_MS);
+	CU_ASSERT_EQUAL(notice_check(&notice, DRAIN_MS,
+				     START_MS + NOTICE_UNNAMED_LEAVING_MS),
+			NOTICE_OPEN);
+}
+
+/* Pattern: the last endpoint of a service leaves. Guards against refusing what
+ * it still may take because another host heard that it leaves, and against
+ * using it after the time for leaving. */
+static void test_hint(void)
+{
+	notice_t notice = {.hinted_ms = 0};
+
+	notice_on_hint(&notice, START_MS);
+	notice_on_hint(&notice, START_MS + 2000); /* told once more */
+	CU_ASSERT_EQUAL(notice_check(&notice, DRAIN_MS, START_MS + 2999),
+			NOTICE_LAST_RESORT);
+	CU_ASSERT_FALSE(notice_forbids(&notice, DRAIN_MS, START_MS + 2999));
+	CU_ASSERT_EQUAL(notice_check(&notice, DRAIN_MS, START_MS + 3000),
+			NOTICE_LEAVING);
+	CU_ASSERT_TRUE(notice_forbids(&notice, DRAIN_MS, START_MS + 3000));
+	CU_ASSERT_EQUAL(notice_check(NULL, DRAIN_MS, START_MS), NOTICE_OPEN);
+}
+
+/* Guards against a book that grows with each process that ever left, and one
+ * that forgets a process which is still in use. */
+static void test_book(void)
+{
+	noticebook_t book = {.count = 0};
+	noticebook_entry_t *used = noticebook_get(&book, PROCESS);
+
+	notice_on_leaving(&used->notice, true, START_MS);
+	for (uint64_t i = 0; i < 2 * NOTICEBOOK_MAX; i++)
+		noticebook_unref(noticebook_get(&book, 1000 + i));
+	CU_ASSERT_EQUAL(book.count, NOTICEBOOK_MAX);
+	CU_ASSERT_PTR_EQUAL(noticebook_find(&book, PROCESS), used);
+	CU_ASSERT_PTR_NULL(noticebook_find(&book, 1000));
+	noticebook_release(&book);
+}
+
+int main(void)
+{
+	CU_TestInfo tests[] = {
+		{"pause then slow start", test_pause_then_slow_start},
+		{"pauses overlap", test_pauses_overlap},
+		{"odd pauses", test_odd_pauses},
+		{"leaving", test_leaving},
+		{"hint", test_hint},
+		{"book", test_book},
+		CU_TEST_INFO_NULL};
+
+	return unit_run("notice", tests);
+}
--- a/tests/unit/test_retryafter.c
+++ b/tests/unit/test_retryafter.c
@@ -51,6 +51,21 @@
 		CU_ASSERT(buckets[i] < CALLERS / 10);
 }
 
+/* Pattern: every endpoint asked for a pause. Guards against callers who come
+ * back before the first of them ends, or all at its end. */
+static void test_paused(void)
+{
+	unsigned first = 0;
+
+	for (unsigned i = 0; i < CALLERS; i++) {
+		int64_t ms = retryafter_pause_ms(3000, number(i));
+
+		CU_ASSERT(ms > 3000 && ms < 4000);
+		first += ms < 3000 + 2 * BUCKET_MS + 100;
+	}
+	CU_ASSERT(first < CALLERS / 2);
+}
+
 /* Pattern: endpoints are full for a moment. Guards against callers who wait
  * for seconds although there is room again. */
 static void test_busy(void)
@@ -65,6 +80,7 @@
 			       {"short patience", test_short_patience},
 			       {"spread", test_spread},
 			       {"busy", test_busy},
+			       {"paused", test_paused},
 			       CU_TEST_INFO_NULL};
 
 	return unit_run("retryafter", tests);
