Let two hosts of each domain read the configuration service for the others

Ruled out: relays that push records with loads (a configuration does not fit into a datagram), a tree of pulls (a node that stops cuts off what is below it), and a rarer watch of all (still each host).

Change: readers (a pure module) says who reads: the two live hosts of a domain with the highest weights, without those that are silent for 3 s, leave, or say that the service fails. Readers announce their revision to their domain at each change and every second; the others pull at once, from the own domain first, and from another peer when one does not answer. A host that knows fewer than half of the others is answered with them at once. A host that starts reads after 1 to 2.5 s, by its weight. The simulated fleet of test_membership is a part of its own, which test_readers uses: fleets of 30, 100 and 300, a start together, readers killed, half of the hosts refused, a service that is away, cuts, a frozen host, a rolling restart.

In the simulation a change is known to all of 300 hosts within a second, and at most 36 hosts of six domains call while the service is away.

Conclusion: calls follow the domains, not the hosts.

--- a/Makefile
+++ b/Makefile
@@ -81,7 +81,7 @@
 	msgcodec plog str) \
 	$(patsubst %,lib/coordination/%.c,balance breaker coldgate floors gossip \
 	loadboard notice peersync policy prefixmap \
-	prefixnews pullcodec repeats retryafter warmth) \
+	prefixnews pullcodec readers repeats retryafter warmth) \
 	$(patsubst %,lib/state/%.c,catalog fleet hostsettings noticebook replica) \
 	$(patsubst %,lib/transport/%.c,address frame http1 httptext loop monitor tcp \
 	udp)
--- a/lib/coordination/gossip.c
+++ b/lib/coordination/gossip.c
@@ -6,9 +6,9 @@
 
 #include "base/msgcodec.h"
 
-#define MESSAGE_FIELDS 10
+#define MESSAGE_FIELDS 11
 #define MEMBER_FIELDS 5
-#define MESSAGE_VERSION 2
+#define MESSAGE_VERSION 3
 /* A tag and the age in one number. Ages are rounded up, since one that shrank
  * from host to host would keep a lost host alive by hearsay. */
 #define TAG_BYTES 4
@@ -199,7 +199,7 @@
 	const msgpack_object *fields = root->via.array.ptr;
 	member_t heard;
 	member_t *member;
-	uint64_t version, revision, known;
+	uint64_t version, revision, known, service;
 
 	if (root->type != MSGPACK_OBJECT_ARRAY ||
 	    root->via.array.size != MESSAGE_FIELDS ||
@@ -208,7 +208,9 @@
 	    fields[6].type != MSGPACK_OBJECT_BOOLEAN ||
 	    fields[7].type != MSGPACK_OBJECT_ARRAY ||
 	    fields[8].type != MSGPACK_OBJECT_BIN ||
-	    !read_number(&fields[9], &known) || known > GOSSIP_MAX_MEMBERS)
+	    !read_number(&fields[9], &known) || known > GOSSIP_MAX_MEMBERS ||
+	    !read_number(&fields[10], &service) ||
+	    service > GOSSIP_SERVICE_FAILS)
 		return err_set(err, ERR_INVALID, "read-gossip", "-",
 			       "malformed message");
 	heard.heard_ms = now_ms;
@@ -220,6 +222,7 @@
 	member->known = (unsigned)known;
 	member->direct_ms = now_ms;
 	member->leaving = fields[6].via.boolean;
+	member->service = (gossip_service_t)service;
 	read_sample(gossip, &fields[7].via.array, now_ms);
 	read_tags(gossip, &fields[8].via.bin, now_ms);
 	/* The sample may have moved the table. */
@@ -334,33 +337,65 @@
 	       to->known + known / KNOWN_PART < known;
 }
 
-void gossip_write(gossip_t *gossip, int64_t revision, bool leaving,
-		  const member_t *to, int64_t now_ms, buf_t *out)
+bool gossip_needs_answer(const gossip_t *gossip, const member_t *sender,
+			 int64_t now_ms)
+{
+	return sender->known * 2 < count_known(gossip, now_ms);
+}
+
+/* Hosts in full and tags, each packed already. */
+typedef struct others {
+	buf_t sample;
+	size_t count;
+	buf_t tags;
+} others_t;
+
+static void write_message(const gossip_t *gossip, const gossip_state_t *state,
+			  const others_t *others, unsigned known, buf_t *out)
 {
-	unsigned known = count_known(gossip, now_ms);
-	buf_t sample = BUF_INIT, tags = BUF_INIT;
 	msgpack_packer packer;
-	size_t count, old;
 
-	count = pack_sample(gossip, SAMPLE_NEW, GOSSIP_SAMPLE, now_ms, &sample);
-	old = !to || may_know_fewer(to, known, now_ms) ? GOSSIP_SAMPLE - count :
-							 GOSSIP_OLD_SAMPLE;
-	count += pack_sample(gossip, SAMPLE_OLD, old, now_ms, &sample);
-	append_tags(gossip, now_ms, &tags);
 	msgpack_packer_init(&packer, out, msgcodec_append);
 	msgpack_pack_array(&packer, MESSAGE_FIELDS);
 	msgpack_pack_uint64(&packer, MESSAGE_VERSION);
-	pack_member(&packer, &gossip->self, (uint64_t)revision);
-	if (leaving)
+	pack_member(&packer, &gossip->self, (uint64_t)state->revision);
+	if (state->leaving)
 		msgpack_pack_true(&packer);
 	else
 		msgpack_pack_false(&packer);
-	msgpack_pack_array(&packer, count);
-	buf_append_str(out, buf_view(&sample));
-	msgpack_pack_bin_with_body(&packer, tags.ptr, tags.len);
+	msgpack_pack_array(&packer, others->count);
+	buf_append_str(out, buf_view(&others->sample));
+	msgpack_pack_bin_with_body(&packer, others->tags.ptr, others->tags.len);
 	msgpack_pack_uint32(&packer, known);
-	buf_release(&sample);
-	buf_release(&tags);
+	msgpack_pack_uint32(&packer, state->service);
+}
+
+void gossip_write_brief(const gossip_t *gossip, const gossip_state_t *state,
+			int64_t now_ms, buf_t *out)
+{
+	others_t others = {.count = 0};
+
+	write_message(gossip, state, &others, count_known(gossip, now_ms), out);
+}
+
+void gossip_write(gossip_t *gossip, const gossip_state_t *state,
+		  const member_t *to, int64_t now_ms, buf_t *out)
+{
+	unsigned known = count_known(gossip, now_ms);
+	others_t others = {.count = 0};
+	size_t old;
+
+	others.count = pack_sample(gossip, SAMPLE_NEW, GOSSIP_SAMPLE, now_ms,
+				   &others.sample);
+	old = !to || may_know_fewer(to, known, now_ms) ?
+		      GOSSIP_SAMPLE - others.count :
+		      GOSSIP_OLD_SAMPLE;
+	others.count +=
+		pack_sample(gossip, SAMPLE_OLD, old, now_ms, &others.sample);
+	append_tags(gossip, now_ms, &others.tags);
+	write_message(gossip, state, &others, known, out);
+	buf_release(&others.sample);
+	buf_release(&others.tags);
 }
 
 bool gossip_is_live(const gossip_t *gossip, const member_t *member,
@@ -418,6 +453,11 @@
 	return count;
 }
 
+const member_t *gossip_self(const gossip_t *gossip)
+{
+	return &gossip->self;
+}
+
 size_t gossip_member_count(const gossip_t *gossip)
 {
 	return gossip->count;
@@ -453,8 +493,21 @@
 	return count_members(gossip, now_ms, gossip->self.domain);
 }
 
+static bool is_own_domain(const gossip_t *gossip, const member_t *member)
+{
+	return !strcmp(member->domain, gossip->self.domain);
+}
+
+static bool is_better_source(const gossip_t *gossip, const member_t *a,
+			     const member_t *b)
+{
+	if (is_own_domain(gossip, a) != is_own_domain(gossip, b))
+		return is_own_domain(gossip, a);
+	return a->revision > b->revision;
+}
+
 const member_t *gossip_newest(const gossip_t *gossip, int64_t revision,
-			      int64_t now_ms)
+			      const char *avoid, int64_t now_ms)
 {
 	const member_t *newest = NULL;
 
@@ -462,9 +515,10 @@
 		const member_t *member = &gossip->members[i];
 
 		if (member->revision <= revision || !member->direct_ms ||
-		    now_ms - member->direct_ms > GOSSIP_LIVE_MS)
+		    now_ms - member->direct_ms > GOSSIP_LIVE_MS ||
+		    (avoid && !strcmp(member->ip, avoid)))
 			continue;
-		if (!newest || member->revision > newest->revision)
+		if (!newest || is_better_source(gossip, member, newest))
 			newest = member;
 	}
 	return newest;
--- a/lib/coordination/gossip.h
+++ b/lib/coordination/gossip.h
@@ -39,6 +39,13 @@
 #define GOSSIP_IP_BYTES 16
 #define GOSSIP_MESSAGE_BYTES 1200
 
+/* What the configuration service does for a host that reads it. */
+typedef enum gossip_service {
+	GOSSIP_SERVICE_UNUSED, /* the host doesn't read it */
+	GOSSIP_SERVICE_ANSWERS,
+	GOSSIP_SERVICE_FAILS
+} gossip_service_t;
+
 typedef struct member {
 	char name[GOSSIP_NAME_BYTES];
 	char domain[GOSSIP_NAME_BYTES];
@@ -51,8 +58,16 @@
 	unsigned known;	      /* live hosts that it knows, as it said */
 	int64_t direct_ms;    /* when it said so; 0: never */
 	bool leaving;
+	gossip_service_t service; /* as it said then */
 } member_t;
 
+/* What a host says of itself in each message. */
+typedef struct gossip_state {
+	int64_t revision;
+	bool leaving;
+	gossip_service_t service;
+} gossip_state_t;
+
 typedef struct gossip gossip_t;
 
 typedef struct gossip_self {
@@ -76,9 +91,18 @@
 
 /* Appends a message about this host and others for the host `to`, which is NULL
  * for one that may not be known. */
-void gossip_write(gossip_t *gossip, int64_t revision, bool leaving,
+void gossip_write(gossip_t *gossip, const gossip_state_t *state,
 		  const member_t *to, int64_t now_ms, buf_t *out);
 
+/* The same about this host alone, for hosts that know the others. */
+void gossip_write_brief(const gossip_t *gossip, const gossip_state_t *state,
+			int64_t now_ms, buf_t *out);
+
+/* True when a host that sent a message knows so few of the others that it is
+ * told of them at once, not when its turn comes. */
+bool gossip_needs_answer(const gossip_t *gossip, const member_t *sender,
+			 int64_t now_ms);
+
 /*
  * Chooses whom to send to in this round: mostly hosts of the own domain, whose
  * bytes cost nothing, and one of all.
@@ -88,6 +112,9 @@
 size_t gossip_targets(gossip_t *gossip, int64_t now_ms,
 		      const member_t **targets);
 
+/* This host; of its fields those that gossip_create() got are set. */
+const member_t *gossip_self(const gossip_t *gossip);
+
 size_t gossip_member_count(const gossip_t *gossip);
 const member_t *gossip_member(const gossip_t *gossip, size_t index);
 bool gossip_is_live(const gossip_t *gossip, const member_t *member,
@@ -97,9 +124,13 @@
 unsigned gossip_count(const gossip_t *gossip, int64_t now_ms);
 unsigned gossip_count_domain(const gossip_t *gossip, int64_t now_ms);
 
-/* A live host whose replica was newest; NULL if none is newer than
- * `revision`. */
+/*
+ * A live host to get records from that are newer than `revision`; NULL if there
+ * is none. Of the own domain before others, since bytes between domains are
+ * billed; among those of one domain the newest. `avoid` is the address of a
+ * host to leave out; NULL: none.
+ */
 const member_t *gossip_newest(const gossip_t *gossip, int64_t revision,
-			      int64_t now_ms);
+			      const char *avoid, int64_t now_ms);
 
 #endif
--- a/lib/coordination/peersync.c
+++ b/lib/coordination/peersync.c
@@ -9,6 +9,7 @@
 #include "base/metrics.h"
 #include "base/plog.h"
 #include "coordination/pullcodec.h"
+#include "coordination/readers.h"
 #include "transport/address.h"
 #include "transport/frame.h"
 #include "transport/tcp.h"
@@ -21,6 +22,8 @@
 #define SILENCE_MS 1000
 /* Shares are divided by one host more than are known: one may just start. */
 #define SPARE_HOSTS 1
+/* A peer that did not answer a pull is not asked again for this long. */
+#define AVOID_MS 2000
 /* Before other hosts had time to answer, at least so many are assumed. */
 #define MIN_DOMAIN_HOSTS 4
 #define MIN_ALL_HOSTS 12
@@ -50,8 +53,14 @@
 	char seeds[MAX_SEEDS][GOSSIP_IP_BYTES];
 	size_t seed_count;
 	bool leaving;
+	gossip_service_t service;
+	int64_t announced_ms;
+	char avoided[GOSSIP_IP_BYTES]; /* did not answer a pull */
+	int64_t avoided_ms;
 	int64_t started_ms;
 	int64_t behind_since_ms; /* a peer's revision has been newer; 0: no */
+	int64_t spread_ms;	 /* of this host, see PEERSYNC_SPREAD_MS */
+	loop_timer_t behind_timer;
 	unsigned domain_hosts, all_hosts;
 	pull_t *pulling; /* the own pull; one at a time */
 	size_t served;
@@ -77,9 +86,22 @@
 	free(pull);
 }
 
+/* The peer did not answer: another one is asked next. */
+static void fail_pull(pull_t *pull)
+{
+	peersync_t *peersync = pull->peersync;
+
+	if (pull->asks) {
+		str_copy(peersync->avoided, sizeof(peersync->avoided),
+			 (str_t){pull->peer, strcspn(pull->peer, ":")});
+		peersync->avoided_ms = now_of(peersync);
+	}
+	end_pull(pull);
+}
+
 static void on_pull_timeout(void *user)
 {
-	end_pull(user);
+	fail_pull(user);
 }
 
 static void note_invalid(const char *peer, const char *step)
@@ -99,6 +121,7 @@
 		note_invalid(pull->peer, err.step);
 		return;
 	}
+	peersync->behind_since_ms = 0;
 	if (revision)
 		peersync->observer.pulled(peersync->observer.user, pull->peer,
 					  revision);
@@ -171,11 +194,11 @@
 	size_t len;
 
 	if (pull->tcp.connecting && tcp_connect_result(&pull->tcp)) {
-		end_pull(pull);
+		fail_pull(pull);
 		return;
 	}
 	if ((events & EPOLLOUT) && !tcp_flush(&pull->tcp)) {
-		end_pull(pull);
+		fail_pull(pull);
 		return;
 	}
 	if (!(events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
@@ -190,7 +213,7 @@
 		return;
 	case TCP_READ_END:
 	case TCP_READ_BROKEN:
-		end_pull(pull);
+		fail_pull(pull);
 		return;
 	}
 }
@@ -244,13 +267,27 @@
 	}
 }
 
-/* Pulls from a peer that has been ahead for longer than the watch takes. */
+/* How long a peer may be ahead before its records are pulled: for as long as
+ * the own watch takes, or a moment that differs from host to host. */
+static int64_t patience_of(const peersync_t *peersync)
+{
+	return peersync->service == GOSSIP_SERVICE_ANSWERS ?
+		       peersync->patience_ms :
+		       peersync->spread_ms;
+}
+
+static void on_behind(void *user);
+
+/* Pulls from a peer that has been ahead for long enough. */
 static void check_behind(peersync_t *peersync)
 {
 	int64_t now_ms = now_of(peersync);
 	int64_t revision = replica_revision(peersync->replica);
+	bool avoids = now_ms - peersync->avoided_ms < AVOID_MS;
 	const member_t *newest =
-		gossip_newest(peersync->gossip, revision, now_ms);
+		gossip_newest(peersync->gossip, revision,
+			      avoids ? peersync->avoided : NULL, now_ms);
+	int64_t left_ms;
 
 	if (!newest) {
 		peersync->behind_since_ms = 0;
@@ -258,30 +295,19 @@
 	}
 	if (!peersync->behind_since_ms)
 		peersync->behind_since_ms = now_ms;
-	if (peersync->pulling ||
-	    (revision &&
-	     now_ms - peersync->behind_since_ms < peersync->patience_ms))
+	if (peersync->pulling)
 		return;
-	start_pull(peersync, newest->ip);
+	left_ms = peersync->behind_since_ms + patience_of(peersync) - now_ms;
+	if (!revision || left_ms <= 0)
+		start_pull(peersync, newest->ip);
+	else
+		loop_timer_set(peersync->loop, &peersync->behind_timer, left_ms,
+			       on_behind, peersync);
 }
 
-static void on_datagram(void *user, uint32_t events)
+static void on_behind(void *user)
 {
-	peersync_t *peersync = user;
-	char buffer[GOSSIP_MESSAGE_BYTES];
-	size_t len;
-
-	(void)events;
-	while ((len = udp_receive(peersync->udp_fd, buffer, sizeof(buffer)))) {
-		const member_t *sender;
-		err_t err;
-
-		metrics_add(METRIC_CONTROL_BYTES_RECEIVED, STR_LIT(""), len);
-		if (gossip_read(peersync->gossip, (str_t){buffer, len},
-				now_of(peersync), &sender, &err) == ERR_INVALID)
-			note_invalid(err.peer, err.step);
-	}
-	check_behind(peersync);
+	check_behind(user);
 }
 
 static void send_to_ip(const peersync_t *peersync, const char *ip, str_t data)
@@ -315,14 +341,21 @@
 					 all_hosts);
 }
 
+static gossip_state_t state_of(const peersync_t *peersync)
+{
+	return (gossip_state_t){.revision = replica_revision(peersync->replica),
+				.leaving = peersync->leaving,
+				.service = peersync->service};
+}
+
 /* Sends to a member, or to all seeds when `to` is NULL. */
 static void send_digest(const peersync_t *peersync, const member_t *to,
 			int64_t now_ms)
 {
+	gossip_state_t state = state_of(peersync);
 	buf_t message = BUF_INIT;
 
-	gossip_write(peersync->gossip, replica_revision(peersync->replica),
-		     peersync->leaving, to, now_ms, &message);
+	gossip_write(peersync->gossip, &state, to, now_ms, &message);
 	if (to)
 		send_to_ip(peersync, to->ip, buf_view(&message));
 	for (size_t i = 0; !to && i < peersync->seed_count; i++)
@@ -330,6 +363,31 @@
 	buf_release(&message);
 }
 
+static void on_datagram(void *user, uint32_t events)
+{
+	peersync_t *peersync = user;
+	char buffer[GOSSIP_MESSAGE_BYTES];
+	size_t len;
+
+	(void)events;
+	while ((len = udp_receive(peersync->udp_fd, buffer, sizeof(buffer)))) {
+		const member_t *sender;
+		err_t err;
+
+		metrics_add(METRIC_CONTROL_BYTES_RECEIVED, STR_LIT(""), len);
+		err_code_t code =
+			gossip_read(peersync->gossip, (str_t){buffer, len},
+				    now_of(peersync), &sender, &err);
+
+		if (code == ERR_INVALID)
+			note_invalid(err.peer, err.step);
+		else if (!code && gossip_needs_answer(peersync->gossip, sender,
+						      now_of(peersync)))
+			send_digest(peersync, sender, now_of(peersync));
+	}
+	check_behind(peersync);
+}
+
 static void send_round(peersync_t *peersync)
 {
 	const member_t *targets[GOSSIP_FANOUT];
@@ -342,10 +400,43 @@
 		send_digest(peersync, NULL, now_ms);
 }
 
+void peersync_announce(peersync_t *peersync)
+{
+	const gossip_t *gossip = peersync->gossip;
+	gossip_state_t state = state_of(peersync);
+	int64_t now_ms = now_of(peersync);
+	buf_t message = BUF_INIT;
+
+	peersync->announced_ms = now_ms;
+	gossip_write_brief(gossip, &state, now_ms, &message);
+	for (size_t i = 0; i < gossip_member_count(gossip); i++) {
+		const member_t *member = gossip_member(gossip, i);
+
+		if (!strcmp(member->domain, gossip_self(gossip)->domain) &&
+		    gossip_is_live(gossip, member, now_ms))
+			send_to_ip(peersync, member->ip, buf_view(&message));
+	}
+	buf_release(&message);
+}
+
+void peersync_set_service(peersync_t *peersync, gossip_service_t service)
+{
+	if (service == peersync->service)
+		return;
+	peersync->service = service;
+	peersync_announce(peersync);
+}
+
 static void on_round(void *user)
 {
 	peersync_t *peersync = user;
+	int64_t now_ms = now_of(peersync);
 
+	if (peersync->observer.round)
+		peersync->observer.round(peersync->observer.user);
+	if (peersync->service != GOSSIP_SERVICE_UNUSED &&
+	    now_ms - peersync->announced_ms >= READERS_ANNOUNCE_MS)
+		peersync_announce(peersync);
 	send_round(peersync);
 	update_hosts(peersync);
 	check_behind(peersync);
@@ -368,6 +459,8 @@
 	peersync->patience_ms = options->patience_ms;
 	peersync->listen_fd = -1;
 	peersync->started_ms = now_of(peersync);
+	peersync->spread_ms =
+		readers_weight(options->self.name) % PEERSYNC_SPREAD_MS;
 	peersync->gossip = gossip_create(
 		&options->self,
 		options->self.incarnation ^
@@ -399,6 +492,7 @@
 	if (!peersync)
 		return;
 	loop_timer_cancel(peersync->loop, &peersync->round_timer);
+	loop_timer_cancel(peersync->loop, &peersync->behind_timer);
 	if (peersync->pulling)
 		end_pull(peersync->pulling);
 	if (peersync->udp_fd >= 0) {
--- a/lib/coordination/peersync.h
+++ b/lib/coordination/peersync.h
@@ -8,14 +8,16 @@
 /*
  * peersync - keeps this host's replica as new as that of its peers
  *
- * Sends and receives gossip over UDP. When a peer has known a newer revision
- * for a while, which this host's own watch should have told by then, the
- * changes are pulled from that peer over TCP: a frame with the own revision,
- * answered by a frame with the records. Nothing is pulled while the
- * configuration service answers every host.
+ * Sends and receives gossip over UDP. When a peer knows a newer revision, the
+ * changes are pulled from it over TCP: a frame with the own revision, answered
+ * by a frame with the records. A host that reads the configuration service
+ * waits a while first, since its own watch should tell the same; the others
+ * pull at once, spread over a moment (see readers.h).
  */
 #define PEERSYNC_PULL_TIMEOUT_MS 1000
-#define PEERSYNC_MAX_SERVED 16 /* pulls answered at the same time */
+#define PEERSYNC_MAX_SERVED 64 /* pulls answered at the same time */
+/* Hosts that hear of a change at the same moment pull within this time. */
+#define PEERSYNC_SPREAD_MS 100
 
 typedef struct peersync peersync_t;
 
@@ -25,6 +27,8 @@
 			      unsigned all_hosts);
 	/* Records came from a peer that the service hasn't told. */
 	void (*pulled)(void *user, const char *peer, int64_t revision);
+	/* A round of gossip begins. NULL: not told. */
+	void (*round)(void *user);
 	void *user;
 } peersync_observer_t;
 
@@ -53,6 +57,14 @@
 /* The hosts that are known. */
 const gossip_t *peersync_gossip(const peersync_t *peersync);
 
+/* States what the configuration service does for this host. A host that reads
+ * it tells its domain of each change, and at least every
+ * READERS_ANNOUNCE_MS. */
+void peersync_set_service(peersync_t *peersync, gossip_service_t service);
+
+/* Tells the hosts of the domain which revision this one has. */
+void peersync_announce(peersync_t *peersync);
+
 /* Tells the others that this host stops. */
 void peersync_leave(peersync_t *peersync);
 
--- /dev/null
+++ b/lib/coordination/readers.c
@@ -0,0 +1,82 @@
+#include "coordination/readers.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Keeps readers apart from the relays of regions, which have work of their
+ * own. */
+#define WEIGHT_SEED 0x52454144u
+
+uint32_t readers_weight(const char *name)
+{
+	return (uint32_t)XXH64(name, strlen(name), WEIGHT_SEED);
+}
+
+typedef enum verdict {
+	VERDICT_ABSENT,
+	VERDICT_FAILING,
+	VERDICT_READER
+} verdict_t;
+
+/* What a host of this domain with a higher weight is taken for. */
+static verdict_t judge(const gossip_t *gossip, const member_t *member,
+		       int64_t now_ms)
+{
+	int64_t heard_ms = member->direct_ms > member->since_ms ?
+				   member->direct_ms :
+				   member->since_ms;
+
+	if (!gossip_is_live(gossip, member, now_ms) || member->leaving ||
+	    now_ms - heard_ms >= READERS_SILENT_MS)
+		return VERDICT_ABSENT;
+	return member->direct_ms && member->service == GOSSIP_SERVICE_FAILS ?
+		       VERDICT_FAILING :
+		       VERDICT_READER;
+}
+
+static bool is_above(const member_t *member, const member_t *self)
+{
+	uint32_t weight = readers_weight(member->name);
+	uint32_t own = readers_weight(self->name);
+
+	return weight != own ? weight > own :
+			       strcmp(member->name, self->name) > 0;
+}
+
+/* True when the host has been there for long enough, given its weight. */
+static bool has_learned(const member_t *self, int64_t age_ms)
+{
+	double below_top =
+		1.0 - readers_weight(self->name) / (double)UINT32_MAX;
+
+	return (double)age_ms >=
+	       READERS_LEARN_MS +
+		       below_top * (READERS_LEARNED_MS - READERS_LEARN_MS);
+}
+
+bool readers_is_self(const gossip_t *gossip, int64_t started_ms, int64_t now_ms)
+{
+	const member_t *self = gossip_self(gossip);
+	unsigned readers = 0, failing = 0;
+
+	if (!has_learned(self, now_ms - started_ms))
+		return false;
+	for (size_t i = 0; i < gossip_member_count(gossip); i++) {
+		const member_t *member = gossip_member(gossip, i);
+
+		if (strcmp(member->domain, self->domain) ||
+		    !is_above(member, self))
+			continue;
+		switch (judge(gossip, member, now_ms)) {
+		case VERDICT_ABSENT:
+			break;
+		case VERDICT_FAILING:
+			failing++;
+			break;
+		case VERDICT_READER:
+			readers++;
+			break;
+		}
+	}
+	return readers < READERS_PER_DOMAIN && failing < READERS_MAX_FAILING;
+}
--- a/programs/host/host.c
+++ b/programs/host/host.c
@@ -154,7 +154,14 @@
 	plog_write(PLOG_HOSTS_CHANGED, "domain=%u all=%u", domain_hosts,
 		   all_hosts);
 	router_set_hosts(host->router, domain_hosts, all_hosts);
-	host->ops->hosts_changed(host, all_hosts);
+}
+
+static void on_round(void *user)
+{
+	host_t *host = user;
+
+	if (host->ops->round)
+		host->ops->round(host);
 }
 
 static void on_pulled(void *user, const char *peer, int64_t revision)
@@ -266,7 +273,7 @@
 		.gossip_port = settings->first_port,
 		.pull_listen = settings->listen_peers.ptr,
 		.patience_ms = host->ops->pull_patience_ms,
-		.observer = {on_hosts_changed, on_pulled, host}};
+		.observer = {on_hosts_changed, on_pulled, on_round, host}};
 	err_code_t code = peersync_create(&options, &host->peersync, err);
 
 	if (code)
--- a/programs/host/host.h
+++ b/programs/host/host.h
@@ -36,7 +36,8 @@
 	void (*take_record)(host_t *host, str_t key, str_t value);
 	/* Records came from a peer. */
 	void (*pulled)(host_t *host);
-	void (*hosts_changed)(host_t *host, unsigned all_hosts);
+	/* A round of messages to other hosts begins. NULL: no use for it. */
+	void (*round)(host_t *host);
 	/* A stop begins, or an operator drains the host. */
 	void (*stopping)(host_t *host);
 	/* Frees the program's own parts. */
--- a/programs/hostd/hostd.c
+++ b/programs/hostd/hostd.c
@@ -1,11 +1,11 @@
 #include "programs/hostd/hostd.h"
 
 #include <stdio.h>
-#include <xxhash.h>
 
 #include "base/histogram.h"
 #include "base/metrics.h"
 #include "base/plog.h"
+#include "coordination/readers.h"
 #include "platform/headers.h"
 #include "platform/names.h"
 #include "platform/records.h"
@@ -14,9 +14,6 @@
 #define METRICS_PORT 9464
 /* A watch tells a change within this time, as a rule. */
 #define PULL_PATIENCE_MS 700
-/* Hosts that call the configuration service often, whatever their number; they
- * are drawn by name, so this many are expected. */
-#define EAGER_READERS 10
 
 static const psettings_t *settings_of(const host_t *host)
 {
@@ -52,6 +49,13 @@
 		   (long long)replica_revision(hostd->host.replica));
 }
 
+static void on_store_changed(void *user)
+{
+	const hostd_t *hostd = user;
+
+	peersync_announce(hostd->host.peersync);
+}
+
 static bool is_ready(const host_t *host)
 {
 	return !host->stop_ms && router_is_ready(host->router);
@@ -100,11 +104,11 @@
 static err_code_t start(host_t *host, err_t *err)
 {
 	hostd_t *hostd = (hostd_t *)host;
-	pstore_observer_t observer = {on_store_reached, on_store_lost, hostd};
+	pstore_observer_t observer = {on_store_reached, on_store_lost,
+				      on_store_changed, hostd};
 
 	hostd->store = pstore_create(host->loop, settings_of(host)->store.ptr,
 				     host->replica, &observer);
-	pstore_set_eager(hostd->store, hostd->eager);
 	return start_monitors(hostd, err);
 }
 
@@ -134,14 +138,26 @@
 		pstore_restart(hostd->store);
 }
 
-static void hosts_changed(host_t *host, unsigned all_hosts)
+/* Decides whether this host is a reader, and tells the others what the service
+ * does for it. */
+static void begin_round(host_t *host)
 {
 	hostd_t *hostd = (hostd_t *)host;
-	str_t name = host->settings->host;
+	bool reads;
 
-	hostd->eager = XXH64(name.ptr, name.len, 0) % all_hosts < EAGER_READERS;
-	if (hostd->store)
-		pstore_set_eager(hostd->store, hostd->eager);
+	if (!hostd->store)
+		return;
+	reads = readers_is_self(peersync_gossip(host->peersync),
+				host->router->started_ms, host_now_ms(host));
+	if (reads != hostd->reads)
+		plog_write(PLOG_READER_CHANGED, "reads=%d revision=%lld", reads,
+			   (long long)replica_revision(host->replica));
+	hostd->reads = reads;
+	pstore_set_reading(hostd->store, reads);
+	peersync_set_service(host->peersync, !reads ? GOSSIP_SERVICE_UNUSED :
+					     pstore_is_failing(hostd->store) ?
+						      GOSSIP_SERVICE_FAILS :
+						      GOSSIP_SERVICE_ANSWERS);
 }
 
 /* Requests are served until the end: the platform's balancers take a while. */
@@ -170,7 +186,7 @@
 	.apply_settings = apply_settings,
 	.take_record = take_record,
 	.pulled = pulled,
-	.hosts_changed = hosts_changed,
+	.round = begin_round,
 	.stopping = stopping,
 	.release = release,
 };
--- a/programs/hostd/hostd.h
+++ b/programs/hostd/hostd.h
@@ -15,7 +15,7 @@
 typedef struct hostd {
 	host_t host; /* first: its functions get it */
 	pstore_t *store;
-	bool eager; /* calls the configuration service often */
+	bool reads; /* it is a reader, see readers.h */
 	monitor_t *readiness;
 	monitor_t *metrics;
 } hostd_t;
--- a/programs/routerd/routerd.c
+++ b/programs/routerd/routerd.c
@@ -213,12 +213,6 @@
 		update_states(routerd);
 }
 
-static void hosts_changed(host_t *host, unsigned all_hosts)
-{
-	(void)host;
-	(void)all_hosts;
-}
-
 static void check_files(host_t *host)
 {
 	read_sheet_file((routerd_t *)host);
@@ -258,7 +252,6 @@
 	.check_files = check_files,
 	.take_record = take_record,
 	.pulled = pulled,
-	.hosts_changed = hosts_changed,
 	.stopping = stopping,
 	.release = release,
 };
--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -319,7 +319,8 @@
 
 	gossip_read(gossip, input, NOW_MS, &sender, &err);
 	gossip_targets(gossip, NOW_MS, targets);
-	gossip_write(gossip, 1, false, NULL, NOW_MS, &out);
+	gossip_write(gossip, &(gossip_state_t){.revision = 1}, NULL, NOW_MS,
+		     &out);
 	require(out.len <= GOSSIP_MESSAGE_BYTES, "gossip fits a datagram");
 	gossip_free(gossip);
 	buf_release(&out);
--- /dev/null
+++ b/tests/unit/simfleet.c
@@ -0,0 +1,238 @@
+#include "simfleet.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "coordination/readers.h"
+#include "unit.h"
+
+static gossip_t *make_table(unsigned i, uint64_t incarnation)
+{
+	char name[32], domain[32], ip[40];
+	gossip_self_t self = {name, domain, ip, incarnation};
+
+	snprintf(name, sizeof(name), "edge-domain-%u-%u", i % SIM_DOMAINS, i);
+	snprintf(domain, sizeof(domain), "domain-%u", i % SIM_DOMAINS);
+	snprintf(ip, sizeof(ip), "10.%u.0.%u", i % SIM_DOMAINS,
+		 i / SIM_DOMAINS);
+	return gossip_create(&self, 7919 * (uint64_t)(i + 1) + incarnation);
+}
+
+void sim_start(sim_fleet_t *fleet, unsigned count)
+{
+	memset(fleet, 0, sizeof(*fleet));
+	fleet->count = count;
+	fleet->cut_domain = SIM_NO_DOMAIN;
+	fleet->revision = 1;
+	for (unsigned i = 0; i < count; i++)
+		fleet->hosts[i] =
+			(sim_host_t){.gossip = make_table(i, 1), .revision = 1};
+}
+
+void sim_stop(sim_fleet_t *fleet)
+{
+	for (unsigned i = 0; i < fleet->count; i++)
+		gossip_free(fleet->hosts[i].gossip);
+}
+
+void sim_restart(sim_fleet_t *fleet, unsigned host, uint64_t incarnation)
+{
+	sim_host_t *at = &fleet->hosts[host];
+	bool refused = at->refused;
+
+	gossip_free(at->gossip);
+	*at = (sim_host_t){.gossip = make_table(host, incarnation),
+			   .refused = refused,
+			   .started_ms = fleet->now_ms};
+	if (!refused && !fleet->service_down)
+		at->revision = fleet->revision; /* it lists at its start */
+}
+
+static unsigned domain_of(unsigned host)
+{
+	return host % SIM_DOMAINS;
+}
+
+static bool are_connected(const sim_fleet_t *fleet, unsigned a, unsigned b)
+{
+	const sim_host_t *x = &fleet->hosts[a];
+	const sim_host_t *y = &fleet->hosts[b];
+
+	return !x->down && !y->down && !x->isolated && !y->isolated &&
+	       (domain_of(a) == domain_of(b) ||
+		(domain_of(a) != fleet->cut_domain &&
+		 domain_of(b) != fleet->cut_domain));
+}
+
+static gossip_state_t state_of(const sim_host_t *host)
+{
+	return (gossip_state_t){.revision = host->revision,
+				.service = host->service};
+}
+
+static void send_digest(sim_fleet_t *fleet, unsigned from,
+			const member_t *member);
+
+static void deliver(sim_fleet_t *fleet, unsigned from, unsigned to,
+		    const buf_t *message)
+{
+	sim_host_t *host = &fleet->hosts[to];
+	const member_t *sender;
+	member_t heard;
+
+	fleet->bytes += message->len;
+	if (message->len > fleet->max_bytes)
+		fleet->max_bytes = message->len;
+	if (!are_connected(fleet, from, to))
+		return;
+	gossip_read(host->gossip, buf_view(message), fleet->now_ms, &sender,
+		    NULL);
+	if (!sender)
+		return;
+	heard = *sender; /* an answer to it may move the table */
+	if (gossip_needs_answer(host->gossip, &heard, fleet->now_ms))
+		send_digest(fleet, to, &heard);
+	if (fleet->reads_service && heard.revision > host->revision)
+		host->revision = heard.revision;
+}
+
+static unsigned host_of_ip(const char *ip)
+{
+	unsigned domain = 0, at = 0;
+
+	CU_ASSERT_EQUAL(sscanf(ip, "10.%u.0.%u", &domain, &at), 2);
+	return at * SIM_DOMAINS + domain;
+}
+
+static void send_digest(sim_fleet_t *fleet, unsigned from,
+			const member_t *member)
+{
+	gossip_state_t state = state_of(&fleet->hosts[from]);
+	buf_t message = BUF_INIT;
+
+	gossip_write(fleet->hosts[from].gossip, &state, member, fleet->now_ms,
+		     &message);
+	deliver(fleet, from, host_of_ip(member->ip), &message);
+	buf_release(&message);
+}
+
+static void announce(sim_fleet_t *fleet, unsigned from)
+{
+	sim_host_t *host = &fleet->hosts[from];
+	gossip_state_t state = state_of(host);
+	buf_t message = BUF_INIT;
+
+	host->announced_ms = fleet->now_ms;
+	gossip_write_brief(host->gossip, &state, fleet->now_ms, &message);
+	for (size_t i = 0; i < gossip_member_count(host->gossip); i++) {
+		const member_t *member = gossip_member(host->gossip, i);
+		unsigned to = host_of_ip(member->ip);
+
+		if (domain_of(to) == domain_of(from) &&
+		    gossip_is_live(host->gossip, member, fleet->now_ms))
+			deliver(fleet, from, to, &message);
+	}
+	buf_release(&message);
+}
+
+/* Reads the service, or doesn't, as a host does at each round. */
+static void read_service(sim_fleet_t *fleet, unsigned index)
+{
+	sim_host_t *host = &fleet->hosts[index];
+	bool answers = !host->refused && !fleet->service_down;
+	gossip_service_t before = host->service;
+	int64_t revision = host->revision;
+
+	host->service = GOSSIP_SERVICE_UNUSED;
+	if (readers_is_self(host->gossip, host->started_ms, fleet->now_ms)) {
+		host->service =
+			answers ? GOSSIP_SERVICE_ANSWERS : GOSSIP_SERVICE_FAILS;
+		fleet->callers++;
+		if (answers && fleet->revision > host->revision)
+			host->revision = fleet->revision;
+	}
+	if (host->service != before || host->revision != revision ||
+	    (host->service != GOSSIP_SERVICE_UNUSED &&
+	     fleet->now_ms - host->announced_ms >= READERS_ANNOUNCE_MS))
+		announce(fleet, index);
+}
+
+static void send_round(sim_fleet_t *fleet, unsigned from)
+{
+	const member_t *targets[GOSSIP_FANOUT];
+	member_t chosen[GOSSIP_FANOUT];
+	sim_host_t *host = &fleet->hosts[from];
+	gossip_state_t state = state_of(host);
+	size_t count = gossip_targets(host->gossip, fleet->now_ms, targets);
+
+	for (size_t i = 0; i < count; i++)
+		chosen[i] = *targets[i];
+	for (size_t i = 0; i < count; i++)
+		send_digest(fleet, from, &chosen[i]);
+	for (unsigned i = 0; count < GOSSIP_FANOUT && i < SIM_SEEDS; i++) {
+		buf_t message = BUF_INIT;
+
+		gossip_write(host->gossip, &state, NULL, fleet->now_ms,
+			     &message);
+		if (i != from)
+			deliver(fleet, from, i, &message);
+		buf_release(&message);
+	}
+}
+
+void sim_run(sim_fleet_t *fleet, unsigned rounds)
+{
+	while (rounds--) {
+		fleet->now_ms += GOSSIP_ROUND_MS;
+		fleet->bytes = 0;
+		fleet->callers = 0;
+		for (unsigned i = 0; fleet->reads_service && i < fleet->count;
+		     i++)
+			if (!fleet->hosts[i].down)
+				read_service(fleet, i);
+		for (unsigned i = 0; i < fleet->count; i++)
+			if (!fleet->hosts[i].down)
+				send_round(fleet, i);
+	}
+}
+
+unsigned sim_live_at(const sim_fleet_t *fleet, unsigned host)
+{
+	const gossip_t *gossip = fleet->hosts[host].gossip;
+	unsigned live = 1;
+
+	for (size_t i = 0; i < gossip_member_count(gossip); i++)
+		live += gossip_is_live(gossip, gossip_member(gossip, i),
+				       fleet->now_ms);
+	return live;
+}
+
+unsigned sim_least_live(const sim_fleet_t *fleet)
+{
+	unsigned least = fleet->count;
+
+	for (unsigned i = 0; i < fleet->count; i++)
+		if (!fleet->hosts[i].down && sim_live_at(fleet, i) < least)
+			least = sim_live_at(fleet, i);
+	return least;
+}
+
+unsigned sim_readers(const sim_fleet_t *fleet)
+{
+	unsigned count = 0;
+
+	for (unsigned i = 0; i < fleet->count; i++)
+		count += !fleet->hosts[i].down &&
+			 fleet->hosts[i].service == GOSSIP_SERVICE_ANSWERS;
+	return count;
+}
+
+unsigned sim_behind(const sim_fleet_t *fleet)
+{
+	unsigned count = 0;
+
+	for (unsigned i = 0; i < fleet->count; i++)
+		count += !fleet->hosts[i].down &&
+			 fleet->hosts[i].revision < fleet->revision;
+	return count;
+}
--- a/tests/unit/test_gossip.c
+++ b/tests/unit/test_gossip.c
@@ -21,7 +21,8 @@
 	buf_t message = BUF_INIT;
 	err_code_t code;
 
-	gossip_write(from, revision, false, NULL, now_ms, &message);
+	gossip_write(from, &(gossip_state_t){.revision = revision}, NULL,
+		     now_ms, &message);
 	code = gossip_read(to, buf_view(&message), now_ms, &sender, NULL);
 	buf_release(&message);
 	return code;
@@ -59,9 +60,9 @@
 	CU_ASSERT_EQUAL(pass(old, b, 9, 0), ERR_OK);
 	CU_ASSERT_EQUAL(pass(young, b, 5, 1), ERR_OK);
 	CU_ASSERT_EQUAL(pass(old, b, 9, 2), ERR_BAD_STATE);
-	newest = gossip_newest(b, 4, 2);
+	newest = gossip_newest(b, 4, NULL, 2);
 	CU_ASSERT_TRUE(newest && newest->revision == 5);
-	CU_ASSERT_PTR_NULL(gossip_newest(b, 5, 2));
+	CU_ASSERT_PTR_NULL(gossip_newest(b, 5, NULL, 2));
 	gossip_free(old);
 	gossip_free(young);
 	gossip_free(b);
@@ -84,7 +85,8 @@
 		gossip_free(other);
 	}
 	CU_ASSERT_EQUAL(gossip_count(gossip, 10), 351);
-	gossip_write(gossip, 1, false, NULL, 10, &message);
+	gossip_write(gossip, &(gossip_state_t){.revision = 1}, NULL, 10,
+		     &message);
 	CU_ASSERT_TRUE(message.len <= GOSSIP_MESSAGE_BYTES);
 	CU_ASSERT_EQUAL(gossip_targets(gossip, 10, targets), GOSSIP_FANOUT);
 	buf_release(&message);
--- /dev/null
+++ b/tests/unit/test_readers.c
@@ -0,0 +1,213 @@
+#include "unit.h"
+
+#include "coordination/readers.h"
+#include "simfleet.h"
+
+/* Rounds in the given time, rounded up. */
+#define ROUNDS(ms) (((ms) + GOSSIP_ROUND_MS - 1) / GOSSIP_ROUND_MS)
+#define STEADY_READERS (SIM_DOMAINS * READERS_PER_DOMAIN)
+/* A change holds everywhere within a second in the calm. */
+#define CALM_MS 1000
+/* Hosts of a domain that may call while the service fails for some. */
+#define MOST_CALLERS (SIM_DOMAINS * (READERS_PER_DOMAIN + READERS_MAX_FAILING))
+
+static void start_reading(sim_fleet_t *fleet, unsigned count)
+{
+	sim_start(fleet, count);
+	fleet->reads_service = true;
+	sim_run(fleet, ROUNDS(20000));
+}
+
+/* The service gets a change; it must be known everywhere in time. */
+static void expect_change_within(sim_fleet_t *fleet, int64_t ms)
+{
+	fleet->revision++;
+	sim_run(fleet, (unsigned)ROUNDS(ms));
+	CU_ASSERT_EQUAL(sim_behind(fleet), 0);
+}
+
+/* Pattern: fleets of 30, 100 and 300 hosts in the calm. Guards against calls
+ * that grow with the hosts, and against hosts that hear of a change late. */
+static void test_few_read(void)
+{
+	const unsigned counts[] = {30, 100, 300};
+
+	for (int i = 0; i < 3; i++) {
+		sim_fleet_t fleet;
+
+		start_reading(&fleet, counts[i]);
+		CU_ASSERT_EQUAL(sim_readers(&fleet), STEADY_READERS);
+		CU_ASSERT_EQUAL(fleet.callers, STEADY_READERS);
+		expect_change_within(&fleet, CALM_MS);
+		sim_stop(&fleet);
+	}
+}
+
+/* Pattern: all hosts start at the same moment, as after a loss of power. Guards
+ * against every host turning to the service since it knows no other yet. */
+static void test_start_together(void)
+{
+	sim_fleet_t fleet;
+	unsigned most = 0;
+
+	sim_start(&fleet, 300);
+	fleet.reads_service = true;
+	for (unsigned round = 0; round < ROUNDS(15000); round++) {
+		sim_run(&fleet, 1);
+		if (fleet.callers > most)
+			most = fleet.callers;
+	}
+	CU_ASSERT(most <= fleet.count / 3);
+	CU_ASSERT_EQUAL(sim_readers(&fleet), STEADY_READERS);
+	sim_stop(&fleet);
+}
+
+static void stop_readers(sim_fleet_t *fleet)
+{
+	for (unsigned i = 0; i < fleet->count; i++)
+		if (fleet->hosts[i].service != GOSSIP_SERVICE_UNUSED)
+			fleet->hosts[i].down = true;
+}
+
+/* Pattern: the readers of every domain stop at once, without a word. Guards
+ * against hosts that wait for them. */
+static void test_readers_killed(void)
+{
+	sim_fleet_t fleet;
+
+	start_reading(&fleet, 78);
+	stop_readers(&fleet);
+	expect_change_within(&fleet, READERS_SILENT_MS + CALM_MS);
+	CU_ASSERT(sim_readers(&fleet) >= SIM_DOMAINS);
+	CU_ASSERT(fleet.callers <= MOST_CALLERS);
+	sim_stop(&fleet);
+}
+
+/* Pattern: the readers of one domain stop. The other domains know all. */
+static void test_readers_of_one_domain_killed(void)
+{
+	sim_fleet_t fleet;
+
+	start_reading(&fleet, 78);
+	for (unsigned i = 0; i < fleet.count; i += SIM_DOMAINS)
+		if (fleet.hosts[i].service != GOSSIP_SERVICE_UNUSED)
+			fleet.hosts[i].down = true;
+	expect_change_within(&fleet, 2 * CALM_MS);
+	sim_stop(&fleet);
+}
+
+/* Pattern: the service turns half of the hosts away, the readers among them.
+ * Guards against hosts that it serves but that don't read, and against all
+ * turning to it. */
+static void test_half_refused(void)
+{
+	sim_fleet_t fleet;
+
+	start_reading(&fleet, 78);
+	for (unsigned i = 0; i < fleet.count; i++)
+		fleet.hosts[i].refused =
+			(i / SIM_DOMAINS) % 2 ||
+			fleet.hosts[i].service != GOSSIP_SERVICE_UNUSED;
+	expect_change_within(&fleet, 3 * CALM_MS);
+	CU_ASSERT(fleet.callers <= MOST_CALLERS);
+	expect_change_within(&fleet, 2 * CALM_MS);
+	sim_stop(&fleet);
+}
+
+/* Pattern: the service answers nobody, then all. Guards against every host
+ * trying meanwhile, and against none that notices its return. */
+static void test_service_away(void)
+{
+	sim_fleet_t fleet;
+
+	start_reading(&fleet, 300);
+	fleet.service_down = true;
+	fleet.revision++;
+	for (unsigned round = 0; round < ROUNDS(8000); round++) {
+		sim_run(&fleet, 1);
+		CU_ASSERT(fleet.callers <= MOST_CALLERS);
+	}
+	CU_ASSERT_EQUAL(sim_behind(&fleet), fleet.count);
+	fleet.service_down = false;
+	sim_run(&fleet, ROUNDS(2 * CALM_MS));
+	CU_ASSERT_EQUAL(sim_behind(&fleet), 0);
+	sim_run(&fleet, ROUNDS(5000));
+	CU_ASSERT_EQUAL(fleet.callers, STEADY_READERS);
+	sim_stop(&fleet);
+}
+
+/* Pattern: a domain is cut off from the others, or from the service alone, or a
+ * host from all other hosts. Guards against one that hears of no change. */
+static void test_cuts(void)
+{
+	sim_fleet_t fleet;
+
+	start_reading(&fleet, 78);
+	fleet.cut_domain = 2;
+	expect_change_within(&fleet, CALM_MS);
+	sim_run(&fleet, ROUNDS(20000));
+	expect_change_within(&fleet, CALM_MS);
+	fleet.cut_domain = SIM_NO_DOMAIN;
+	sim_run(&fleet, ROUNDS(20000));
+	CU_ASSERT_EQUAL(sim_readers(&fleet), STEADY_READERS);
+
+	for (unsigned i = 3; i < fleet.count; i += SIM_DOMAINS)
+		fleet.hosts[i].refused = true;
+	expect_change_within(&fleet, 2 * CALM_MS);
+
+	fleet.hosts[41].isolated = true;
+	expect_change_within(&fleet, READERS_SILENT_MS + CALM_MS);
+	sim_stop(&fleet);
+}
+
+/* Pattern: a host is frozen for 20 s, in which much changes. Guards against old
+ * records that it goes on with. */
+static void test_frozen_host_wakes(void)
+{
+	sim_fleet_t fleet;
+
+	start_reading(&fleet, 78);
+	fleet.hosts[17].down = true;
+	fleet.revision += 100;
+	sim_run(&fleet, ROUNDS(20000));
+	fleet.hosts[17].down = false;
+	sim_run(&fleet, ROUNDS(2 * CALM_MS));
+	CU_ASSERT_EQUAL(sim_behind(&fleet), 0);
+	sim_stop(&fleet);
+}
+
+/* Pattern: one host after the other is replaced, as in a release of the hosts.
+ * Guards against readers that hosts wait for although they are new. */
+static void test_rolling_restart(void)
+{
+	sim_fleet_t fleet;
+
+	start_reading(&fleet, 78);
+	for (unsigned i = 0; i < fleet.count; i += 2) {
+		sim_restart(&fleet, i, 2);
+		fleet.revision++;
+		sim_run(&fleet, ROUNDS(2 * CALM_MS));
+		CU_ASSERT(sim_behind(&fleet) <= fleet.count / 10);
+	}
+	sim_run(&fleet, ROUNDS(5000));
+	CU_ASSERT_EQUAL(sim_behind(&fleet), 0);
+	CU_ASSERT_EQUAL(sim_readers(&fleet), STEADY_READERS);
+	sim_stop(&fleet);
+}
+
+int main(void)
+{
+	CU_TestInfo tests[] = {{"few read", test_few_read},
+			       {"start together", test_start_together},
+			       {"readers killed", test_readers_killed},
+			       {"readers of one domain killed",
+				test_readers_of_one_domain_killed},
+			       {"half refused", test_half_refused},
+			       {"service away", test_service_away},
+			       {"cuts", test_cuts},
+			       {"frozen host wakes", test_frozen_host_wakes},
+			       {"rolling restart", test_rolling_restart},
+			       CU_TEST_INFO_NULL};
+
+	return unit_run("readers", tests);
+}
