Size the lanes by what they need; read large changes from the service

Change: lanes (a pure module): the two lanes of a service share its engines in the proportion of what they read and run, as all hosts told, between a fifth and four fifths. The expected time counts the wait for a slot, by how long requests of the lane stay. A pull goes on while bytes come; what is above 64 KB is read once from the service by each host, from a peer only when the service fails. Marks and lanes are a file of their own, fleet_lanes.c.

--- a/Makefile
+++ b/Makefile
@@ -79,10 +79,11 @@
 	$(filter-out lib/request/tracer.c,$(wildcard lib/request/*.c)) \
 	$(patsubst %,lib/base/%.c,buf err histogram mclock metrics \
 	msgcodec plog str) \
-	$(patsubst %,lib/coordination/%.c,balance breaker coldgate floors gossip \
+	$(patsubst %,lib/coordination/%.c,balance breaker coldgate floors gossip lanes \
 	loadboard notice peersync policy prefixmap \
 	prefixnews pullcodec readers repeats retryafter warmth) \
-	$(patsubst %,lib/state/%.c,catalog fleet hostsettings noticebook replica) \
+	$(patsubst %,lib/state/%.c,catalog fleet fleet_lanes hostsettings \
+	noticebook replica) \
 	$(patsubst %,lib/transport/%.c,address frame http1 httptext loop monitor tcp \
 	udp)
 HOSTD_LIBS := http_parser jansson b64 msgpackc xxhash
--- a/lib/coordination/balance.c
+++ b/lib/coordination/balance.c
@@ -45,8 +45,11 @@
 static double queue_ms(const balance_option_t *option)
 {
 	unsigned slots = option->slots ? option->slots : 1;
+	unsigned ahead =
+		option->in_flight >= slots ? option->in_flight - slots + 1 : 0;
 
-	return option->service_ms * (1.0 + (double)option->in_flight / slots);
+	return option->service_ms * (1.0 + (double)option->in_flight / slots) +
+	       option->busy_ms * ahead / slots;
 }
 
 double balance_sample_share(unsigned hosts)
--- a/lib/coordination/balance.h
+++ b/lib/coordination/balance.h
@@ -37,6 +37,7 @@
 	unsigned slots;	   /* requests that it runs at once */
 	double excess_ms;  /* recent answers' time over what was expected */
 	double service_ms; /* plain services: usual time of an answer */
+	double busy_ms;	   /* usual time that a request keeps its slot */
 	double failing;	   /* share of recent requests that failed */
 	double lane_ms;	   /* charge of balance_lane_charge() */
 	bool last_resort;  /* only when there is nothing else */
--- /dev/null
+++ b/lib/coordination/lanes.c
@@ -0,0 +1,51 @@
+#include "coordination/lanes.h"
+
+#include <math.h>
+
+/* Groups of fewer engines have no lanes. */
+#define MIN_GROUP 3
+/* Loads below this, in engines, say nothing of the mix. */
+#define IDLE_ENGINES 0.1
+
+/* Engines that the lane needs. */
+static double needed(const lanes_load_t *load)
+{
+	return fmax(load->reading / LANES_READING_PART,
+		    load->running / LANES_RUNNING_PART);
+}
+
+double lanes_wanted_share(const lanes_load_t *express, const lanes_load_t *bulk)
+{
+	double wanted = needed(express);
+	double all = wanted + needed(bulk);
+
+	if (all < IDLE_ENGINES)
+		return LANES_MIN_SHARE;
+	return fmin(fmax(wanted / all, LANES_MIN_SHARE), LANES_MAX_SHARE);
+}
+
+void lanes_update(lanes_t *lanes, const lanes_load_t *express,
+		  const lanes_load_t *bulk, int64_t now_ms)
+{
+	double wanted = lanes_wanted_share(express, bulk);
+	double passed_ms = (double)(now_ms - lanes->updated_ms);
+
+	if (lanes->share <= 0.0)
+		lanes->share = LANES_MIN_SHARE;
+	else
+		lanes->share += (wanted - lanes->share) *
+				(1.0 - exp(-passed_ms / LANES_FOLLOW_MS));
+	lanes->updated_ms = now_ms;
+}
+
+unsigned lanes_express_count(const lanes_t *lanes, unsigned engines)
+{
+	double share = lanes->share > 0.0 ? lanes->share : LANES_MIN_SHARE;
+	unsigned count = (unsigned)(share * engines + 0.5);
+
+	if (engines < MIN_GROUP)
+		return 0;
+	if (!count)
+		return 1;
+	return count < engines ? count : engines - 1;
+}
--- /dev/null
+++ b/lib/coordination/lanes.h
@@ -0,0 +1,49 @@
+#ifndef COORDINATION_LANES_H
+#define COORDINATION_LANES_H
+
+#include <stdint.h>
+
+/*
+ * lanes - how many engines are kept free of long prompts
+ *
+ * An engine reads prompts between the tokens of the streams that it runs, whose
+ * pauses grow. So a service's engines fall into two lanes: express ones, which
+ * get no long prompts, and bulk ones. How much each lane needs depends on the
+ * mix of requests, which changes with the hour: the lanes share the engines in
+ * the proportion of what they need. A lane needs so many engines that none
+ * reads for more than a part of its time, nor has more than a part of its slots
+ * taken.
+ */
+#define LANES_READING_PART 0.35
+#define LANES_RUNNING_PART 0.75
+/* Bounds of the express lane's share of the engines. The lower one holds, too,
+ * while nothing is known of the load. */
+#define LANES_MIN_SHARE 0.2
+#define LANES_MAX_SHARE 0.8
+/* The share follows what is needed over about this time, so that hosts which
+ * see loads at different moments agree on all but few engines. */
+#define LANES_FOLLOW_MS 1000.0
+
+/* What the engines of a lane do at a moment, summed over them. */
+typedef struct lanes_load {
+	double reading; /* parts of their time that they read prompts */
+	double running; /* parts of their slots that are taken */
+} lanes_load_t;
+
+typedef struct lanes {
+	double share; /* of the engines that are express; 0: not known yet */
+	int64_t updated_ms;
+} lanes_t;
+
+/* The share that the loads of the two lanes ask for. */
+double lanes_wanted_share(const lanes_load_t *express,
+			  const lanes_load_t *bulk);
+
+/* Takes the loads of a moment into account. */
+void lanes_update(lanes_t *lanes, const lanes_load_t *express,
+		  const lanes_load_t *bulk, int64_t now_ms);
+
+/* How many of a group of engines are express; none of fewer than three. */
+unsigned lanes_express_count(const lanes_t *lanes, unsigned engines);
+
+#endif
--- a/lib/coordination/peersync.c
+++ b/lib/coordination/peersync.c
@@ -36,6 +36,7 @@
 	buf_t in;
 	bool asks;
 	bool answered;
+	int64_t ends_ms;
 	char peer[ADDRESS_BYTES];
 	loop_timer_t timer;
 } pull_t;
@@ -53,6 +54,7 @@
 	char seeds[MAX_SEEDS][GOSSIP_IP_BYTES];
 	size_t seed_count;
 	bool leaving;
+	bool takes_large;
 	gossip_service_t service;
 	int64_t announced_ms;
 	char avoided[GOSSIP_IP_BYTES]; /* did not answer a pull */
@@ -122,6 +124,7 @@
 		return;
 	}
 	peersync->behind_since_ms = 0;
+	peersync->takes_large = false;
 	if (revision)
 		peersync->observer.pulled(peersync->observer.user, pull->peer,
 					  revision);
@@ -147,6 +150,28 @@
 	buf_release(&out);
 }
 
+/* True when the answer that arrives had better be read from the service. */
+static bool is_too_large(const pull_t *pull)
+{
+	const peersync_t *peersync = pull->peersync;
+
+	return pull->asks && !peersync->takes_large &&
+	       peersync->observer.large &&
+	       frame_length(buf_view(&pull->in)) > PEERSYNC_LARGE_BYTES;
+}
+
+/* Bytes went over the connection: it may go on for a while. */
+static void extend_pull(pull_t *pull)
+{
+	int64_t left_ms = pull->ends_ms - now_of(pull->peersync);
+
+	loop_timer_set(pull->peersync->loop, &pull->timer,
+		       left_ms < PEERSYNC_PULL_TIMEOUT_MS ?
+			       left_ms :
+			       PEERSYNC_PULL_TIMEOUT_MS,
+		       on_pull_timeout, pull);
+}
+
 /* RETURN VALUE: false when the pull has ended. */
 static bool on_frame(pull_t *pull)
 {
@@ -162,6 +187,13 @@
 		end_pull(pull);
 		return false;
 	}
+	if (is_too_large(pull)) {
+		peersync_t *peersync = pull->peersync;
+
+		end_pull(pull);
+		peersync->observer.large(peersync->observer.user);
+		return false;
+	}
 	if (!content.ptr)
 		return true;
 	if (pull->asks) {
@@ -201,6 +233,7 @@
 		fail_pull(pull);
 		return;
 	}
+	extend_pull(pull);
 	if (!(events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
 		return;
 	switch (tcp_read(&pull->tcp, buffer, sizeof(buffer), &len)) {
@@ -226,6 +259,7 @@
 		abort();
 	pull->peersync = peersync;
 	pull->asks = asks;
+	pull->ends_ms = now_of(peersync) + PEERSYNC_PULL_MAX_MS;
 	loop_timer_set(peersync->loop, &pull->timer, PEERSYNC_PULL_TIMEOUT_MS,
 		       on_pull_timeout, pull);
 	return pull;
@@ -419,6 +453,11 @@
 	buf_release(&message);
 }
 
+void peersync_take_large(peersync_t *peersync, bool take)
+{
+	peersync->takes_large = take;
+}
+
 void peersync_set_service(peersync_t *peersync, gossip_service_t service)
 {
 	if (service == peersync->service)
--- a/lib/coordination/peersync.h
+++ b/lib/coordination/peersync.h
@@ -14,7 +14,13 @@
  * waits a while first, since its own watch should tell the same; the others
  * pull at once, spread over a moment (see readers.h).
  */
+/* Without a byte for this long a pull has failed. */
 #define PEERSYNC_PULL_TIMEOUT_MS 1000
+/* A pull that takes longer has failed, too. */
+#define PEERSYNC_PULL_MAX_MS 15000
+/* An answer above this would hold up a small host's link once for each host
+ * that pulls it: these had better read the configuration service themselves. */
+#define PEERSYNC_LARGE_BYTES 65536
 #define PEERSYNC_MAX_SERVED 64 /* pulls answered at the same time */
 /* Hosts that hear of a change at the same moment pull within this time. */
 #define PEERSYNC_SPREAD_MS 100
@@ -27,6 +33,10 @@
 			      unsigned all_hosts);
 	/* Records came from a peer that the service hasn't told. */
 	void (*pulled)(void *user, const char *peer, int64_t revision);
+	/* A peer's answer was left since it is large, see PEERSYNC_LARGE_BYTES:
+	 * the service should be read. NULL: there is no service, and large
+	 * answers are taken. */
+	void (*large)(void *user);
 	/* A round of gossip begins. NULL: not told. */
 	void (*round)(void *user);
 	void *user;
@@ -62,6 +72,9 @@
  * READERS_ANNOUNCE_MS. */
 void peersync_set_service(peersync_t *peersync, gossip_service_t service);
 
+/* Whether answers of any size are taken: the service doesn't answer. */
+void peersync_take_large(peersync_t *peersync, bool take);
+
 /* Tells the hosts of the domain which revision this one has. */
 void peersync_announce(peersync_t *peersync);
 
--- a/lib/coordination/readers.c
+++ b/lib/coordination/readers.c
@@ -64,7 +64,7 @@
 	for (size_t i = 0; i < gossip_member_count(gossip); i++) {
 		const member_t *member = gossip_member(gossip, i);
 
-		if (strcmp(member->domain, self->domain) ||
+		if (strcmp(member->domain, self->domain) != 0 ||
 		    !is_above(member, self))
 			continue;
 		switch (judge(gossip, member, now_ms)) {
--- a/lib/request/router.c
+++ b/lib/request/router.c
@@ -42,6 +42,10 @@
 	int64_t now_ms = router_now_ms(router);
 
 	fleet_tick(router->fleet, now_ms);
+	for (const service_stats_t *service = router->services; service;
+	     service = service->next)
+		fleet_update_lanes(router->fleet, str_from(service->name),
+				   service->tokens_per_ms, now_ms);
 	for (size_t i = 0; i < fleet_count(router->fleet); i++)
 		channel_retire_idle(router, fleet_at(router->fleet, i));
 	plog_flush();
--- a/lib/request/router.h
+++ b/lib/request/router.h
@@ -45,9 +45,10 @@
 typedef struct service_stats {
 	char *name;
 	repeats_t repeats;
-	double service_ms;    /* plain services: mean time of an answer */
-	double busy_ms;	      /* mean time that a request is at an endpoint */
-	double tokens_per_ms; /* engines: prompt tokens read in a ms */
+	double service_ms;	/* plain services: mean time of an answer */
+	double busy_ms;		/* mean time that a request is at an endpoint */
+	double lane_busy_ms[2]; /* the same at bulk and at express ones */
+	double tokens_per_ms;	/* engines: prompt tokens read in a ms */
 	struct service_stats *next;
 } service_stats_t;
 
--- a/lib/request/send.c
+++ b/lib/request/send.c
@@ -32,6 +32,12 @@
 	request->backlog_tokens = 0;
 }
 
+static void follow(double *mean, double sample)
+{
+	*mean = *mean > 0.0 ? *mean + SEND_BUSY_WEIGHT * (sample - *mean) :
+			      sample;
+}
+
 /* How long requests of the service stay at an endpoint. */
 static void learn_busy(const request_t *request)
 {
@@ -40,11 +46,8 @@
 
 	if (!request->sent_ms)
 		return;
-	stats->busy_ms =
-		stats->busy_ms > 0.0 ?
-			stats->busy_ms +
-				SEND_BUSY_WEIGHT * (ms - stats->busy_ms) :
-			ms;
+	follow(&stats->busy_ms, ms);
+	follow(&stats->lane_busy_ms[request->endpoint->express], ms);
 }
 
 void request_end_span(const request_t *request, trace_span_t **span,
--- a/lib/state/fleet.c
+++ b/lib/state/fleet.c
@@ -1,4 +1,4 @@
-#include "state/fleet.h"
+#include "state/fleet_internal.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -10,20 +10,6 @@
 #define FLEET_RATE_MS 2000.0
 /* Less than a thousandth is left then. */
 #define FLEET_RATE_MAX_MS 15000.0
-#define MS_PER_S 1000.0
-
-struct fleet {
-	fleet_observer_t observer;
-	endpoint_t **endpoints;
-	size_t count, cap;
-	/* The last one stands for all that did not fit. */
-	fleet_domain_t domains[FLEET_MAX_DOMAINS + 1];
-	size_t domain_count;
-	char **services;
-	size_t service_count;
-	bool marks_are_stale;
-	noticebook_t notices;
-};
 
 static char *copy_text(str_t s)
 {
@@ -91,6 +77,15 @@
 	if (!grown)
 		abort();
 	fleet->services = grown;
+	fleet->lanes = realloc(fleet->lanes, (fleet->service_count + 1) *
+						     sizeof(*fleet->lanes));
+	fleet->marked_shares = realloc(fleet->marked_shares,
+				       (fleet->service_count + 1) *
+					       sizeof(*fleet->marked_shares));
+	if (!fleet->lanes || !fleet->marked_shares)
+		abort();
+	fleet->marked_shares[fleet->service_count] = 0.0;
+	fleet->lanes[fleet->service_count] = (lanes_t){.share = 0.0};
 	fleet->services[fleet->service_count] = copy_text(name);
 	return (unsigned)fleet->service_count++;
 }
@@ -143,6 +138,8 @@
 	for (size_t i = 0; i < fleet->service_count; i++)
 		free(fleet->services[i]);
 	free(fleet->services);
+	free(fleet->lanes);
+	free(fleet->marked_shares);
 	noticebook_release(&fleet->notices);
 	free(fleet);
 }
@@ -192,60 +189,6 @@
 	return endpoint;
 }
 
-/* Orders endpoints by group, and those of a group by hash. */
-static int compare_marks(const void *a, const void *b)
-{
-	const endpoint_t *x = *(endpoint_t *const *)a;
-	const endpoint_t *y = *(endpoint_t *const *)b;
-
-	if (x->service_index != y->service_index)
-		return x->service_index < y->service_index ? -1 : 1;
-	if (x->domain_index != y->domain_index)
-		return x->domain_index < y->domain_index ? -1 : 1;
-	return x->hash < y->hash ? -1 : x->hash > y->hash;
-}
-
-static bool is_group(const endpoint_t *a, const endpoint_t *b)
-{
-	return a->service_index == b->service_index &&
-	       a->domain_index == b->domain_index;
-}
-
-/* How many of a group of endpoints are express; none of a small group. */
-static size_t express_count(size_t size)
-{
-	if (size < FLEET_EXPRESS_MIN_GROUP)
-		return 0;
-	return size < FLEET_EXPRESS_ONE_IN ? 1 : size / FLEET_EXPRESS_ONE_IN;
-}
-
-void fleet_update_marks(fleet_t *fleet)
-{
-	endpoint_t **sorted;
-	size_t count = 0;
-
-	if (!fleet->marks_are_stale)
-		return;
-	fleet->marks_are_stale = false;
-	sorted = malloc((fleet->count + 1) * sizeof(*sorted));
-	if (!sorted)
-		abort();
-	for (size_t i = 0; i < fleet->count; i++) {
-		fleet->endpoints[i]->express = false;
-		if (fleet->endpoints[i]->state == ENDPOINT_READY)
-			sorted[count++] = fleet->endpoints[i];
-	}
-	qsort(sorted, count, sizeof(*sorted), compare_marks);
-	for (size_t first = 0, end; first < count; first = end) {
-		end = first + 1;
-		while (end < count && is_group(sorted[first], sorted[end]))
-			end++;
-		for (size_t i = 0; i < express_count(end - first); i++)
-			sorted[first + i]->express = true;
-	}
-	free(sorted);
-}
-
 /* Takes the endpoint off the list; requests that run there go on. */
 static void drop(fleet_t *fleet, size_t index)
 {
@@ -422,8 +365,9 @@
 void endpoint_count_tokens(endpoint_t *endpoint, uint64_t tokens,
 			   int64_t now_ms)
 {
-	endpoint->tokens_per_s = faded_rate(endpoint, now_ms) +
-				 (double)tokens * MS_PER_S / FLEET_RATE_MS;
+	endpoint->tokens_per_s =
+		faded_rate(endpoint, now_ms) +
+		(double)tokens * FLEET_MS_PER_S / FLEET_RATE_MS;
 	endpoint->rate_ms = now_ms;
 }
 
--- a/lib/state/fleet.h
+++ b/lib/state/fleet.h
@@ -3,6 +3,7 @@
 
 #include "coordination/breaker.h"
 #include "coordination/coldgate.h"
+#include "coordination/lanes.h"
 #include "coordination/loadboard.h"
 #include "coordination/warmth.h"
 #include "state/catalog.h"
@@ -19,9 +20,6 @@
 /* How long an endpoint whose record is gone stays a last resort. Records lapse
  * while the configuration service is away and come back within this time. */
 #define FLEET_LINGER_MS 2000
-/* One endpoint in so many of a service and domain is express. */
-#define FLEET_EXPRESS_ONE_IN 5
-#define FLEET_EXPRESS_MIN_GROUP 3
 
 typedef enum endpoint_state {
 	ENDPOINT_READY,
@@ -128,12 +126,16 @@
 
 /*
  * Marks a part of each service's endpoints in a domain as express, if endpoints
- * have changed: an engine reads long prompts between the tokens of the requests
- * that run, whose pauses grow, so long prompts are kept off some engines. All
- * hosts mark the same ones, since the marks follow from the records alone.
+ * or lanes have changed (see lanes.h). All hosts mark them in the same order,
+ * so that hosts whose shares differ a little differ in few endpoints.
  */
 void fleet_update_marks(fleet_t *fleet);
 
+/* Adapts a service's lanes to the loads that hosts told; `tokens_per_ms` is
+ * what one of its engines reads. */
+void fleet_update_lanes(fleet_t *fleet, str_t service, double tokens_per_ms,
+			int64_t now_ms);
+
 /* Ends the time of lingering endpoints. */
 void fleet_tick(fleet_t *fleet, int64_t now_ms);
 
--- /dev/null
+++ b/lib/state/fleet_lanes.c
@@ -0,0 +1,88 @@
+#include "state/fleet_internal.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+/* A smaller change of a lane's share doesn't mark endpoints anew. */
+#define FLEET_MARK_STEP 0.01
+
+/* Orders endpoints by group, and those of a group by hash. */
+static int compare_marks(const void *a, const void *b)
+{
+	const endpoint_t *x = *(endpoint_t *const *)a;
+	const endpoint_t *y = *(endpoint_t *const *)b;
+
+	if (x->service_index != y->service_index)
+		return x->service_index < y->service_index ? -1 : 1;
+	if (x->domain_index != y->domain_index)
+		return x->domain_index < y->domain_index ? -1 : 1;
+	return x->hash < y->hash ? -1 : x->hash > y->hash;
+}
+
+static bool is_group(const endpoint_t *a, const endpoint_t *b)
+{
+	return a->service_index == b->service_index &&
+	       a->domain_index == b->domain_index;
+}
+
+static void mark_group(const fleet_t *fleet, endpoint_t **group, unsigned size)
+{
+	const lanes_t *lanes = &fleet->lanes[group[0]->service_index];
+
+	for (unsigned i = 0; i < lanes_express_count(lanes, size); i++)
+		group[i]->express = true;
+}
+
+void fleet_update_marks(fleet_t *fleet)
+{
+	endpoint_t **sorted;
+	size_t count = 0;
+
+	if (!fleet->marks_are_stale)
+		return;
+	fleet->marks_are_stale = false;
+	sorted = malloc((fleet->count + 1) * sizeof(*sorted));
+	if (!sorted)
+		abort();
+	for (size_t i = 0; i < fleet->count; i++) {
+		fleet->endpoints[i]->express = false;
+		if (fleet->endpoints[i]->state == ENDPOINT_READY)
+			sorted[count++] = fleet->endpoints[i];
+	}
+	qsort(sorted, count, sizeof(*sorted), compare_marks);
+	for (size_t first = 0, end; first < count; first = end) {
+		end = first + 1;
+		while (end < count && is_group(sorted[first], sorted[end]))
+			end++;
+		mark_group(fleet, sorted + first, (unsigned)(end - first));
+	}
+	free(sorted);
+}
+
+void fleet_update_lanes(fleet_t *fleet, str_t service, double tokens_per_ms,
+			int64_t now_ms)
+{
+	int index = fleet_find_service(fleet, service);
+	lanes_load_t loads[2] = {{0.0, 0.0}, {0.0, 0.0}};
+
+	if (index < 0)
+		return;
+	for (size_t i = 0; i < fleet->count; i++) {
+		const endpoint_t *endpoint = fleet->endpoints[i];
+		load_t load = endpoint_load(endpoint, now_ms);
+
+		if ((int)endpoint->service_index != index || !endpoint->slots)
+			continue;
+		loads[endpoint->express].reading +=
+			(double)load.tokens_per_s /
+			(tokens_per_ms * FLEET_MS_PER_S);
+		loads[endpoint->express].running +=
+			(double)load.in_flight / endpoint->slots;
+	}
+	lanes_update(&fleet->lanes[index], &loads[1], &loads[0], now_ms);
+	if (fabs(fleet->lanes[index].share - fleet->marked_shares[index]) <
+	    FLEET_MARK_STEP)
+		return;
+	fleet->marked_shares[index] = fleet->lanes[index].share;
+	fleet->marks_are_stale = true;
+}
--- a/lib/transport/frame.c
+++ b/lib/transport/frame.c
@@ -11,15 +11,23 @@
 	buf_append_str(out, content);
 }
 
-err_code_t frame_peek(str_t data, str_t *content)
+size_t frame_length(str_t data)
 {
 	uint32_t length;
 
+	if (data.len < FRAME_HEADER_BYTES)
+		return 0;
+	memcpy(&length, data.ptr, sizeof(length));
+	return ntohl(length);
+}
+
+err_code_t frame_peek(str_t data, str_t *content)
+{
+	size_t length = frame_length(data);
+
 	*content = (str_t){NULL, 0};
 	if (data.len < FRAME_HEADER_BYTES)
 		return ERR_OK;
-	memcpy(&length, data.ptr, sizeof(length));
-	length = ntohl(length);
 	if (length > FRAME_MAX_BYTES)
 		return ERR_TOO_LARGE;
 	if (data.len - FRAME_HEADER_BYTES >= length)
--- a/lib/transport/frame.h
+++ b/lib/transport/frame.h
@@ -24,4 +24,8 @@
  */
 err_code_t frame_peek(str_t data, str_t *content);
 
+/* The length that the frame at the start of `data` states; 0 until it is known.
+ */
+size_t frame_length(str_t data);
+
 #endif
--- a/programs/host/host.c
+++ b/programs/host/host.c
@@ -156,6 +156,13 @@
 	router_set_hosts(host->router, domain_hosts, all_hosts);
 }
 
+static void on_large(void *user)
+{
+	host_t *host = user;
+
+	host->ops->large(host);
+}
+
 static void on_round(void *user)
 {
 	host_t *host = user;
@@ -273,7 +280,9 @@
 		.gossip_port = settings->first_port,
 		.pull_listen = settings->listen_peers.ptr,
 		.patience_ms = host->ops->pull_patience_ms,
-		.observer = {on_hosts_changed, on_pulled, on_round, host}};
+		.observer = {on_hosts_changed, on_pulled,
+			     host->ops->large ? on_large : NULL, on_round,
+			     host}};
 	err_code_t code = peersync_create(&options, &host->peersync, err);
 
 	if (code)
--- a/programs/host/host.h
+++ b/programs/host/host.h
@@ -36,6 +36,9 @@
 	void (*take_record)(host_t *host, str_t key, str_t value);
 	/* Records came from a peer. */
 	void (*pulled)(host_t *host);
+	/* A peer's records were left, since they are too many to be passed from
+	 * host to host. NULL: they are taken. */
+	void (*large)(host_t *host);
 	/* A round of messages to other hosts begins. NULL: no use for it. */
 	void (*round)(host_t *host);
 	/* A stop begins, or an operator drains the host. */
--- a/programs/hostd/hostd.c
+++ b/programs/hostd/hostd.c
@@ -34,6 +34,7 @@
 {
 	const hostd_t *hostd = user;
 
+	peersync_take_large(hostd->host.peersync, false);
 	plog_write(PLOG_STORE_REACHED, "revision=%lld records=%zu",
 		   (long long)replica_revision(hostd->host.replica),
 		   replica_count(hostd->host.replica));
@@ -43,6 +44,7 @@
 {
 	const hostd_t *hostd = user;
 
+	peersync_take_large(hostd->host.peersync, true);
 	plog_write(PLOG_STORE_LOST,
 		   "step=%s peer=%s error=\"%s\" revision=%lld", err->step,
 		   err->peer, err->message,
@@ -53,7 +55,8 @@
 {
 	const hostd_t *hostd = user;
 
-	peersync_announce(hostd->host.peersync);
+	if (hostd->reads)
+		peersync_announce(hostd->host.peersync);
 }
 
 static bool is_ready(const host_t *host)
@@ -138,6 +141,11 @@
 		pstore_restart(hostd->store);
 }
 
+static void read_large(host_t *host)
+{
+	pstore_read_once(((hostd_t *)host)->store);
+}
+
 /* Decides whether this host is a reader, and tells the others what the service
  * does for it. */
 static void begin_round(host_t *host)
@@ -186,6 +194,7 @@
 	.apply_settings = apply_settings,
 	.take_record = take_record,
 	.pulled = pulled,
+	.large = read_large,
 	.round = begin_round,
 	.stopping = stopping,
 	.release = release,
--- a/tests/session/hosts.sh
+++ b/tests/session/hosts.sh
@@ -50,7 +50,7 @@
 # put_config VERSION KEYS: a configuration with one route of each kind.
 put_config()
 {
-	put op/config "{\"version\":$1,\"routes\":[\
+	put op/config "{\"version\":$1,\"routes\":[${more_routes:-}\
 {\"name\":\"once\",\"hostname\":\"h.example\",\"prefix\":\"/once/\",\
 \"route_type\":\"non_idempotent\",\"timeout_ms\":1500,\
 \"target_latency_ms\":300,\"priority\":1,\"service\":\"plain\",\
--- a/tests/session/test_hosts.sh
+++ b/tests/session/test_hosts.sh
@@ -84,6 +84,22 @@
 	expect_until "$host: a domain that is back is used" served_by $host s1
 done
 
+# A configuration that is too large to go from host to host, as a rule: a host
+# that the service answers reads it there, the other takes it from its peer.
+more_routes=$(for i in $(seq 400)
+do
+	printf '{"name":"more-%s","hostname":"m%s.example","prefix":"/%s/",' \
+		"$i" "$i" "$(head -c 60 /dev/zero | tr '\0' x)"
+	printf '"route_type":"idempotent","timeout_ms":1500,"service":"plain"},'
+done)
+put_config 11 '"k2","k4"'
+more_routes=
+for host in h1 h2
+do
+	pass_or_fail "$host: a large configuration holds in time" \
+		wait_until 4 answers $host k4 200
+done
+
 # The store falls silent and forgets the watches; a change right after it is
 # back must be in force in time (it was missed for 13 s once).
 change_store "/control/silent?on=1"
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -190,6 +190,37 @@
 	tear_down();
 }
 
+/* Pattern: a burst of chats fills the express engines. Guards against chats
+ * that wait there for a slot for longer than the charge for running beside
+ * prompts, and against lanes that stay as they are in such a load. */
+static void test_full_lane(void)
+{
+	unsigned before = 0, after = 0;
+
+	set_up();
+	fleet_update_marks(router->fleet);
+	router_service(router, (str_t)STR_LIT("model"))->lane_busy_ms[1] =
+		2000.0;
+	for (size_t i = 0; i < fleet_count(router->fleet); i++) {
+		endpoint_t *endpoint = fleet_at(router->fleet, i);
+
+		before += endpoint->express;
+		endpoint->total.in_flight = endpoint->express ? 80 : 4;
+	}
+	CU_ASSERT_FALSE(must_place(1, 200, 600)->express);
+	for (int i = 0; i < 20; i++) {
+		mclock_manual_advance(&clock_now, 250);
+		fleet_update_lanes(router->fleet, (str_t)STR_LIT("model"),
+				   ROUTER_TOKENS_PER_MS, router_now_ms(router));
+	}
+	fleet_update_marks(router->fleet);
+	for (size_t i = 0; i < fleet_count(router->fleet); i++)
+		after += fleet_at(router->fleet, i)->express;
+	CU_ASSERT_EQUAL(before, DOMAINS);
+	CU_ASSERT_EQUAL(after, DOMAINS * 2);
+	tear_down();
+}
+
 /* Pattern: one thing gets much of the traffic. Guards against an engine that
  * reads all the time: what it can't take goes to the next engines in the common
  * ranking, so that few engines read the shared part. */
@@ -675,6 +706,7 @@
 		{"one engine per thing", test_one_engine_per_thing},
 		{"short prompts stay", test_short_prompts_stay},
 		{"lanes", test_lanes},
+		{"full lane", test_full_lane},
 		{"hot thing", test_hot_thing},
 		{"copy of hot thing", test_copy_of_hot_thing},
 		{"no source", test_no_source},
--- /dev/null
+++ b/tests/unit/test_lanes.c
@@ -0,0 +1,114 @@
+#include "unit.h"
+
+#include "coordination/lanes.h"
+
+#define START_MS 100000
+#define TICK_MS 250
+#define ENGINES 15 /* of a group, as in a domain of the grown deployments */
+
+/* Lets a load last for some time. */
+static void run(lanes_t *lanes, const lanes_load_t *express,
+		const lanes_load_t *bulk, int64_t *now_ms, int64_t for_ms)
+{
+	for (int64_t end_ms = *now_ms + for_ms; *now_ms < end_ms;
+	     *now_ms += TICK_MS)
+		lanes_update(lanes, express, bulk, *now_ms);
+}
+
+/* Pattern: chats come at several times their usual rate beside few long
+ * prompts, as in the burst of the heaviest days. Guards against chats that wait
+ * in full express engines, or run beside prompts that are read, while most
+ * engines are kept for long prompts. */
+static void test_burst_of_chats(void)
+{
+	const lanes_load_t chats = {.reading = 0.2, .running = 3.0};
+	const lanes_load_t spilled = {.reading = 1.7, .running = 6.0};
+	lanes_t lanes = {.share = 0.0};
+	int64_t now_ms = START_MS;
+
+	run(&lanes, &chats, &spilled, &now_ms, 500);
+	CU_ASSERT(lanes_express_count(&lanes, ENGINES) <= 4);
+	run(&lanes, &chats, &spilled, &now_ms, 4000);
+	CU_ASSERT(lanes_express_count(&lanes, ENGINES) >= ENGINES / 3);
+	/* The engines that were added take the chats that had spilled over. */
+	run(&lanes, &(lanes_load_t){0.4, 8.0}, &(lanes_load_t){1.5, 1.0},
+	    &now_ms, 4000);
+	CU_ASSERT(lanes_express_count(&lanes, ENGINES) >= ENGINES / 2);
+}
+
+/* Pattern: long prompts come at twice their usual rate, few chats. Guards
+ * against engines that are kept free for chats that don't come, and against
+ * chats that lose the last of theirs. */
+static void test_burst_of_long_prompts(void)
+{
+	lanes_t lanes = {.share = LANES_MAX_SHARE, .updated_ms = START_MS};
+	int64_t now_ms = START_MS;
+
+	run(&lanes, &(lanes_load_t){0.05, 0.5}, &(lanes_load_t){6.0, 5.0},
+	    &now_ms, 8000);
+	CU_ASSERT_EQUAL(lanes_express_count(&lanes, ENGINES),
+			(unsigned)(LANES_MIN_SHARE * ENGINES));
+}
+
+/* Pattern: no traffic, or none known yet. Guards against lanes that follow a
+ * handful of requests. */
+static void test_idle(void)
+{
+	const lanes_load_t none = {0.0, 0.0};
+	lanes_t lanes = {.share = 0.0};
+	int64_t now_ms = START_MS;
+
+	CU_ASSERT_EQUAL(lanes_express_count(&lanes, ENGINES), 3);
+	run(&lanes, &none, &none, &now_ms, 5000);
+	CU_ASSERT_EQUAL(lanes_express_count(&lanes, ENGINES), 3);
+	CU_ASSERT_EQUAL(lanes_wanted_share(&(lanes_load_t){0.01, 0.02}, &none),
+			LANES_MIN_SHARE);
+}
+
+/* Pattern: hosts see the same burst a round of loads apart. Guards against
+ * hosts that take many engines for different lanes. */
+static void test_hosts_agree(void)
+{
+	const lanes_load_t calm[2] = {{0.2, 1.0}, {1.5, 2.0}};
+	const lanes_load_t burst[2] = {{0.3, 3.0}, {1.7, 3.0}};
+	lanes_t early = {.share = 0.0}, late = {.share = 0.0};
+	int64_t now_ms = START_MS, late_ms = START_MS;
+
+	run(&early, &calm[0], &calm[1], &now_ms, 5000);
+	run(&late, &calm[0], &calm[1], &late_ms, 5000 + TICK_MS);
+	for (int i = 0; i < 20; i++) {
+		unsigned a, b;
+
+		run(&early, &burst[0], &burst[1], &now_ms, TICK_MS);
+		if (i)
+			run(&late, &burst[0], &burst[1], &late_ms, TICK_MS);
+		a = lanes_express_count(&early, ENGINES);
+		b = lanes_express_count(&late, ENGINES);
+		CU_ASSERT(a >= b && a - b <= 1);
+	}
+}
+
+/* Guards against a small group without an engine of each lane. */
+static void test_small_groups(void)
+{
+	const lanes_t most = {.share = LANES_MAX_SHARE};
+	const lanes_t least = {.share = LANES_MIN_SHARE};
+
+	CU_ASSERT_EQUAL(lanes_express_count(&least, 2), 0);
+	CU_ASSERT_EQUAL(lanes_express_count(&least, 3), 1);
+	CU_ASSERT_EQUAL(lanes_express_count(&most, 3), 2);
+	CU_ASSERT_EQUAL(lanes_express_count(&most, 4), 3);
+}
+
+int main(void)
+{
+	CU_TestInfo tests[] = {
+		{"burst of chats", test_burst_of_chats},
+		{"burst of long prompts", test_burst_of_long_prompts},
+		{"idle", test_idle},
+		{"hosts agree", test_hosts_agree},
+		{"small groups", test_small_groups},
+		CU_TEST_INFO_NULL};
+
+	return unit_run("lanes", tests);
+}
