--- a/lib/coordination/readers.h
+++ b/lib/coordination/readers.h
@@ -27,9 +27,9 @@
 #define READERS_LEARN_MS 1000
 #define READERS_LEARNED_MS 2500
 /* A reader tells its domain that it reads, at least so often. */
-#define READERS_ANNOUNCE_MS 1000
+#define READERS_ANNOUNCE_MS 800
 /* One that was not heard of for so long is passed over. */
-#define READERS_SILENT_MS 3000
+#define READERS_SILENT_MS 2000
 
 /* A host's weight: the same on all hosts. */
 uint32_t readers_weight(const char *name);
