Keep lanes fixed above 100 hosts

At 295 hosts loads are told in rounds of a second and more, the most loaded endpoints only.

Change: above 100 hosts, where each request also looks at a part of the endpoints only, lanes stay at a fifth, and the wait for a slot does not count.

--- a/lib/coordination/lanes.c
+++ b/lib/coordination/lanes.c
@@ -14,6 +14,11 @@
 		    load->running / LANES_RUNNING_PART);
 }
 
+bool lanes_follow(unsigned hosts)
+{
+	return hosts <= LANES_MAX_HOSTS;
+}
+
 double lanes_wanted_share(const lanes_load_t *express, const lanes_load_t *bulk)
 {
 	double wanted = needed(express);
--- a/lib/coordination/lanes.h
+++ b/lib/coordination/lanes.h
@@ -1,6 +1,7 @@
 #ifndef COORDINATION_LANES_H
 #define COORDINATION_LANES_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /*
@@ -24,6 +25,11 @@
  * see loads at different moments agree on all but few engines. */
 #define LANES_FOLLOW_MS 1000.0
 
+/* Above so many hosts the loads come in rounds of a second and more, and not
+ * all of them: lanes that follow these move engines to and fro, and with them
+ * what they have read. The share stays at its lower bound then. */
+#define LANES_MAX_HOSTS 100
+
 /* What the engines of a lane do at a moment, summed over them. */
 typedef struct lanes_load {
 	double reading; /* parts of their time that they read prompts */
@@ -35,6 +41,9 @@
 	int64_t updated_ms;
 } lanes_t;
 
+/* True when the lanes of so many hosts follow the loads. */
+bool lanes_follow(unsigned hosts);
+
 /* The share that the loads of the two lanes ask for. */
 double lanes_wanted_share(const lanes_load_t *express,
 			  const lanes_load_t *bulk);
--- a/lib/request/choose.c
+++ b/lib/request/choose.c
@@ -175,9 +175,11 @@
 		option.tokens_per_s = (double)load.tokens_per_s;
 		ranking_set_tokens(ranking, request, endpoint, &option);
 		option.service_ms = ROUTER_ENGINE_BASE_MS;
-		option.busy_ms = router_service(request->router,
-						request->admission.service_name)
-					 ->lane_busy_ms[endpoint->express];
+		if (lanes_follow(request->router->all_hosts))
+			option.busy_ms =
+				router_service(request->router,
+					       request->admission.service_name)
+					->lane_busy_ms[endpoint->express];
 		option.lane_ms = balance_lane_charge(
 			request->call.prompt_tokens, endpoint->express);
 	} else {
--- a/lib/request/router.c
+++ b/lib/request/router.c
@@ -36,16 +36,25 @@
 	router->garbage[router->garbage_count++] = object;
 }
 
+static void update_lanes(const router_t *router, int64_t now_ms)
+{
+	if (!lanes_follow(router->all_hosts)) {
+		fleet_reset_lanes(router->fleet);
+		return;
+	}
+	for (const service_stats_t *service = router->services; service;
+	     service = service->next)
+		fleet_update_lanes(router->fleet, str_from(service->name),
+				   service->tokens_per_ms, now_ms);
+}
+
 static void on_tick(void *user)
 {
 	router_t *router = user;
 	int64_t now_ms = router_now_ms(router);
 
 	fleet_tick(router->fleet, now_ms);
-	for (const service_stats_t *service = router->services; service;
-	     service = service->next)
-		fleet_update_lanes(router->fleet, str_from(service->name),
-				   service->tokens_per_ms, now_ms);
+	update_lanes(router, now_ms);
 	for (size_t i = 0; i < fleet_count(router->fleet); i++)
 		channel_retire_idle(router, fleet_at(router->fleet, i));
 	plog_flush();
--- a/lib/state/fleet.h
+++ b/lib/state/fleet.h
@@ -131,6 +131,9 @@
  */
 void fleet_update_marks(fleet_t *fleet);
 
+/* Sets the lanes of all services back to what they are without known loads. */
+void fleet_reset_lanes(fleet_t *fleet);
+
 /* Adapts a service's lanes to the loads that hosts told; `tokens_per_ms` is
  * what one of its engines reads. */
 void fleet_update_lanes(fleet_t *fleet, str_t service, double tokens_per_ms,
--- a/lib/state/fleet_lanes.c
+++ b/lib/state/fleet_lanes.c
@@ -59,6 +59,15 @@
 	free(sorted);
 }
 
+void fleet_reset_lanes(fleet_t *fleet)
+{
+	for (size_t i = 0; i < fleet->service_count; i++) {
+		if (fleet->lanes[i].share > 0.0)
+			fleet->marks_are_stale = true;
+		fleet->lanes[i].share = 0.0;
+	}
+}
+
 void fleet_update_lanes(fleet_t *fleet, str_t service, double tokens_per_ms,
 			int64_t now_ms)
 {
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -218,6 +218,14 @@
 		after += fleet_at(router->fleet, i)->express;
 	CU_ASSERT_EQUAL(before, DOMAINS);
 	CU_ASSERT_EQUAL(after, DOMAINS * 2);
+	/* 300 hosts know the loads too late: their lanes stay as at first. */
+	CU_ASSERT_FALSE(lanes_follow(300));
+	fleet_reset_lanes(router->fleet);
+	fleet_update_marks(router->fleet);
+	after = 0;
+	for (size_t i = 0; i < fleet_count(router->fleet); i++)
+		after += fleet_at(router->fleet, i)->express;
+	CU_ASSERT_EQUAL(after, DOMAINS);
 	tear_down();
 }
 
