Split test_choose by what a decision looks at

Change: placing.c has the router on which both programs place requests; test_choose has placements under load, test_choose_state what an endpoint's state forbids.

Conclusion: no product code changed.

--- /dev/null
+++ b/tests/unit/test_choose_state.c
@@ -0,0 +1,253 @@
+#include "unit.h"
+
+#include "placing.h"
+
+/* Pattern: every engine asks for a pause, the longest first. Guards against a
+ * request, or a copy of prompt parts, that reaches one during its pause, and
+ * against callers who are told a time at which there is still no engine. */
+static void test_all_paused(void)
+{
+	choice_t choice;
+
+	placing_set_up();
+	for (int i = 0; i < DOMAINS * ENGINES; i++)
+		notice_on_pause(
+			fleet_notice(router->fleet, fleet_at(router->fleet, i)),
+			4000 - i * 100, START_MS);
+	CU_ASSERT_EQUAL(choose_endpoint(make_request(3, 5000, 6000), &choice),
+			CHOOSE_LATER);
+	CU_ASSERT_EQUAL(choice.opens_ms,
+			START_MS + 4000 - (DOMAINS * ENGINES - 1) * 100);
+	mclock_manual_advance(&clock_now, choice.opens_ms - START_MS);
+	CU_ASSERT_PTR_EQUAL(must_place(3, 5000, 6000),
+			    fleet_at(router->fleet, DOMAINS * ENGINES - 1));
+	placing_tear_down();
+}
+
+/* Guards against a pause or a leave that ends with a change of the endpoint's
+ * record, and against a successor that is shut out by it. */
+static void test_notice_outlives_record(void)
+{
+	endpoint_record_t record = {.id = STR_LIT("new"),
+				    .service = STR_LIT("model"),
+				    .address = STR_LIT("127.0.0.1:1"),
+				    .domain = STR_LIT("d1"),
+				    .slots = 64,
+				    .incarnation = 5};
+	endpoint_t *endpoint;
+	endpoint_t *old;
+
+	placing_set_up();
+	endpoint = fleet_put(router->fleet, &record, START_MS);
+	notice_on_leaving(fleet_notice(router->fleet, endpoint), true,
+			  START_MS);
+	record.leaving = true;
+	fleet_put(router->fleet, &record, START_MS);
+	fleet_remove(router->fleet, record.id, START_MS);
+	record.leaving = false;
+	endpoint = fleet_put(router->fleet, &record, START_MS);
+	CU_ASSERT_TRUE(
+		notice_forbids(endpoint_notice(endpoint), 3000, START_MS));
+	old = endpoint;
+	endpoint_ref(old);
+	record.incarnation = 6;
+	endpoint = fleet_put(router->fleet, &record, START_MS);
+	CU_ASSERT_PTR_NULL(endpoint_notice(endpoint));
+	endpoint_unref(old);
+
+	/* An answer that comes after the record was replaced counts, too. */
+	old = endpoint;
+	endpoint_ref(old);
+	record.address = (str_t)STR_LIT("127.0.0.1:2");
+	endpoint = fleet_put(router->fleet, &record, START_MS);
+	CU_ASSERT_PTR_NOT_EQUAL(old, endpoint);
+	notice_on_pause(fleet_notice(router->fleet, old), 2000, START_MS);
+	CU_ASSERT_TRUE(notice_forbids(endpoint_notice(endpoint), 3000,
+				      START_MS + 1999));
+	endpoint_unref(old);
+	placing_tear_down();
+}
+
+/* Pattern: the engine that has read a hot thing leaves or pauses. Guards
+ * against copies from it. */
+static void test_no_copy_from_paused(void)
+{
+	endpoint_t *holder;
+
+	placing_set_up();
+	holder = must_place(3, 5000, 6000);
+	note_read(holder, 3, 5000);
+	endpoint_count_tokens(holder, FULL_TOKENS, START_MS);
+	CU_ASSERT_PTR_EQUAL(choose(3, 5000, 6000).source, holder);
+	notice_on_pause(fleet_notice(router->fleet, holder), 2000, START_MS);
+	CU_ASSERT_PTR_NULL(choose(3, 5000, 6000).source);
+	placing_tear_down();
+}
+
+/* Guards EVAC and DRAIN. */
+static void test_taken_out(void)
+{
+	placing_set_up();
+	fleet_set_evacuated(router->fleet, STR_LIT("d0"), true, catalog,
+			    START_MS);
+	for (unsigned thing = 0; thing < 20; thing++)
+		CU_ASSERT_STRING_NOT_EQUAL(must_place(thing, 200, 600)->domain,
+					   "d0");
+	for (size_t i = 0; i < fleet_count(router->fleet); i++)
+		fleet_at(router->fleet, i)->state = ENDPOINT_LEAVING;
+	CU_ASSERT_PTR_NULL(place(1, 200, 600));
+	placing_tear_down();
+}
+
+/* Pattern: a domain that was taken out comes back, cold without saying so.
+ * Guards FAILBACK: each host keeps to its share, and a host of another domain
+ * sends nothing. */
+static void test_back_cold(void)
+{
+	unsigned sent = 0;
+	endpoint_t *endpoint;
+
+	placing_set_up();
+	router_set_hosts(router, 3, 7);
+	fleet_set_evacuated(router->fleet, STR_LIT("d0"), true, catalog,
+			    START_MS);
+	fleet_set_evacuated(router->fleet, STR_LIT("d0"), false, catalog,
+			    START_MS);
+	for (int i = 0; i < 200; i++) {
+		endpoint = must_place(3, 200, 600);
+		if (strcmp(endpoint->domain, "d0") != 0)
+			continue;
+		coldgate_on_send(&endpoint->gate, START_MS);
+		sent++;
+	}
+	CU_ASSERT_TRUE(sent > 0);
+	CU_ASSERT_TRUE(sent * 3 <= ENGINES * (12 * 1.5 + 5));
+	router->domain = (str_t)STR_LIT("d1");
+	router->region = (str_t)STR_LIT("r1");
+	CU_ASSERT_STRING_NOT_EQUAL(must_place(3, 200, 600)->domain, "d0");
+	placing_tear_down();
+}
+
+/* Pattern: the configuration service was away and records lapsed. Guards
+ * against refusing everything until they return, and against using an endpoint
+ * that is really gone. */
+static void test_lapsed(void)
+{
+	endpoint_t *left;
+
+	placing_set_up();
+	for (int i = 0; i < DOMAINS * ENGINES; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "e%d-%d", i / ENGINES, i % ENGINES);
+		fleet_remove(router->fleet, str_from(id), START_MS);
+	}
+	CU_ASSERT_PTR_NOT_NULL(must_place(3, 200, 600));
+	left = add_engine(1, 1, 0);
+	CU_ASSERT_PTR_EQUAL(must_place(3, 200, 600), left);
+	fleet_tick(router->fleet, START_MS + FLEET_LINGER_MS);
+	CU_ASSERT_EQUAL(fleet_count(router->fleet), 1);
+	placing_tear_down();
+}
+
+/* Guards ROUTE: an id that starts anew elsewhere is another endpoint. */
+static void test_new_incarnation(void)
+{
+	endpoint_record_t record = {.id = STR_LIT("e0-0"),
+				    .service = STR_LIT("model"),
+				    .address = STR_LIT("127.0.0.1:1"),
+				    .domain = STR_LIT("d0"),
+				    .slots = 64,
+				    .cold_ms = 500,
+				    .incarnation = 5};
+	endpoint_t *before;
+
+	placing_set_up();
+	before = fleet_find(router->fleet, STR_LIT("e0-0"));
+	before->in_flight = 9;
+	endpoint_ref(before);
+	CU_ASSERT_PTR_NOT_EQUAL(fleet_put(router->fleet, &record, START_MS),
+				before);
+	CU_ASSERT_EQUAL(before->state, ENDPOINT_GONE);
+	endpoint_unref(before);
+	CU_ASSERT_EQUAL(fleet_find(router->fleet, STR_LIT("e0-0"))->in_flight,
+			0);
+	CU_ASSERT_TRUE(endpoint_is_cold(
+		fleet_find(router->fleet, STR_LIT("e0-0")), START_MS + 499));
+	placing_tear_down();
+}
+
+/* Pattern: a connection that takes long, while operators work. Guards CONFIG,
+ * LEAVE and COLD: what the send was decided on is looked at again before the
+ * first byte. */
+static void test_outdated(void)
+{
+	endpoint_t *engine;
+
+	placing_set_up();
+	engine = must_place(1, 1000, 100);
+	make_request(1, 1000, 100);
+	request.catalog = catalog_ref(catalog);
+	request.endpoint = engine;
+	CU_ASSERT_FALSE(request_is_outdated(&request));
+	engine->state = ENDPOINT_LINGERING;
+	CU_ASSERT_FALSE(request_is_outdated(&request));
+	engine->state = ENDPOINT_LEAVING;
+	CU_ASSERT_TRUE(request_is_outdated(&request));
+	engine->state = ENDPOINT_READY;
+	fleet_set_evacuated(router->fleet, str_from(engine->domain), true,
+			    catalog, START_MS);
+	CU_ASSERT_TRUE(request_is_outdated(&request));
+	fleet_set_evacuated(router->fleet, str_from(engine->domain), false,
+			    catalog, START_MS);
+	CU_ASSERT_FALSE(request_is_outdated(&request));
+	catalog_unref(catalog);
+	add_catalog(2);
+	CU_ASSERT_TRUE(request_is_outdated(&request));
+	catalog_unref(request.catalog);
+	placing_tear_down();
+}
+
+/* Pattern: an engine leaves while the others are full. Guards against requests
+ * that it refuses one by one, each of which costs a send of the retry budget:
+ * one that refused is asked before it gets work again. */
+static void test_refusing(void)
+{
+	endpoint_t *engine;
+
+	asks_engines = true;
+	placing_set_up();
+	for (size_t i = 0; i < fleet_count(router->fleet); i++) {
+		warmth_t *warmth = &fleet_at(router->fleet, i)->warmth;
+
+		warmth_on_answer(warmth, STR_LIT("boot"), false, START_MS,
+				 START_MS);
+		fleet_at(router->fleet, i)->cold_units = 1;
+		warmth_set_refusing(warmth, i > 0);
+	}
+	engine = fleet_at(router->fleet, 0);
+	CU_ASSERT_PTR_EQUAL(place(1, 0, 100), engine);
+	warmth_set_refusing(&engine->warmth, true);
+	CU_ASSERT_PTR_NULL(place(1, 0, 100));
+	warmth_set_refusing(&engine->warmth, false);
+	CU_ASSERT_PTR_EQUAL(place(1, 0, 100), engine);
+	placing_tear_down();
+	asks_engines = false;
+}
+
+int main(void)
+{
+	CU_TestInfo tests[] = {
+		{"all paused", test_all_paused},
+		{"notice outlives record", test_notice_outlives_record},
+		{"no copy from paused", test_no_copy_from_paused},
+		{"taken out", test_taken_out},
+		{"back cold", test_back_cold},
+		{"lapsed", test_lapsed},
+		{"new incarnation", test_new_incarnation},
+		{"outdated", test_outdated},
+		{"refusing", test_refusing},
+		CU_TEST_INFO_NULL};
+
+	return unit_run("choose-state", tests);
+}
