Log the parts of a prompt and how a send's connection ended

E5101 and E5102 name the ids of a prompt's shared parts; E5102 also has the end of the connection (closed, reset, timed-out, none) and the events passed on so far.

No decision changes.

--- a/Makefile
+++ b/Makefile
@@ -82,7 +82,7 @@
 	msgcodec plog str) \
 	$(patsubst %,lib/coordination/%.c,balance breaker coldgate floors gossip \
 	gossip_message lanes \
-	loadboard notice peersync peersync_pull policy prefixmap \
+	loadboard notice peersync peersync_pull policy prefixmap promptparts \
 	prefixnews pullcodec readers retryafter retrybudget warmth) \
 	$(patsubst %,lib/state/%.c,catalog fleet fleet_lanes hostsettings \
 	noticetable replica) \
--- a/lib/coordination/peersync_pull.c
+++ b/lib/coordination/peersync_pull.c
@@ -192,6 +192,7 @@
 		return;
 	case TCP_READ_END:
 	case TCP_READ_BROKEN:
+	case TCP_READ_TIMED_OUT:
 		fail_pull(pull);
 		return;
 	}
--- a/lib/request/caller.c
+++ b/lib/request/caller.c
@@ -301,6 +301,7 @@
 		return;
 	case TCP_READ_END:
 	case TCP_READ_BROKEN:
+	case TCP_READ_TIMED_OUT:
 		destroy(caller);
 		return;
 	}
--- a/lib/request/channel.c
+++ b/lib/request/channel.c
@@ -64,10 +64,12 @@
 	request_on_failure(request, failure);
 }
 
-/* RETURN VALUE: the failure of the request when its connection breaks. */
-static send_failure_t broken_failure(const channel_t *channel)
+/* Fails the send because its connection broke. */
+static void fail_broken(channel_t *channel, send_break_t cause)
 {
-	return channel->tcp.written ? SEND_LOST : SEND_NOT_CONNECTED;
+	if (channel->request)
+		channel->request->last_break = cause;
+	fail(channel, channel->tcp.written ? SEND_LOST : SEND_NOT_CONNECTED);
 }
 
 static void on_connect_timeout(void *user)
@@ -266,7 +268,7 @@
 			fail(channel, SEND_LOST);
 		return;
 	}
-	fail(channel, broken_failure(channel));
+	fail_broken(channel, SEND_BREAK_CLOSED);
 }
 
 static void unlink_idle(channel_t *channel)
@@ -301,7 +303,10 @@
 		on_end(channel);
 		return;
 	case TCP_READ_BROKEN:
-		fail(channel, broken_failure(channel));
+		fail_broken(channel, SEND_BREAK_RESET);
+		return;
+	case TCP_READ_TIMED_OUT:
+		fail_broken(channel, SEND_BREAK_TIMED_OUT);
 		return;
 	}
 }
@@ -329,7 +334,7 @@
 	if (channel->tcp.connecting && !on_connected(channel))
 		return;
 	if ((events & EPOLLOUT) && !tcp_flush(&channel->tcp)) {
-		fail(channel, broken_failure(channel));
+		fail_broken(channel, SEND_BREAK_RESET);
 		return;
 	}
 	if (events & (EPOLLIN | EPOLLHUP | EPOLLERR))
--- a/lib/request/request.h
+++ b/lib/request/request.h
@@ -39,6 +39,15 @@
 	SEND_FAILED	    /* ran; the endpoint answered with an error */
 } send_failure_t;
 
+/* How the connection of a lost send broke. */
+typedef enum send_break {
+	SEND_BREAK_NONE,     /* it did not: the host gave up or the response is
+				invalid */
+	SEND_BREAK_CLOSED,   /* the endpoint closed it */
+	SEND_BREAK_RESET,    /* it was reset */
+	SEND_BREAK_TIMED_OUT /* the endpoint stopped acknowledging */
+} send_break_t;
+
 typedef struct request {
 	router_t *router;
 	struct caller *caller;
@@ -69,6 +78,7 @@
 	unsigned tried_count;
 	char last_endpoint[REQUEST_PEER_BYTES]; /* its id; empty: none yet */
 	send_failure_t last_failure;
+	send_break_t last_break; /* of the send that failed last */
 	/* The current send. */
 	endpoint_t *endpoint;	 /* referenced; NULL while nothing is sent */
 	struct channel *channel; /* connection to the endpoint, or NULL */
--- a/lib/request/send.c
+++ b/lib/request/send.c
@@ -254,19 +254,23 @@
 void request_on_sent(request_t *request)
 {
 	int64_t limit_ms;
+	char parts[PROMPTPARTS_TEXT_BYTES];
 
 	request->sends++;
 	request->possible_runs++;
 	request->sent_ms = request_now_ms(request);
 	request->last_progress_ms = request->sent_ms;
+	request->last_break = SEND_BREAK_NONE;
 	limit_ms = progress_limit_ms(request);
 	if (limit_ms)
 		start_progress_timer(request, limit_ms);
 	metrics_add(METRIC_SENDS, request->admission.service_name, 1);
+	prompt_parts_print(&request->call.parts, parts);
 	plog_write(PLOG_REQUEST_SENT,
 		   "id=%" STR_FMT " endpoint=%s send=%u wait_ms=%lld "
 		   "left_ms=%lld expected_ms=%.0f in_flight=%u unread=%llu "
-		   "backlog=%llu reading=%.2f source=%s cold=%d version=%lld",
+		   "backlog=%llu reading=%.2f source=%s cold=%d version=%lld "
+		   "parts=%s",
 		   STR_ARG(request->call.id), request->endpoint->id,
 		   request->sends,
 		   (long long)(request->sent_ms - request->arrived_ms),
@@ -277,7 +281,7 @@
 		   request->prefill_share,
 		   request->prefix_source[0] ? request->prefix_source : "-",
 		   choose_is_cold(request, request->endpoint, request->sent_ms),
-		   (long long)catalog_version(request->catalog));
+		   (long long)catalog_version(request->catalog), parts);
 }
 
 bool request_may_send_again(const request_t *request)
@@ -346,21 +350,39 @@
 	return names[failure];
 }
 
-void request_on_failure(request_t *request, send_failure_t failure)
+static const char *break_name(send_break_t cause)
 {
-	request->failures++;
-	if (failure == SEND_NOT_RUN)
-		request->possible_runs--;
+	static const char *const names[] = {"none", "closed", "reset",
+					    "timed-out"};
+
+	return names[cause];
+}
+
+static void log_failure(const request_t *request, send_failure_t failure)
+{
+	char parts[PROMPTPARTS_TEXT_BYTES];
+
+	prompt_parts_print(&request->call.parts, parts);
 	plog_write(PLOG_SEND_FAILED,
 		   "id=%" STR_FMT " endpoint=%s failure=\"%s\" status=%u "
-		   "sends=%u runs=%u ms=%lld",
+		   "sends=%u runs=%u ms=%lld break=%s events=%llu parts=%s",
 		   STR_ARG(request->call.id), request->endpoint->id,
 		   failure_name(failure),
 		   failure == SEND_FAILED || failure == SEND_NOT_RUN ?
 			   request->reply.status :
 			   0,
 		   request->sends, request->possible_runs,
-		   (long long)(request_now_ms(request) - request->arrived_ms));
+		   (long long)(request_now_ms(request) - request->arrived_ms),
+		   break_name(request->last_break),
+		   (unsigned long long)request->event_count, parts);
+}
+
+void request_on_failure(request_t *request, send_failure_t failure)
+{
+	request->failures++;
+	if (failure == SEND_NOT_RUN)
+		request->possible_runs--;
+	log_failure(request, failure);
 	request->last_failure = failure;
 	request_end_span(request, &request->send_span,
 			 failure == SEND_LOST || failure == SEND_STALLED ?
--- a/lib/transport/tcp.c
+++ b/lib/transport/tcp.c
@@ -152,8 +152,9 @@
 	}
 	if (!got)
 		return TCP_READ_END;
-	return errno == EAGAIN || errno == EINTR ? TCP_READ_AGAIN :
-						   TCP_READ_BROKEN;
+	if (errno == EAGAIN || errno == EINTR)
+		return TCP_READ_AGAIN;
+	return errno == ETIMEDOUT ? TCP_READ_TIMED_OUT : TCP_READ_BROKEN;
 }
 
 void tcp_peer(const tcp_t *tcp, char peer[ADDRESS_BYTES])
--- a/lib/transport/tcp.h
+++ b/lib/transport/tcp.h
@@ -31,10 +31,11 @@
 } tcp_t;
 
 typedef enum tcp_read {
-	TCP_READ_DATA,	/* `len` bytes were read */
-	TCP_READ_AGAIN, /* no data available yet */
-	TCP_READ_END,	/* end of stream */
-	TCP_READ_BROKEN /* reset or timed out */
+	TCP_READ_DATA,	   /* `len` bytes were read */
+	TCP_READ_AGAIN,	   /* no data available yet */
+	TCP_READ_END,	   /* end of stream */
+	TCP_READ_BROKEN,   /* reset, or closed on this side */
+	TCP_READ_TIMED_OUT /* the peer stopped acknowledging */
 } tcp_read_t;
 
 /*
