--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -17,6 +17,11 @@
           /control/always?mode=M       response mode of all other requests
           /control/seen                lists the requests since the last list
           /control/count               number of requests since the start
+          /control/crash?part=P        ends all connections and refuses new ones
+                                       for CRASH_S, on each request whose prompt
+                                       has the part P, once the answer has begun;
+                                       prints a line "crash" for each
+          /control/crash               the same, once, now
 
 A server of kind "native" serves the endpoint interface of peridot-routerd
 instead.
@@ -45,6 +50,7 @@
     "endless-close", "endless-extra", "endless-foreign", "endless-event",
     "endless-refusal",
 )
+CRASH_S = 1.2
 EVENTS = 5
 EVENT_S = 0.01
 SILENT_S = 30
@@ -61,12 +67,14 @@
                "stamp": "X-Peridotpin-Server-Stamp",
                "target": "X-Peridotpin-Expect-Instance",
                "not-run": "X-Peridotpin-Not-Executed",
-               "leaving": "Server-Leaving"},
+               "leaving": "Server-Leaving",
+               "parts": "X-Peridotpin-Prompt-Prefix"},
     "native": {"id": "X-Peridot-Request",
                "stamp": "X-Stamp",
                "target": "X-Peridot-Endpoint",
                "not-run": "X-Peridot-Not-Run",
-               "leaving": "X-Peridot-Leaving"},
+               "leaving": "X-Peridot-Leaving",
+               "parts": "X-Parts"},
 }
 
 
@@ -228,6 +236,12 @@
         self.default_mode = "ok"
         self.seen = []
         self.count = 0
+        self.crash_part = None
+        self.crash_listener = None  # set by main()
+
+    def has_crash_part(self, headers):
+        parts = headers.get(self.header_names["parts"].lower(), "").split(",")
+        return self.crash_part in [part.split(":")[0] for part in parts]
 
     def next_mode(self):
         with self.lock:
@@ -245,6 +259,12 @@
             assert query["mode"] in MODES + ENDLESS
             self.default_mode = query["mode"]
             connection.respond(200, [], b"")
+        elif url.path == "/control/crash":
+            connection.respond(200, [], b"")
+            if "part" in query:
+                self.crash_part = query["part"]
+            else:
+                self.crash_listener()
         elif url.path == "/control/count":
             connection.respond(200, [], str(self.count).encode())
         else:
@@ -479,10 +499,57 @@
                 continue
             mode = self.next_mode()
             self.record_request(request, mode)
+            if self.has_crash_part(request[2]):
+                print("crash", flush=True)
+                connection.sock.sendall(b"HTTP/1.1 200 OK\r\n")
+                self.crash_listener()
+                return
             if not self.run(connection, request, mode):
                 return
 
 
+class Listener:
+    """A listening socket that can close with all its connections."""
+
+    def __init__(self, address):
+        host, port = address.split(":")
+        self.address = (host, int(port))
+        self.lock = threading.Lock()
+        self.open()
+
+    def open(self):
+        self.socks = []
+        self.down_s = 0
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(self.address)
+        self.sock.listen(64)
+
+    def crash(self):
+        with self.lock:
+            self.down_s = CRASH_S
+            self.sock.shutdown(socket.SHUT_RDWR)
+            for sock in self.socks:
+                try:
+                    sock.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass  # the other side has closed it
+
+    def accept(self):
+        while True:
+            try:
+                sock, _ = self.sock.accept()
+            except OSError:
+                self.sock.close()
+                time.sleep(self.down_s)
+                self.open()
+                continue
+            with self.lock:
+                self.socks = [s for s in self.socks if s.fileno() >= 0]
+                self.socks.append(sock)
+            return sock
+
+
 def run_connection(standin, sock):
     try:
         standin.serve(Connection(sock))
@@ -495,14 +562,11 @@
 def main():
     kind, address = sys.argv[1:3]
     standin = Store() if kind == "store" else Server(sys.argv[3], kind)
-    host, port = address.split(":")
-    listener = socket.socket()
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((host, int(port)))
-    listener.listen(64)
+    listener = Listener(address)
+    standin.crash_listener = listener.crash
     print("ready %s" % address, flush=True)
     while True:
-        sock, _ = listener.accept()
+        sock = listener.accept()
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         threading.Thread(target=run_connection, args=(standin, sock),
                          daemon=True).start()
