Refuse prompts with a part that crashes the endpoints that answer it

Callers saw sound requests cut off again and again: with 5% of one class carrying one faulty part, the engines went down one after the other, 13 of them in 22 s, and each crash ended 2 to 41 other requests.

Cause: a host blamed only the endpoint for a lost answer and kept nothing of the request. With requests arriving at any host, each host saw few of the crashes, and no host told another.

Change: after a broken connection a host connects to the endpoint; if it is refused, the host reports the crash with the parts of the requests that were not past the beginning of their answer (crashcheck). Hosts exchange crashes and sound answers along the path of loads (crashnews, crashsync), and each decides by itself (crashboard): a part is blocked after four crashes at three times, seen by two hosts, with no answer begun since. Parts that have exactly the same crashes are blocked only together, until a sound answer tells them apart. Requests that fall under a block get 503 at once with the time until it ends; those that wait, or that an endpoint has not begun to answer, are ended.

503, since it is true (no endpoint has got the request, or will) and the verdict may be lifted; the Retry-After is not shortened to what the caller has left, since nothing sooner would help.

--- /dev/null
+++ b/lib/coordination/crashboard.h
@@ -0,0 +1,141 @@
+#ifndef COORDINATION_CRASHBOARD_H
+#define COORDINATION_CRASHBOARD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * crashboard - finds the inputs that crash the endpoints that answer them, and
+ * blocks them
+ *
+ * An input is a number, such as the id of a prompt part; a request has several.
+ * A crash ends all requests of an endpoint, and most of their inputs are sound.
+ * The board counts, for each input, the crashes in which a request with it had
+ * just begun or was about to be answered. An answer that goes on after its
+ * beginning shows that its inputs are sound at that time: earlier crashes, and
+ * those shortly afterwards, no longer count against them.
+ *
+ * An input is blocked after CRASHBOARD_MIN_CRASHES such crashes at
+ * CRASHBOARD_MIN_TIMES separate times, reported by two hosts or all by this
+ * one. Crashes that a blocked input explains count no further against others.
+ * Inputs with exactly the same crashes can't be told apart: only a request with
+ * all of them is refused, until an answer or a crash separates them.
+ *
+ * A block ends when an answer with the input goes on, or after
+ * CRASHBOARD_BLOCK_MS without a crash, doubled with each further crash. Hosts
+ * end it at different times, so that few requests test the input again; one
+ * crash then blocks it again.
+ *
+ * Hosts exchange crashes and sound inputs (see crashnews.h) and each decides by
+ * itself. Both tables are bounded. The board does no input or output; times
+ * are in ms of the host's steady clock.
+ */
+#define CRASHBOARD_MAX_CRASHES 64
+#define CRASHBOARD_MAX_INPUTS 256
+#define CRASHBOARD_MAX_BLOCKS 16
+#define CRASHBOARD_BLOCK_INPUTS 4
+#define CRASHBOARD_MIN_CRASHES 4
+#define CRASHBOARD_MIN_TIMES 3
+/* Of the crashes that no other blocked input explains. */
+#define CRASHBOARD_MIN_UNEXPLAINED 2
+/* Crashes closer to each other than this count as one time: endpoints that
+ * share a fault end together. */
+#define CRASHBOARD_TIME_GAP_MS 250
+/* An answer that goes on for this long after its beginning did not crash its
+ * endpoint. */
+#define CRASHBOARD_BEGIN_MS 1000
+/* A sound answer clears its inputs also from crashes until this much later. */
+#define CRASHBOARD_SOUND_MS 2000
+#define CRASHBOARD_BLOCK_MS 120000
+#define CRASHBOARD_MAX_BLOCK_MS 3600000
+#define CRASHBOARD_MAX_REPORTERS 4
+#define CRASHBOARD_REPORT_INPUTS 32
+
+/* A crash as one host saw it, or as several did. */
+typedef struct crash_report {
+	uint64_t process; /* of the endpoint; changes with each start of it */
+	int64_t at_ms;
+	uint32_t reporters[CRASHBOARD_MAX_REPORTERS]; /* ids of hosts */
+	size_t reporter_count;
+	uint64_t inputs[CRASHBOARD_REPORT_INPUTS];
+	size_t input_count;
+} crash_report_t;
+
+/* Requests with all of these inputs are refused. */
+typedef struct crash_block {
+	uint64_t inputs[CRASHBOARD_BLOCK_INPUTS];
+	size_t input_count;
+	unsigned crashes;
+	int64_t until_ms;
+} crash_block_t;
+
+typedef struct crashboard crashboard_t;
+
+crashboard_t *crashboard_create(void);
+void crashboard_free(crashboard_t *board);
+
+/* Sets the id of this host, and the time after an input's first crash in which
+ * reports of sound answers arrive from all hosts. */
+void crashboard_set_host(crashboard_t *board, uint32_t host, int64_t settle_ms);
+
+/* An answer to a request of this host with these inputs began at `began_ms` and
+ * has gone on for CRASHBOARD_BEGIN_MS, or is complete. */
+void crashboard_on_sound(crashboard_t *board, const uint64_t *inputs,
+			 size_t count, int64_t began_ms);
+
+/* The same, reported by another host for one input. RETURN VALUE: true when it
+ * was news. */
+bool crashboard_add_sound(crashboard_t *board, uint64_t input,
+			  int64_t began_ms);
+
+/* True when this host saw a sound answer with the input shortly before `at_ms`
+ * or later; it is not worth a report. */
+bool crashboard_is_sound(const crashboard_t *board, uint64_t input,
+			 int64_t at_ms);
+
+/* Adds a crash. RETURN VALUE: true when the crash, an input or a reporter of it
+ * was news. */
+bool crashboard_add(crashboard_t *board, const crash_report_t *report);
+
+/* A connection to the endpoint process that was opened at `opened_ms` is still
+ * in use: crashes reported since then did not happen. */
+void crashboard_refute(crashboard_t *board, uint64_t process,
+		       int64_t opened_ms);
+
+/* Decides anew. RETURN VALUE: true when inputs were blocked or released. */
+bool crashboard_update(crashboard_t *board, int64_t now_ms);
+
+/* RETURN VALUE: the block that refuses a request with these inputs, or NULL. */
+const crash_block_t *crashboard_find(const crashboard_t *board,
+				     const uint64_t *inputs, size_t count);
+
+/* The blocks in force; `count` is set to their number. */
+const crash_block_t *crashboard_blocks(const crashboard_t *board,
+				       size_t *count);
+
+/*
+ * Copies the crash at `index`, below CRASHBOARD_MAX_CRASHES, with the blocked
+ * inputs that it counts against.
+ *
+ * RETURN VALUE: false when there is none, or no block rests on it.
+ */
+bool crashboard_get_blocking(const crashboard_t *board, size_t index,
+			     crash_report_t *report);
+
+/* A sound input of which other hosts may not know. */
+typedef struct sound_input {
+	uint64_t input;
+	int64_t began_ms;
+} sound_input_t;
+
+/*
+ * Takes sound answers of this host that clear inputs which other hosts still
+ * count crashes against. Each is returned once.
+ *
+ * RETURN VALUE: the number of entries, `max` at most.
+ */
+size_t crashboard_take_sound(crashboard_t *board, sound_input_t *sound,
+			     size_t max);
+
+#endif
--- a/lib/request/answer.c
+++ b/lib/request/answer.c
@@ -133,6 +133,16 @@
 	send_own_reply(request, &reply);
 }
 
+void answer_blocked(request_t *request, const char *reason,
+		    int64_t retry_after_ms)
+{
+	own_reply_t reply = make_reply(request, 503, reason);
+
+	assert(!request->possible_runs);
+	reply.retry_after_ms = retry_after_ms;
+	send_own_reply(request, &reply);
+}
+
 void answer_failed(request_t *request, unsigned status, const char *reason)
 {
 	own_reply_t reply = make_reply(request, status, reason);
--- a/lib/request/answer.h
+++ b/lib/request/answer.h
@@ -21,6 +21,11 @@
 void answer_not_run(request_t *request, unsigned status, const char *reason,
 		    int64_t retry_after_ms);
 
+/* Answers 503: not run, and not before `retry_after_ms`, however little time
+ * the caller has left. */
+void answer_blocked(request_t *request, const char *reason,
+		    int64_t retry_after_ms);
+
 /* Answers with an error when the request may have run, or when a retry can't
  * succeed either. */
 void answer_failed(request_t *request, unsigned status, const char *reason);
--- a/lib/request/channel.c
+++ b/lib/request/channel.c
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include "base/plog.h"
+#include "request/crashes.h"
 #include "request/notices.h"
 
 /* The request states the time that was left when connecting began; a longer
@@ -89,6 +90,8 @@
 	channel->head_read = true;
 	dialect->ops->read_reply(dialect, &channel->http.head, reply);
 	notices_apply(channel->router, channel->endpoint, reply);
+	crashes_on_reply(channel->router, channel->endpoint,
+			 channel->opened_ms);
 	success = reply->status >= 200 && reply->status < 300;
 	channel->for_other_request =
 		reply->status < 200 ||
@@ -391,6 +394,7 @@
 		free(channel);
 		return NULL;
 	}
+	channel->opened_ms = router_now_ms(router);
 	channel->endpoint = endpoint;
 	endpoint_ref(endpoint);
 	endpoint->channel_count++;
--- a/lib/request/channel.h
+++ b/lib/request/channel.h
@@ -24,6 +24,7 @@
 	http1_t http;
 	loop_timer_t connect_timer;
 	struct channel *next; /* in endpoint->idle_channels */
+	int64_t opened_ms;
 	int64_t idle_since_ms;
 	int64_t idle_limit_ms; /* longest idle time after which the
 				  connection is used again */
--- /dev/null
+++ b/lib/request/crashsync.c
@@ -0,0 +1,222 @@
+#include "request/crashsync.h"
+
+#include "request/crashes.h"
+
+/* How often, and for how long, a host repeats its own reports: until a failed
+ * relay has been replaced. */
+#define OWN_INTERVAL_MS 1000
+#define OWN_MS 10000
+#define DIGEST_INTERVAL_MS 1000
+/* Hosts of a region that send the digest to their relay in an interval. */
+#define DIGEST_SENDERS 2
+/* Time in which reports of sound answers arrive from all hosts: rounds in which
+ * a host and its relay send, and the way between regions. */
+#define SETTLE_ROUNDS 2
+#define SETTLE_MS 300
+
+static int64_t current_ms(const crashsync_t *sync)
+{
+	return router_now_ms(sync->router);
+}
+
+static void send_to(const crashsync_t *sync, const char *ip,
+		    const crashnews_t *news)
+{
+	buf_t message = BUF_INIT;
+
+	crashnews_write(news, current_ms(sync), &message);
+	sync->send(sync->user, ip, &message);
+}
+
+static void send_to_relays(const crashsync_t *sync, crashnews_t *news)
+{
+	news->kind = CRASHNEWS_REGION;
+	for (size_t i = 0; i < sync->relays->count; i++)
+		if (sync->relays->list[i].member)
+			send_to(sync, sync->relays->list[i].member->ip, news);
+}
+
+static void send_to_region(const crashsync_t *sync, crashnews_t *news)
+{
+	const gossip_t *gossip = peersync_gossip(sync->relays->peersync);
+
+	news->kind = CRASHNEWS_RELAY;
+	for (size_t i = 0; i < gossip_member_count(gossip); i++) {
+		const member_t *member = gossip_member(gossip, i);
+
+		if (relays_in_region(sync->relays, member))
+			send_to(sync, member->ip, news);
+	}
+}
+
+/* Passes on what this host found itself, or as a relay received from its
+ * region. */
+static void distribute(const crashsync_t *sync, crashnews_t *news)
+{
+	if (!sync->relays->count || (!news->crash_count && !news->sound_count))
+		return;
+	news->source = sync->host_id;
+	if (relays_is_self(sync->relays)) {
+		send_to_relays(sync, news);
+		send_to_region(sync, news);
+		return;
+	}
+	news->kind = CRASHNEWS_HOST;
+	send_to(sync, relays_own(sync->relays)->member->ip, news);
+}
+
+static void send_report(const crashsync_t *sync, const crash_report_t *report)
+{
+	crashnews_t news = {.crash_count = 0};
+
+	crashnews_add(&news, report);
+	distribute(sync, &news);
+}
+
+static void on_crash(void *user, const crash_report_t *report)
+{
+	crashsync_t *sync = user;
+	crashsync_own_t *own =
+		&sync->own[sync->own_count++ % CRASHSYNC_MAX_OWN];
+
+	own->report = *report;
+	own->repeat_ms = current_ms(sync) + OWN_INTERVAL_MS;
+	send_report(sync, report);
+}
+
+void crashsync_init(crashsync_t *sync, router_t *router, const relays_t *relays,
+		    uint32_t host_id, crashsync_send_t send, void *user)
+{
+	*sync = (crashsync_t){.router = router,
+			      .relays = relays,
+			      .host_id = host_id,
+			      .send = send,
+			      .user = user};
+	router->crash_observer = (crash_observer_t){on_crash, sync, host_id};
+}
+
+static void repeat_own(crashsync_t *sync)
+{
+	int64_t now_ms = current_ms(sync);
+
+	for (size_t i = 0; i < CRASHSYNC_MAX_OWN && i < sync->own_count; i++) {
+		crashsync_own_t *own = &sync->own[i];
+
+		if (now_ms < own->repeat_ms ||
+		    now_ms - own->report.at_ms > OWN_MS)
+			continue;
+		own->repeat_ms = now_ms + OWN_INTERVAL_MS;
+		send_report(sync, &own->report);
+	}
+}
+
+static void send_sound(const crashsync_t *sync)
+{
+	crashnews_t news = {.crash_count = 0};
+
+	news.sound_count = crashboard_take_sound(
+		sync->router->crashes, news.sound, CRASHNEWS_MAX_SOUND);
+	distribute(sync, &news);
+}
+
+static void send_digest(const crashsync_t *sync, crashnews_t *news)
+{
+	if (!news->crash_count)
+		return;
+	news->source = sync->host_id;
+	if (relays_is_self(sync->relays)) {
+		send_to_relays(sync, news);
+		send_to_region(sync, news);
+		return;
+	}
+	news->kind = CRASHNEWS_DIGEST;
+	send_to(sync, relays_own(sync->relays)->member->ip, news);
+}
+
+static void send_blocking_crashes(const crashsync_t *sync)
+{
+	crashnews_t news = {.crash_count = 0};
+	crash_report_t report;
+
+	for (size_t i = 0; i < CRASHBOARD_MAX_CRASHES; i++) {
+		if (!crashboard_get_blocking(sync->router->crashes, i,
+					     &report) ||
+		    crashnews_add(&news, &report))
+			continue;
+		send_digest(sync, &news);
+		news.crash_count = 0;
+		crashnews_add(&news, &report);
+	}
+	send_digest(sync, &news);
+}
+
+/* True for relays, and for few of the other hosts in each interval. */
+static bool is_digest_sender(const crashsync_t *sync)
+{
+	const router_t *router = sync->router;
+	unsigned hosts = router->all_hosts / (unsigned)sync->relays->count;
+
+	return relays_is_self(sync->relays) || hosts <= DIGEST_SENDERS ||
+	       router_random(sync->router) % hosts < DIGEST_SENDERS;
+}
+
+void crashsync_on_round(crashsync_t *sync, int64_t round_ms)
+{
+	int64_t now_ms = current_ms(sync);
+
+	crashboard_set_host(sync->router->crashes, sync->host_id,
+			    SETTLE_MS + SETTLE_ROUNDS * round_ms);
+	send_sound(sync);
+	repeat_own(sync);
+	if (now_ms < sync->digest_ms)
+		return;
+	sync->digest_ms = now_ms + DIGEST_INTERVAL_MS;
+	if (is_digest_sender(sync))
+		send_blocking_crashes(sync);
+}
+
+/* Adds the message's entries to the board and keeps those that were news. */
+static void merge(const crashsync_t *sync, crashnews_t *news)
+{
+	crashboard_t *board = sync->router->crashes;
+	size_t crashes = 0;
+	size_t sound = 0;
+
+	for (size_t i = 0; i < news->crash_count; i++)
+		if (crashboard_add(board, &news->crashes[i]))
+			news->crashes[crashes++] = news->crashes[i];
+	for (size_t i = 0; i < news->sound_count; i++)
+		if (crashboard_add_sound(board, news->sound[i].input,
+					 news->sound[i].began_ms))
+			news->sound[sound++] = news->sound[i];
+	news->crash_count = crashes;
+	news->sound_count = sound;
+}
+
+/* Passes the news on from a relay. */
+static void forward(const crashsync_t *sync, crashnews_t *news)
+{
+	crashnews_kind_t received = news->kind;
+
+	news->source = sync->host_id;
+	if (received == CRASHNEWS_RELAY)
+		return;
+	if (received != CRASHNEWS_REGION)
+		send_to_relays(sync, news);
+	send_to_region(sync, news);
+}
+
+err_code_t crashsync_read(crashsync_t *sync, str_t message, err_t *err)
+{
+	crashnews_t news;
+
+	if (crashnews_read(message, current_ms(sync), &news, err))
+		return err->code;
+	merge(sync, &news);
+	if (!news.crash_count && !news.sound_count)
+		return ERR_OK;
+	if (sync->relays->count && relays_is_self(sync->relays))
+		forward(sync, &news);
+	crashes_update(sync->router);
+	return ERR_OK;
+}
--- a/lib/request/loadsync.c
+++ b/lib/request/loadsync.c
@@ -7,6 +7,7 @@
 
 #include "base/metrics.h"
 #include "base/plog.h"
+#include "request/crashsync.h"
 #include "request/notices.h"
 #include "request/relays.h"
 #include "transport/udp.h"
@@ -23,6 +24,7 @@
 	int fd;
 	loop_timer_t timer;
 	relays_t relays;
+	crashsync_t crashsync;
 	loadboard_entry_t entries[MAX_ENDPOINTS];
 	/* On a relay: keys to be sent to the hosts of its own region. */
 	prefixnews_t other_region_keys;
@@ -43,6 +45,11 @@
 	buf_release(message);
 }
 
+static void send_crash_message(void *user, const char *ip, buf_t *message)
+{
+	send_message(user, ip, message);
+}
+
 /* Sends entries in messages of bounded size. */
 static void send_entries(const loadsync_t *loadsync, const char *ip,
 			 loadboard_kind_t kind, uint32_t source, size_t count)
@@ -247,6 +254,7 @@
 		send_own_loads(loadsync);
 	}
 	send_prefix_keys(loadsync);
+	crashsync_on_round(&loadsync->crashsync, round_ms);
 	loop_timer_set(loadsync->router->loop, &loadsync->timer, round_ms,
 		       on_round, loadsync);
 }
@@ -279,6 +287,8 @@
 {
 	if (prefixnews_is_message(message))
 		return read_prefix_keys(loadsync, message, err);
+	if (crashnews_is_message(message))
+		return crashsync_read(&loadsync->crashsync, message, err);
 	return loadboard_read(loadsync->board, message, current_ms(loadsync),
 			      err);
 }
@@ -317,6 +327,8 @@
 		.router = router, .peersync = peersync, .name = loadsync->name};
 	loadsync->board = loadboard_create();
 	loadsync->host_id = relays_host_id(name);
+	crashsync_init(&loadsync->crashsync, router, &loadsync->relays,
+		       loadsync->host_id, send_crash_message, loadsync);
 	loadsync->port = port;
 	loadsync->fd = fd;
 	loop_watch(router->loop, fd, EPOLLIN, on_datagram, loadsync);
@@ -330,6 +342,7 @@
 		return;
 	loop_timer_cancel(loadsync->router->loop, &loadsync->timer);
 	loop_unwatch(loadsync->router->loop, loadsync->fd);
+	loadsync->router->crash_observer.on_crash = NULL;
 	close(loadsync->fd);
 	loadboard_free(loadsync->board);
 	free(loadsync->name);
--- a/lib/request/reply.c
+++ b/lib/request/reply.c
@@ -4,6 +4,7 @@
 #include "request/answer.h"
 #include "request/caller.h"
 #include "request/channel.h"
+#include "request/crashes.h"
 
 /* Responses up to this size are buffered until they are complete, so that a
  * failed one can be replaced. The total over all requests fits the memory of a
@@ -130,6 +131,17 @@
 	return true;
 }
 
+/* Notes when the response of the current send began, and that it goes on. */
+static void note_progress(request_t *request)
+{
+	int64_t now_ms = request_now_ms(request);
+
+	if (!request->answer_began_ms)
+		request->answer_began_ms = now_ms;
+	if (now_ms - request->answer_began_ms >= CRASHBOARD_BEGIN_MS)
+		crashes_on_sound(request);
+}
+
 static void pass_event(request_t *request, const event_t *event)
 {
 	if (check_end_event(request, event))
@@ -142,6 +154,7 @@
 		update_estimates(request);
 	}
 	record_pause(request);
+	note_progress(request);
 	request->last_progress_ms = request_now_ms(request);
 	request->event_count++;
 	if (event->id.ptr)
@@ -212,6 +225,7 @@
 		return;
 	}
 	request->last_progress_ms = request_now_ms(request);
+	note_progress(request);
 	if (request->state == REQUEST_ANSWERING) {
 		answer_part(request, data);
 		if (caller_is_slow(request->caller))
@@ -233,8 +247,18 @@
 	channel_set_reading(request->channel, true);
 }
 
-static void on_success(request_t *request)
+/* A response that ends with its connection may be one that a crash cut. */
+static bool is_framed(const http1_head_t *head)
+{
+	return head->chunked || head->has_content_length;
+}
+
+static void on_success(request_t *request, const http1_head_t *head)
 {
+	if (!request->answer_began_ms)
+		request->answer_began_ms = request_now_ms(request);
+	if (is_framed(head))
+		crashes_on_sound(request);
 	breaker_on_success(&request->endpoint->breaker,
 			   request_now_ms(request));
 	if (!request->event_count)
@@ -255,7 +279,7 @@
 		request_on_failure(request, SEND_LOST);
 		return;
 	}
-	on_success(request);
+	on_success(request, head);
 	if (request->state != REQUEST_ANSWERING)
 		answer_begin(request, head);
 	answer_end(request);
@@ -288,7 +312,7 @@
 				 BREAKER_REQUEST_FAILED,
 				 request_now_ms(request));
 	else
-		on_success(request);
+		on_success(request, head);
 	if (request->state == REQUEST_ANSWERING)
 		answer_end(request);
 	else
--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -11,6 +11,7 @@
 #include "request/caller.h"
 #include "request/channel.h"
 #include "request/choose.h"
+#include "request/crashes.h"
 #include "request/customers.h"
 #include "request/waiting.h"
 
@@ -21,6 +22,8 @@
 /* The same for an engine saturated with prefill; the request is sent to it when
  * this time is over. */
 #define REQUEST_SATURATED_WAIT_FRACTION 0.7
+#define BLOCKED_REASON "a part of the prompt crashes endpoints"
+
 static void on_deadline(void *user);
 
 int64_t request_now_ms(const request_t *request)
@@ -326,12 +329,29 @@
 		       choice->expected_ms;
 }
 
+/* RETURN VALUE: true when the request has an input that crashes endpoints; it
+ * was answered. */
+static bool refuse_blocked(request_t *request)
+{
+	const crash_block_t *block = crashes_find_block(request);
+
+	if (!block)
+		return false;
+	metrics_inc(METRIC_BLOCKED);
+	if (request->state == REQUEST_ANSWERING || request->possible_runs)
+		request_fail(request, BLOCKED_REASON);
+	else
+		answer_blocked(request, BLOCKED_REASON,
+			       block->until_ms - request_now_ms(request));
+	return true;
+}
+
 void request_dispatch(request_t *request)
 {
 	choose_result_t result = CHOOSE_LATER;
 	choice_t choice = {.endpoint = NULL};
 
-	if (!admit(request))
+	if (!admit(request) || refuse_blocked(request))
 		return;
 	if (!has_more_urgent_waiting(request))
 		result = choose_endpoint(request, &choice);
--- a/lib/request/request.h
+++ b/lib/request/request.h
@@ -93,6 +93,10 @@
 				      now or later */
 	int64_t paused_until_ms;   /* earliest end of the pauses that endpoints
 				      asked for; 0: other limits apply */
+	int64_t answer_began_ms;   /* when the current send's response began; 0:
+				      not yet */
+	bool reported_sound;  /* the current send's response showed that the
+				 inputs are sound */
 	bool prefix_uncached; /* a shared prefix wasn't cached at the endpoint;
 				 reported to other hosts after prefill */
 	char prefix_source[ADDRESS_BYTES]; /* address of an engine to copy the
@@ -161,6 +165,10 @@
 void request_resume_reading(request_t *request);
 void request_on_failure(request_t *request, send_failure_t failure);
 
+/* Cancels the send of a request that an endpoint must not get any more, and
+ * dispatches the request again. */
+void request_withdraw(request_t *request);
+
 /* Ends the request. Called once its response has been sent to the caller. */
 void request_finish(request_t *request, outcome_t outcome, const char *reason);
 
--- a/lib/request/router.c
+++ b/lib/request/router.c
@@ -4,6 +4,8 @@
 
 #include "base/plog.h"
 #include "request/channel.h"
+#include "request/crashcheck.h"
+#include "request/crashes.h"
 #include "request/customers.h"
 #include "request/probe.h"
 #include "request/request.h"
@@ -12,6 +14,8 @@
 /* Numbers of hosts assumed to share a limit until gossip reports members. */
 #define ROUTER_DEFAULT_DOMAIN_HOSTS 4
 #define ROUTER_DEFAULT_ALL_HOSTS 12
+/* Of a host that exchanges nothing with others. */
+#define ROUTER_DEFAULT_HOST_ID 1
 
 static void run_deferred_frees(router_t *router)
 {
@@ -57,6 +61,7 @@
 
 	fleet_expire_lingering(router->fleet, now_ms);
 	update_lanes(router, now_ms);
+	crashes_update(router);
 	for (size_t i = 0; i < fleet_count(router->fleet); i++)
 		channel_retire_idle(router, fleet_at(router->fleet, i));
 	plog_flush();
@@ -86,6 +91,10 @@
 	router->region = options->region;
 	router->bounds = options->bounds;
 	router->fleet = fleet_create(&observer);
+	router->crashes = crashboard_create();
+	router->crash_observer.host = ROUTER_DEFAULT_HOST_ID;
+	crashboard_set_host(router->crashes, ROUTER_DEFAULT_HOST_ID,
+			    CRASHBOARD_BEGIN_MS);
 	router->read_buffer = malloc(ROUTER_READ_BYTES);
 	if (!router->read_buffer)
 		abort();
@@ -107,6 +116,8 @@
 	for (size_t i = 0; i < fleet_count(router->fleet); i++)
 		channel_drop_idle(router, fleet_at(router->fleet, i));
 	probe_stop_all(router);
+	crashcheck_stop_all(router);
+	crashboard_free(router->crashes);
 	fleet_free(router->fleet);
 	catalog_unref(router->catalog);
 	while (router->services) {
--- a/lib/request/router.h
+++ b/lib/request/router.h
@@ -1,6 +1,7 @@
 #ifndef REQUEST_ROUTER_H
 #define REQUEST_ROUTER_H
 
+#include "coordination/crashboard.h"
 #include "coordination/floors.h"
 #include "coordination/policy.h"
 #include "coordination/prefixmap.h"
@@ -53,8 +54,16 @@
 	struct service_stats *next;
 } service_stats_t;
 
+/* Passes the crashes that this host finds on to other hosts. */
+typedef struct crash_observer {
+	void (*on_crash)(void *user, const crash_report_t *report);
+	void *user;
+	uint32_t host; /* id of this host in reports */
+} crash_observer_t;
+
 struct request;
 struct caller;
+struct crashcheck;
 struct customer_load;
 struct probe;
 
@@ -96,7 +105,11 @@
 	struct caller *callers;
 	struct request *waiting; /* see waiting.h; most urgent first */
 	floors_t floors;
-	struct probe *probes;		 /* in progress */
+	struct probe *probes; /* in progress */
+	crashboard_t *crashes;
+	crash_observer_t crash_observer;
+	struct crashcheck *crash_checks; /* in progress */
+	unsigned crash_check_count;
 	struct customer_load *customers; /* those with requests in progress */
 	/* Of the weighted fair queue among customers: the highest virtual start
 	 * time of a request that was sent. */
--- a/lib/request/send.c
+++ b/lib/request/send.c
@@ -5,6 +5,7 @@
 #include "request/caller.h"
 #include "request/channel.h"
 #include "request/choose.h"
+#include "request/crashes.h"
 #include "request/notices.h"
 #include "request/waiting.h"
 
@@ -138,6 +139,8 @@
 	endpoint_count_tokens(endpoint, choice->prefill_tokens,
 			      request_now_ms(request));
 	request->expected_ms = choice->expected_ms;
+	request->answer_began_ms = 0;
+	request->reported_sound = false;
 	request->state = request->state == REQUEST_ANSWERING ?
 				 REQUEST_ANSWERING :
 				 REQUEST_SENT;
@@ -192,6 +195,7 @@
 	return request->catalog != router->catalog ||
 	       exceeds_cold_units(request) ||
 	       notices_forbid_send(router, endpoint) ||
+	       crashes_find_block(request) ||
 	       (endpoint->state != ENDPOINT_READY &&
 		endpoint->state != ENDPOINT_LINGERING) ||
 	       fleet_is_evacuated(router->fleet, str_from(endpoint->domain));
@@ -296,6 +300,13 @@
 		request->possible_runs < route->max_attempts);
 }
 
+void request_withdraw(request_t *request)
+{
+	request_note_cancelled(request);
+	request_cancel_send(request);
+	request_dispatch(request);
+}
+
 static void update_breaker(request_t *request, send_failure_t failure)
 {
 	breaker_t *breaker = &request->endpoint->breaker;
@@ -392,6 +403,8 @@
 			 failure_name(failure));
 	update_breaker(request, failure);
 	update_warmth(request, failure);
+	if (failure == SEND_LOST)
+		crashes_on_lost(request);
 	if (failure != SEND_OUTDATED)
 		add_tried(request, request->endpoint);
 	release_send(request);
--- /dev/null
+++ b/tests/unit/test_crashboard.c
@@ -0,0 +1,514 @@
+#include "unit.h"
+
+#include <string.h>
+
+#include "coordination/crashboard.h"
+#include "coordination/crashnews.h"
+
+#define HOST_A 11
+#define HOST_B 22
+#define SETTLE_MS 1200
+/* Inputs: a part that all prompts of a class share, a customer's part, one of
+ * few prompts, and the one that crashes endpoints. */
+#define CLASS_PART 1
+#define CUSTOMER_PART 2
+#define RARE_PART 3
+#define FAULTY_PART 4
+#define OTHER_FAULTY_PART 5
+/* Time of the first crash, and between crashes. */
+#define START_MS 100000
+#define STEP_MS 1500
+
+static crashboard_t *create_board(void)
+{
+	crashboard_t *board = crashboard_create();
+
+	crashboard_set_host(board, HOST_A, SETTLE_MS);
+	return board;
+}
+
+static void report_inputs(crashboard_t *board, uint32_t host, uint64_t process,
+			  int64_t at_ms, const uint64_t *inputs, size_t count)
+{
+	crash_report_t report = {.process = process,
+				 .at_ms = at_ms,
+				 .reporters = {host},
+				 .reporter_count = 1,
+				 .input_count = count};
+
+	memcpy(report.inputs, inputs, count * sizeof(*inputs));
+	crashboard_add(board, &report);
+}
+
+static bool blocks(const crashboard_t *board, const uint64_t *inputs,
+		   size_t count)
+{
+	return crashboard_find(board, inputs, count) != NULL;
+}
+
+/* Whether a request with only this input is refused. */
+static bool blocks_input(const crashboard_t *board, uint64_t input)
+{
+	return blocks(board, &input, 1);
+}
+
+/* Reports `count` crashes with these inputs, by two hosts in turn. Returns the
+ * time after the last one. */
+static int64_t crash_in_turn(crashboard_t *board, unsigned count,
+			     int64_t from_ms, const uint64_t *inputs,
+			     size_t input_count)
+{
+	int64_t at_ms = from_ms;
+
+	for (unsigned i = 0; i < count; i++, at_ms += STEP_MS)
+		report_inputs(board, i % 2 ? HOST_B : HOST_A, (uint64_t)at_ms,
+			      at_ms, inputs, input_count);
+	crashboard_update(board, at_ms);
+	return at_ms;
+}
+
+/* Load: requests with one faulty part come to all hosts, each crashes another
+ * endpoint, and other requests run there. Guards against a part that is never
+ * blocked, or blocked by fewer crashes than ordinary ones may bring. */
+static void test_faulty_part_is_blocked(void)
+{
+	crashboard_t *board = create_board();
+	uint64_t class_part = CLASS_PART;
+	int64_t at_ms = START_MS;
+
+	for (unsigned i = 0; i < CRASHBOARD_MIN_CRASHES; i++) {
+		uint64_t inputs[] = {CLASS_PART, FAULTY_PART, 100 + i};
+
+		CU_ASSERT_FALSE(blocks_input(board, FAULTY_PART));
+		report_inputs(board, i % 2 ? HOST_B : HOST_A, i, at_ms, inputs,
+			      3);
+		crashboard_add_sound(board, class_part, at_ms + 100);
+		crashboard_update(board, at_ms + 200);
+		at_ms += STEP_MS;
+	}
+	CU_ASSERT_TRUE(blocks_input(board, FAULTY_PART));
+	CU_ASSERT_FALSE(blocks_input(board, CLASS_PART));
+	CU_ASSERT_FALSE(blocks_input(board, 100));
+	crashboard_free(board);
+}
+
+/* Load: a customer whose few requests nearly all have the faulty part. Guards
+ * against refusing the customer's sound requests, which crashes alone do not
+ * tell from the faulty ones. */
+static void test_parts_that_come_together(void)
+{
+	crashboard_t *board = create_board();
+	uint64_t faulty[] = {CLASS_PART, CUSTOMER_PART, FAULTY_PART};
+	uint64_t sound[] = {CLASS_PART, CUSTOMER_PART, RARE_PART};
+	int64_t now_ms = crash_in_turn(board, CRASHBOARD_MIN_CRASHES, START_MS,
+				       faulty, 3);
+
+	CU_ASSERT_TRUE(blocks(board, faulty, 3));
+	CU_ASSERT_FALSE(blocks(board, sound, 3));
+	/* A sound answer shows which of them it is not. */
+	crashboard_on_sound(board, sound, 3, now_ms);
+	CU_ASSERT_TRUE(crashboard_update(board, now_ms));
+	CU_ASSERT_TRUE(blocks_input(board, FAULTY_PART));
+	CU_ASSERT_FALSE(blocks_input(board, CUSTOMER_PART));
+	crashboard_free(board);
+}
+
+/* Load: as above, but it is the first part that crashes endpoints, behind it
+ * others each time. Guards against blocking only parts that follow it. */
+static void test_first_part_is_faulty(void)
+{
+	crashboard_t *board = create_board();
+	uint64_t together[] = {FAULTY_PART, CUSTOMER_PART};
+	uint64_t alone[] = {FAULTY_PART};
+	int64_t now_ms = crash_in_turn(board, CRASHBOARD_MIN_CRASHES, START_MS,
+				       together, 2);
+
+	CU_ASSERT_TRUE(blocks(board, together, 2));
+	CU_ASSERT_FALSE(blocks(board, alone, 1));
+	crash_in_turn(board, CRASHBOARD_MIN_UNEXPLAINED, now_ms, alone, 1);
+	CU_ASSERT_TRUE(blocks(board, alone, 1));
+	CU_ASSERT_FALSE(blocks_input(board, CUSTOMER_PART));
+	crashboard_free(board);
+}
+
+/* Load: crashes by a faulty part, sometimes with a customer's sound requests
+ * that wait at the endpoint, and now and then a sound answer to them. Guards
+ * against blocking the customer for crashes that the faulty part explains. */
+static void test_bystander_is_explained(void)
+{
+	crashboard_t *board = create_board();
+	uint64_t both[] = {CUSTOMER_PART, FAULTY_PART};
+	uint64_t faulty = FAULTY_PART;
+	uint64_t customer = CUSTOMER_PART;
+	int64_t now_ms = crash_in_turn(board, 2, START_MS, &faulty, 1);
+
+	now_ms = crash_in_turn(board, CRASHBOARD_MIN_CRASHES, now_ms, both, 2);
+	CU_ASSERT_TRUE(blocks_input(board, FAULTY_PART));
+	CU_ASSERT_FALSE(blocks_input(board, CUSTOMER_PART));
+	/* Nor for one ordinary crash more. */
+	crash_in_turn(board, 1, now_ms, &customer, 1);
+	CU_ASSERT_FALSE(blocks_input(board, CUSTOMER_PART));
+	crashboard_free(board);
+}
+
+/* Load: two faulty parts at the same time, in different requests. Guards
+ * against one hiding the other. */
+static void test_two_faulty_parts(void)
+{
+	crashboard_t *board = create_board();
+	uint64_t first = FAULTY_PART;
+	uint64_t second = OTHER_FAULTY_PART;
+
+	crash_in_turn(board, CRASHBOARD_MIN_CRASHES, START_MS, &first, 1);
+	crash_in_turn(board, CRASHBOARD_MIN_CRASHES, START_MS + 300, &second,
+		      1);
+	CU_ASSERT_TRUE(blocks_input(board, FAULTY_PART));
+	CU_ASSERT_TRUE(blocks_input(board, OTHER_FAULTY_PART));
+	crashboard_free(board);
+}
+
+/* Load: many endpoints lose power at once, twice. Guards against blocking sound
+ * prompts that waited at all of them. */
+static void test_endpoints_crash_together(void)
+{
+	crashboard_t *board = create_board();
+	uint64_t rare = RARE_PART;
+
+	for (unsigned i = 0; i < 20; i++) {
+		int64_t at_ms = START_MS + i % 5 * 40 + (i < 10 ? 0 : 10000);
+
+		report_inputs(board, i % 2 ? HOST_A : HOST_B, i, at_ms, &rare,
+			      1);
+	}
+	crashboard_update(board, START_MS + 12000);
+	CU_ASSERT_FALSE(blocks_input(board, RARE_PART));
+	crashboard_free(board);
+}
+
+/* Load: crashes less than CRASHBOARD_TIME_GAP_MS apart, one after the other.
+ * Guards against counting such a series as one time: a faulty part would be
+ * blocked late, and a bystander of some of its crashes first. */
+static void test_fast_series_of_crashes(void)
+{
+	crashboard_t *board = create_board();
+	uint64_t inputs[] = {FAULTY_PART, RARE_PART};
+
+	for (unsigned i = 0; i < 9; i++)
+		report_inputs(board, i % 2 ? HOST_A : HOST_B, i,
+			      START_MS + i * 200, inputs, i % 2 ? 2 : 1);
+	crashboard_update(board, START_MS + 1600);
+	CU_ASSERT_TRUE(blocks_input(board, FAULTY_PART));
+	CU_ASSERT_FALSE(blocks_input(board, RARE_PART));
+	crashboard_free(board);
+}
+
+/* Guards against a block that rests on the first crashes alone, before reports
+ * of sound answers can have arrived from all hosts. */
+static void test_waits_for_sound_reports(void)
+{
+	crashboard_t *board = create_board();
+	uint64_t input = RARE_PART;
+
+	for (unsigned i = 0; i < 6; i++)
+		report_inputs(board, i % 2 ? HOST_A : HOST_B, i,
+			      START_MS + i * 150, &input, 1);
+	crashboard_update(board, START_MS + SETTLE_MS - 1);
+	CU_ASSERT_FALSE(blocks_input(board, RARE_PART));
+	crashboard_update(board, START_MS + SETTLE_MS);
+	CU_ASSERT_TRUE(blocks_input(board, RARE_PART));
+	crashboard_free(board);
+}
+
+/* Guards against a sound prompt that stays blocked after an endpoint has
+ * answered it, on this host or another. */
+static void test_sound_answer_releases(void)
+{
+	crashboard_t *board = create_board();
+	uint64_t input = RARE_PART;
+	int64_t now_ms = crash_in_turn(board, CRASHBOARD_MIN_CRASHES, START_MS,
+				       &input, 1);
+
+	CU_ASSERT_TRUE(blocks_input(board, RARE_PART));
+	CU_ASSERT_TRUE(crashboard_add_sound(board, RARE_PART, now_ms));
+	CU_ASSERT_TRUE(crashboard_update(board, now_ms));
+	CU_ASSERT_FALSE(blocks_input(board, RARE_PART));
+	crashboard_free(board);
+}
+
+/* Scenario: the requests with the part stop, and return later. Guards against
+ * blocks without end, and against as many crashes again when one returns. */
+static void test_block_ends_and_returns(void)
+{
+	crashboard_t *board = create_board();
+	uint64_t input = FAULTY_PART;
+	int64_t now_ms = crash_in_turn(board, CRASHBOARD_MIN_CRASHES, START_MS,
+				       &input, 1);
+	int64_t last_ms = now_ms - STEP_MS;
+
+	crashboard_update(board, last_ms + CRASHBOARD_BLOCK_MS);
+	CU_ASSERT_TRUE(blocks_input(board, FAULTY_PART));
+	now_ms = last_ms + 2 * CRASHBOARD_BLOCK_MS;
+	crashboard_update(board, now_ms);
+	CU_ASSERT_FALSE(blocks_input(board, FAULTY_PART));
+	crash_in_turn(board, 1, now_ms, &input, 1);
+	CU_ASSERT_TRUE(blocks_input(board, FAULTY_PART));
+	crashboard_update(board, now_ms + 2 * CRASHBOARD_BLOCK_MS - 1);
+	CU_ASSERT_TRUE(blocks_input(board, FAULTY_PART));
+	crashboard_free(board);
+}
+
+/* Guards against one faulty host that shuts out a prompt for all by its
+ * reports. A host trusts what it found itself. */
+static void test_reports_of_one_host(void)
+{
+	crashboard_t *board = create_board();
+	uint64_t input = RARE_PART;
+
+	for (unsigned i = 0; i < 20; i++)
+		report_inputs(board, HOST_B, i, START_MS + i * STEP_MS, &input,
+			      1);
+	crashboard_update(board, START_MS + 20 * STEP_MS);
+	CU_ASSERT_FALSE(blocks_input(board, RARE_PART));
+	crashboard_free(board);
+
+	board = create_board();
+	for (unsigned i = 0; i < CRASHBOARD_MIN_CRASHES; i++)
+		report_inputs(board, HOST_A, i, START_MS + i * STEP_MS, &input,
+			      1);
+	crashboard_update(board, START_MS + 20 * STEP_MS);
+	CU_ASSERT_TRUE(blocks_input(board, RARE_PART));
+	crashboard_free(board);
+}
+
+/* Guards against counting a crash of an endpoint that still answers on a
+ * connection from before. */
+static void test_running_endpoint_refutes_crash(void)
+{
+	crashboard_t *board = create_board();
+	uint64_t input = RARE_PART;
+
+	crash_in_turn(board, CRASHBOARD_MIN_CRASHES, START_MS, &input, 1);
+	CU_ASSERT_TRUE(blocks_input(board, RARE_PART));
+	/* Opened after the crash: another process may have the address. */
+	crashboard_refute(board, START_MS, START_MS + 1);
+	crashboard_update(board, START_MS + 10000);
+	CU_ASSERT_TRUE(blocks_input(board, RARE_PART));
+	crashboard_refute(board, START_MS, START_MS - 1);
+	CU_ASSERT_TRUE(crashboard_update(board, START_MS + 10000));
+	CU_ASSERT_FALSE(blocks_input(board, RARE_PART));
+	crashboard_free(board);
+}
+
+/* Load: callers invent part ids, and endpoints crash all the time. Guards
+ * against memory that grows with them, and against a block that is lost when
+ * the tables are full. */
+static void test_tables_are_bounded(void)
+{
+	crashboard_t *board = create_board();
+	uint64_t faulty = FAULTY_PART;
+	int64_t now_ms = crash_in_turn(board, CRASHBOARD_MIN_CRASHES, START_MS,
+				       &faulty, 1);
+	size_t count;
+
+	for (unsigned i = 0; i < 1000; i++) {
+		uint64_t inputs[CRASHBOARD_REPORT_INPUTS];
+
+		for (unsigned j = 0; j < CRASHBOARD_REPORT_INPUTS; j++)
+			inputs[j] = 1000 + i * CRASHBOARD_REPORT_INPUTS + j;
+		report_inputs(board, HOST_B, 5000 + i, now_ms + i * 10, inputs,
+			      CRASHBOARD_REPORT_INPUTS);
+	}
+	crashboard_update(board, now_ms + 10000);
+	crashboard_blocks(board, &count);
+	CU_ASSERT_EQUAL(count, 1);
+	CU_ASSERT_TRUE(blocks_input(board, FAULTY_PART));
+	crashboard_free(board);
+}
+
+/* Scenario: a host restarts with nothing in memory. Guards against a host that
+ * goes on sending requests with a part that all others refuse. */
+static void test_restarted_host_learns(void)
+{
+	crashboard_t *board = create_board();
+	crashboard_t *restarted = create_board();
+	uint64_t faulty = FAULTY_PART;
+	/* The new host's clock started at another time. */
+	int64_t offset_ms = 77777;
+	int64_t now_ms = crash_in_turn(board, CRASHBOARD_MIN_CRASHES, START_MS,
+				       &faulty, 1);
+	crashnews_t news = {.kind = CRASHNEWS_RELAY, .source = HOST_B};
+	crashnews_t received;
+	crash_report_t report;
+	buf_t message = BUF_INIT;
+	err_t err = {0};
+
+	for (size_t i = 0; i < CRASHBOARD_MAX_CRASHES; i++)
+		if (crashboard_get_blocking(board, i, &report))
+			CU_ASSERT_TRUE(crashnews_add(&news, &report));
+	crashnews_write(&news, now_ms, &message);
+	CU_ASSERT_TRUE(crashnews_is_message(buf_view(&message)));
+	CU_ASSERT_EQUAL(crashnews_read(buf_view(&message), now_ms + offset_ms,
+				       &received, &err),
+			ERR_OK);
+	for (size_t i = 0; i < received.crash_count; i++)
+		CU_ASSERT_TRUE(crashboard_add(restarted, &received.crashes[i]));
+	crashboard_update(restarted, now_ms + offset_ms);
+	CU_ASSERT_TRUE(blocks_input(restarted, FAULTY_PART));
+	buf_release(&message);
+	crashboard_free(board);
+	crashboard_free(restarted);
+}
+
+/* Guards against a host that reports crashes in other hosts' names, and against
+ * malformed messages. */
+static void test_news_of_host_and_malformed(void)
+{
+	crashnews_t news = {.kind = CRASHNEWS_HOST, .source = HOST_B};
+	crash_report_t report = {.process = 1,
+				 .at_ms = START_MS,
+				 .reporters = {1, 2, 3},
+				 .reporter_count = 3,
+				 .inputs = {RARE_PART},
+				 .input_count = 1};
+	crashnews_t received;
+	buf_t message = BUF_INIT;
+	err_t err = {0};
+
+	CU_ASSERT_TRUE(crashnews_add(&news, &report));
+	crashnews_write(&news, START_MS, &message);
+	CU_ASSERT_EQUAL(
+		crashnews_read(buf_view(&message), START_MS, &received, &err),
+		ERR_OK);
+	CU_ASSERT_EQUAL(received.crashes[0].reporter_count, 1);
+	CU_ASSERT_EQUAL(received.crashes[0].reporters[0], HOST_B);
+	for (size_t len = 0; len < message.len; len++)
+		CU_ASSERT_EQUAL(crashnews_read((str_t){message.ptr, len},
+					       START_MS, &received, &err),
+				ERR_INVALID);
+	buf_release(&message);
+}
+
+/* Pseudo-random numbers of a simulation. */
+static unsigned draw(uint64_t *state, unsigned below)
+{
+	*state = *state * 6364136223846793005ull + 1442695040888963407ull;
+	return (unsigned)(*state >> 33) % below;
+}
+
+#define SIM_ENDPOINTS 12
+#define SIM_PARTS 400
+#define SIM_REQUESTS 3000
+#define SIM_SEEDS 50
+/* The platform's rules demand a decision within CONTACT_MS of the fifth crash,
+ * after which this many requests may reach endpoints. */
+#define CONTACT_MS 4000
+#define MAX_LATE_SENDS 3
+
+/*
+ * Plays one day: each 10 ms a request with a random part goes to an endpoint,
+ * waits there, and is answered if the endpoint has not crashed. Popular parts
+ * are as frequent as rare ones are together. `faulty` is the part that crashes
+ * endpoints; 0: none. `late_sends` is set to the number of its requests that
+ * are sent later than CONTACT_MS after its fifth crash. RETURN VALUE: the
+ * number of sound requests that were refused.
+ */
+static unsigned play_day(uint64_t seed, unsigned crash_interval_ms,
+			 uint64_t faulty, unsigned *late_sends)
+{
+	crashboard_t *board = create_board();
+	int64_t down_until_ms[SIM_ENDPOINTS] = {0};
+	int64_t fifth_ms = INT64_MAX / 2;
+	uint64_t state = seed * 7919 + 1;
+	unsigned wrongly_blocked = 0;
+	unsigned faulty_sends = 0;
+
+	*late_sends = 0;
+	for (unsigned n = 0; n < SIM_REQUESTS; n++) {
+		int64_t now_ms = START_MS + n * 10;
+		unsigned endpoint = draw(&state, SIM_ENDPOINTS);
+		uint64_t part = draw(&state, 2) ?
+					1000 + draw(&state, 5) :
+					2000 + draw(&state, SIM_PARTS);
+		uint32_t host = draw(&state, 2) ? HOST_A : HOST_B;
+		uint64_t inputs[] = {part, 2000 + draw(&state, SIM_PARTS),
+				     2000 + draw(&state, SIM_PARTS)};
+		bool crashes = draw(&state, crash_interval_ms / 10) == 0;
+		bool is_faulty = faulty && draw(&state, 40) == 0;
+
+		if (is_faulty)
+			inputs[0] = faulty;
+		crashboard_update(board, now_ms);
+		if (blocks(board, inputs, 3)) {
+			wrongly_blocked += !is_faulty;
+			continue;
+		}
+		if (now_ms < down_until_ms[endpoint])
+			continue;
+		*late_sends += is_faulty && now_ms > fifth_ms + CONTACT_MS;
+		faulty_sends += is_faulty;
+		if (is_faulty && faulty_sends == 5)
+			fifth_ms = now_ms;
+		if (crashes || is_faulty) {
+			down_until_ms[endpoint] = now_ms + 3000;
+			report_inputs(board, host, (uint64_t)now_ms, now_ms,
+				      inputs, 3);
+		} else {
+			crashboard_on_sound(board, inputs, 3, now_ms);
+		}
+	}
+	crashboard_free(board);
+	return wrongly_blocked;
+}
+
+/* Load: endpoints crash by turns, every half second on average, with sound
+ * prompts of popular and of rare parts. Guards against blocking sound parts for
+ * ordinary crashes. */
+static void test_ordinary_crashes_block_nothing(void)
+{
+	unsigned late_sends;
+
+	for (uint64_t seed = 1; seed <= SIM_SEEDS; seed++)
+		CU_ASSERT_EQUAL(play_day(seed, 500, 0, &late_sends), 0);
+}
+
+/* Load: the same, and one request in 40 has a faulty part. Guards against
+ * missing it among ordinary crashes, and against refusing sound requests. */
+static void test_faulty_part_among_ordinary_crashes(void)
+{
+	unsigned late_sends;
+
+	for (uint64_t seed = 1; seed <= SIM_SEEDS; seed++) {
+		CU_ASSERT_EQUAL(play_day(seed, 1000, FAULTY_PART, &late_sends),
+				0);
+		CU_ASSERT_TRUE(late_sends <= MAX_LATE_SENDS);
+	}
+}
+
+int main(void)
+{
+	CU_TestInfo tests[] = {
+		{"a faulty part is blocked", test_faulty_part_is_blocked},
+		{"parts that come together", test_parts_that_come_together},
+		{"the first part is faulty", test_first_part_is_faulty},
+		{"a bystander is explained", test_bystander_is_explained},
+		{"two faulty parts", test_two_faulty_parts},
+		{"endpoints crash together", test_endpoints_crash_together},
+		{"a fast series of crashes", test_fast_series_of_crashes},
+		{"waits for sound reports", test_waits_for_sound_reports},
+		{"a sound answer releases", test_sound_answer_releases},
+		{"a block ends and returns", test_block_ends_and_returns},
+		{"reports of one host", test_reports_of_one_host},
+		{"a running endpoint refutes a crash",
+		 test_running_endpoint_refutes_crash},
+		{"tables are bounded", test_tables_are_bounded},
+		{"a restarted host learns", test_restarted_host_learns},
+		{"news of a host, malformed news",
+		 test_news_of_host_and_malformed},
+		{"ordinary crashes block nothing",
+		 test_ordinary_crashes_block_nothing},
+		{"a faulty part among ordinary crashes",
+		 test_faulty_part_among_ordinary_crashes},
+		CU_TEST_INFO_NULL};
+
+	return unit_run("crashboard", tests);
+}
