Count a crash that cuts an answer without length

Callers saw an empty answer as a complete success when an engine ended a stream that has neither a length nor chunks before its first event; and a part that crashes engines within such a stream was never blocked.

Cause: the end of the connection completes such an answer as far as HTTP is concerned, so the code that handles broken connections, where crashes are counted, never ran. The event that was cut was noticed, its cause not.

Change: the end of the connection is noted before the answer is judged; a stream without length or chunks that has no event is lost; and an answer that ended with its connection soon after its beginning has its endpoint checked for a crash. One that runs costs a connect and nothing else.

Ruled out: a stream in chunks or with a length; its end is explicit.

--- a/lib/request/channel.c
+++ b/lib/request/channel.c
@@ -266,6 +266,8 @@
 
 static void on_end(channel_t *channel)
 {
+	if (channel->request)
+		channel->request->last_break = SEND_BREAK_CLOSED;
 	if (http1_finish(&channel->http) == HTTP1_MESSAGE && channel->request) {
 		if (on_message(channel, 0, true))
 			fail(channel, SEND_LOST);
--- a/lib/request/crashes.h
+++ b/lib/request/crashes.h
@@ -12,7 +12,8 @@
  * would help, and the refusal is true, since no endpoint has got it.
  */
 
-/* Called when the connection of a send broke. */
+/* Called when the connection of a send broke, and when a response ended with
+ * its connection: a crash may have cut it. */
 void crashes_on_lost(request_t *request);
 
 /* Called when the response goes on long after its beginning, or is complete. */
--- a/lib/request/reply.c
+++ b/lib/request/reply.c
@@ -131,6 +131,12 @@
 	return true;
 }
 
+/* A response that ends with its connection may be one that a crash cut. */
+static bool is_framed(const http1_head_t *head)
+{
+	return head->chunked || head->has_content_length;
+}
+
 /* Notes when the response of the current send began, and that it goes on. */
 static void note_progress(request_t *request)
 {
@@ -247,18 +253,14 @@
 	channel_set_reading(request->channel, true);
 }
 
-/* A response that ends with its connection may be one that a crash cut. */
-static bool is_framed(const http1_head_t *head)
-{
-	return head->chunked || head->has_content_length;
-}
-
 static void on_success(request_t *request, const http1_head_t *head)
 {
 	if (!request->answer_began_ms)
 		request->answer_began_ms = request_now_ms(request);
 	if (is_framed(head))
 		crashes_on_sound(request);
+	else
+		crashes_on_lost(request);
 	breaker_on_success(&request->endpoint->breaker,
 			   request_now_ms(request));
 	if (!request->event_count)
@@ -275,6 +277,7 @@
 		return;
 	}
 	if (events_rest(&request->events).len ||
+	    (!request->event_count && !is_framed(head)) ||
 	    (has_last_event && !request->stream_is_complete)) {
 		request_on_failure(request, SEND_LOST);
 		return;
--- a/tests/session/test_crashing_part.sh
+++ b/tests/session/test_crashing_part.sh
@@ -12,7 +12,6 @@
 servers="1 2 3 4 5 6"
 contact_s=4
 max_late_sends=3
-crash_part=dead17
 
 start_store
 for n in $servers
@@ -27,10 +26,17 @@
 start_host h1 1 d1
 start_host h2 2 d1
 start_host h3 3 d2
-for n in $servers
-do
-	control "${address[s$n]}" "/control/crash?part=$crash_part"
-done
+
+# set_crash PART HOW: from now on servers crash by this part.
+set_crash()
+{
+	local n
+	crash_part=$1
+	for n in $servers
+	do
+		control "${address[s$n]}" "/control/crash?part=$1&how=$2"
+	done
+}
 
 # crash_sends: prints how many requests with the part have reached servers.
 crash_sends()
@@ -67,44 +73,54 @@
 }
 mkdir "$work/sound"
 
-i=0
-while test $i -lt 40 && test "$(crash_sends)" -lt 5
-do
-	i=$((i + 1))
-	send_crashing $i
-	sleep 0.3
-done >"$work/first"
-before=$(crash_sends)
-pass_or_fail "the part crashes servers" test "$before" -ge 4
-sleep $contact_s
-
-before=$(crash_sends)
-keep_sending_sound >"$work/sound.out" &
-sound=$!
-for i in 101 102 103 104 105 106 107 108 109 110 111 112
-do
-	send_crashing $i
-	sleep 0.2
-done >"$work/late"
-late=$(($(crash_sends) - before))
-pass_or_fail "$late requests reach servers later than $contact_s s, $max_late_sends at most" \
-	test $late -le $max_late_sends
-expect_equal "the others are refused as not run" $((12 - late)) \
-	"$(grep -c ': 503 ' "$work/late")"
+# crash_and_check PART HOW FIRST: sends requests with the part until servers have
+# crashed five times, waits, and checks how many reach servers afterwards.
+crash_and_check()
+{
+	local i=$3 before late sound
+	set_crash "$1" "$2"
+	before=$(crash_sends)
+	while test $i -lt $(($3 + 40)) &&
+		test "$(crash_sends)" -lt $((before + 5))
+	do
+		i=$((i + 1))
+		send_crashing $i
+		sleep 0.3
+	done >"$work/first"
+	pass_or_fail "$1 crashes servers ($2)" \
+		test "$(crash_sends)" -ge $((before + 4))
+	sleep $contact_s
+	before=$(crash_sends)
+	keep_sending_sound >>"$work/sound.out" &
+	sound=$!
+	for i in $(seq $(($3 + 101)) $(($3 + 112)))
+	do
+		send_crashing "$i"
+		sleep 0.2
+	done >"$work/late"
+	: >"$work/stop"
+	wait $sound
+	rm "$work/stop"
+	late=$(($(crash_sends) - before))
+	pass_or_fail "$late requests reach servers after $contact_s s, $max_late_sends at most" \
+		test $late -le $max_late_sends
+	expect_equal "the others are refused as not run" $((12 - late)) \
+		"$(grep -c ': 503 ' "$work/late")"
+}
 
+crash_and_check dead17 head 0
+crash_and_check dead18 event 300
 stop_program h3 KILL
 start_host h3 3 d2
 sleep $contact_s
 before=$(crash_sends)
-for i in 203 206 209 212 215 218
+for i in 602 605 608 611 614 617
 do
-	send_crashing $((i - 1)) # h3
+	send_crashing $i # h3
 	sleep 0.2
 done >"$work/restarted"
 pass_or_fail "a host that restarted knows the part" \
 	test "$(crash_sends)" = "$before"
-: >"$work/stop"
-wait $sound
 total=$(grep -c '^sound-' "$work/sound.out")
 served=$(grep -c ': 200 .*curl 0' "$work/sound.out")
 pass_or_fail "sound requests keep being served ($served of $total)" \
--- a/tests/session/test_trouble.sh
+++ b/tests/session/test_trouble.sh
@@ -158,6 +158,12 @@
 	sleep 0.3
 done
 
+echo "== a stream without a length that ends before its first event"
+control "$s1" "/control/mode?next=empty-stream"
+send_request h1 empty-1 /single/stream/a >"$work/empty"
+pass_or_fail "is no success" sh -c "! grep -q ': 200 .*curl 0' '$work/empty'"
+sleep 0.3
+
 # requests_to_s1 COUNT NAME: sends COUNT requests one after the other; prints
 # how many of them reached the server.
 requests_to_s1()
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -17,9 +17,11 @@
           /control/always?mode=M       response mode of all other requests
           /control/seen                lists the requests since the last list
           /control/count               number of requests since the start
-          /control/crash?part=P        ends all connections and refuses new ones
+          /control/crash?part=P&how=H  ends all connections and refuses new ones
                                        for CRASH_S, on each request whose prompt
-                                       has the part P, once the answer has begun;
+                                       has the part P, once the answer has begun:
+                                       within its head (head), or within an event
+                                       of a stream without a length (event);
                                        prints a line "crash" for each
           /control/crash               the same, once, now
 
@@ -40,7 +42,7 @@
     "foreign", "unstamped", "extra", "garbage", "close-after", "half-stream",
     "late-copy", "late-id-copy", "late-same-copy", "cut-length", "cut-chunked", "cut-close",
     "end-length", "end-chunked", "cut-large",
-    "drip-stream", "slow-stream", "leaving", "leaving-error", "busy",
+    "drip-stream", "slow-stream", "empty-stream", "leaving", "leaving-error", "busy",
     "pause", "pause-part", "pause-odd", "pause-negative", "pause-absurd",
     "large",
 )
@@ -51,6 +53,11 @@
     "endless-refusal",
 )
 CRASH_S = 1.2
+CRASH_START = {
+    "head": b"HTTP/1.1 200 OK\r\n",
+    "event": b"HTTP/1.1 200 OK\r\nX-Peridotpin-Attempt-Id: %(id)s\r\n"
+             b"X-Peridotpin-Server-Stamp: crash\r\n\r\nid: 1\ndata",
+}
 EVENTS = 5
 EVENT_S = 0.01
 SILENT_S = 30
@@ -237,6 +244,7 @@
         self.seen = []
         self.count = 0
         self.crash_part = None
+        self.crash_start = b""  # sent before a crash
         self.crash_listener = None  # set by main()
 
     def has_crash_part(self, headers):
@@ -263,6 +271,7 @@
             connection.respond(200, [], b"")
             if "part" in query:
                 self.crash_part = query["part"]
+                self.crash_start = CRASH_START[query["how"]]
             else:
                 self.crash_listener()
         elif url.path == "/control/count":
@@ -461,6 +470,9 @@
             connection.sock.sendall(
                 b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort")
             return False
+        elif mode == "empty-stream":
+            self.send_head(connection, 200, common)
+            return False
         elif streams:
             after = int(headers.get("last-event-id", "0"))
             complete = mode != "half-stream"
@@ -501,7 +513,8 @@
             self.record_request(request, mode)
             if self.has_crash_part(request[2]):
                 print("crash", flush=True)
-                connection.sock.sendall(b"HTTP/1.1 200 OK\r\n")
+                connection.sock.sendall(self.crash_start % {
+                    b"id": request[2][self.header_names["id"].lower()].encode()})
                 self.crash_listener()
                 return
             if not self.run(connection, request, mode):
