Count a crash only once all hosts can have reported it

Cause: hosts report a crash one after the other. When a host that lost only a sound request of the customer comes first, the customer's part has one crash more than the faulty one for a moment, and is convicted.

Change: a crash counts from 300 ms after it, when the reports of all hosts have arrived. Ruled out: a sound answer that released the wrong part; the logs show none in that time.

test_crashboard, "reports of one crash in turn", failed before and passes.

--- a/lib/coordination/crashboard.c
+++ b/lib/coordination/crashboard.c
@@ -48,6 +48,7 @@
 	size_t input_count;
 	crash_block_t blocks[CRASHBOARD_MAX_BLOCKS];
 	size_t block_count;
+	int64_t reported_ms; /* crashes up to then were reported by all */
 	sound_slot_t sound[SOUND_SLOTS];
 };
 
@@ -104,6 +105,7 @@
 		const crash_t *crash = &board->crashes[i];
 
 		if ((input->crashes >> i & 1) && !crash->refuted &&
+		    crash->at_ms <= board->reported_ms &&
 		    crash->at_ms > input->sound_ms + CRASHBOARD_SOUND_MS)
 			mask |= UINT64_C(1) << i;
 	}
@@ -496,6 +498,7 @@
 	if (!board->input_count && !board->block_count)
 		return false;
 	memcpy(before, board->blocks, sizeof(before));
+	board->reported_ms = now_ms - CRASHBOARD_REPORT_MS;
 	expire_crashes(board, now_ms);
 	board->block_count = 0;
 	while (board->block_count < CRASHBOARD_MAX_BLOCKS &&
--- a/lib/coordination/crashboard.h
+++ b/lib/coordination/crashboard.h
@@ -47,6 +47,9 @@
 #define CRASHBOARD_BEGIN_MS 1000
 /* A sound answer clears its inputs also from crashes until this much later. */
 #define CRASHBOARD_SOUND_MS 2000
+/* Time in which the reports of a crash arrive from all hosts that lost requests
+ * by it. Until then it counts against nothing. */
+#define CRASHBOARD_REPORT_MS 300
 #define CRASHBOARD_BLOCK_MS 120000
 #define CRASHBOARD_MAX_BLOCK_MS 3600000
 #define CRASHBOARD_MAX_REPORTERS 4
--- a/tests/unit/test_crashboard.c
+++ b/tests/unit/test_crashboard.c
@@ -83,7 +83,7 @@
 		report_inputs(board, i % 2 ? HOST_B : HOST_A, i, at_ms, inputs,
 			      3);
 		crashboard_add_sound(board, class_part, at_ms + 100);
-		crashboard_update(board, at_ms + 200);
+		crashboard_update(board, at_ms + CRASHBOARD_REPORT_MS);
 		at_ms += STEP_MS;
 	}
 	CU_ASSERT_TRUE(blocks_input(board, FAULTY_PART));
@@ -219,6 +219,27 @@
 	crashboard_free(board);
 }
 
+/* Load: many hosts report one crash, first those that lost a sound request of
+ * the customer, then the one whose request caused it. Guards against blocking
+ * the customer in between. */
+static void test_reports_of_one_crash_in_turn(void)
+{
+	crashboard_t *board = create_board();
+	uint64_t both[] = {CUSTOMER_PART, FAULTY_PART};
+	uint64_t customer = CUSTOMER_PART;
+	int64_t now_ms = crash_in_turn(board, CRASHBOARD_MIN_CRASHES - 1,
+				       START_MS, both, 2);
+
+	report_inputs(board, HOST_A, 77, now_ms, &customer, 1);
+	crashboard_update(board, now_ms + 50);
+	CU_ASSERT_FALSE(blocks_input(board, CUSTOMER_PART));
+	report_inputs(board, HOST_B, 77, now_ms + 40, both, 2);
+	crashboard_update(board, now_ms + CRASHBOARD_REPORT_MS);
+	CU_ASSERT_TRUE(blocks(board, both, 2));
+	CU_ASSERT_FALSE(blocks_input(board, CUSTOMER_PART));
+	crashboard_free(board);
+}
+
 /* Guards against a sound prompt that stays blocked after an endpoint has
  * answered it, on this host or another. */
 static void test_sound_answer_releases(void)
@@ -495,6 +516,8 @@
 		{"endpoints crash together", test_endpoints_crash_together},
 		{"a fast series of crashes", test_fast_series_of_crashes},
 		{"waits for sound reports", test_waits_for_sound_reports},
+		{"reports of one crash in turn",
+		 test_reports_of_one_crash_in_turn},
 		{"a sound answer releases", test_sound_answer_releases},
 		{"a block ends and returns", test_block_ends_and_returns},
 		{"reports of one host", test_reports_of_one_host},
