--- a/tests/unit/test_headers.c
+++ b/tests/unit/test_headers.c
@@ -53,6 +53,31 @@
 	http1_release(&http);
 }
 
+/* Guards against dropping all parts of a prompt from the first long id on: they
+ * would neither be found in caches nor blocked. Case and leading zeros make no
+ * other id. */
+static void test_long_part_ids(void)
+{
+	static const char text[] =
+		"POST /p HTTP/1.1\r\nHost: h.example\r\n"
+		"X-Peridotpin-Prompt-Prefix: fedcba9876543210:8,"
+		"0123456789abcdef0123456789ABCDEF:9,5c1e:4,"
+		"0123456789ABCDEF0123456789abcdef:9,0005C1E:4,e4:2\r\n\r\n";
+	const dialect_t *dialect = headers_dialect();
+	http1_t http;
+	call_t call;
+
+	read_head(&http, HTTP_REQUEST, text);
+	dialect->ops->read_call(dialect, &http.head, STR_LIT(""), &call);
+	CU_ASSERT_EQUAL(call.parts.id_count, 6);
+	CU_ASSERT_EQUAL(call.parts.ids[0], 0xfedcba9876543210);
+	CU_ASSERT_EQUAL(call.parts.ids[1], call.parts.ids[3]);
+	CU_ASSERT_NOT_EQUAL(call.parts.ids[1], 0x0123456789abcdef);
+	CU_ASSERT_EQUAL(call.parts.ids[2], 0x5c1e);
+	CU_ASSERT_EQUAL(call.parts.ids[4], 0x5c1e);
+	http1_release(&http);
+}
+
 /* Guards against forwarding the caller's key or the caller's copies of the
  * router's own headers, and against changes to other end-to-end headers
  * (UNASKED). */
@@ -202,6 +227,7 @@
 int main(void)
 {
 	CU_TestInfo tests[] = {{"call", test_call},
+			       {"long part ids", test_long_part_ids},
 			       {"send", test_send},
 			       {"reply", test_reply},
 			       {"pause", test_pause},
