Repeat the news on which hosts decide which inputs crash endpoints

Cause: relays pass news on once, and datagrams get lost. Those hosts had missed the sound answers to the class's common part, and for some crashes the report with the faulty part, so the common part was blocked there and nothing could release it.

Change: every second relays repeat recent crashes and sound answers of inputs that several crashes count against, and a few hosts send them to their relay; what rests on no such input is not repeated. A block is doubled for each return of the input after a block, no longer for each crash: 9 crashes within 2 s had led to one hour.

Ruled out: a wrong decision from complete news; the other 286 hosts decided alike.

A report holds 64 inputs now: one crash ended 41 requests of a host.

--- a/lib/coordination/crashboard.c
+++ b/lib/coordination/crashboard.c
@@ -9,6 +9,8 @@
 /* Lifetime of a crash, and of one on which a block rests or rested. */
 #define CRASH_TTL_MS 600000
 #define LASTING_CRASH_TTL_MS (2 * CRASHBOARD_MAX_BLOCK_MS)
+/* Time for which crashes are repeated that no block rests on. */
+#define RECENT_CRASH_MS 10000
 /* Recent sound answers of this host; newer ones overwrite older ones in the
  * same slot. A power of two. */
 #define SOUND_SLOTS 2048
@@ -151,6 +153,11 @@
 	return own_sound_ms(board, input) + CRASHBOARD_SOUND_MS >= at_ms;
 }
 
+bool crashboard_was_sound(const crashboard_t *board, uint64_t input)
+{
+	return own_sound_ms(board, input) != NEVER_MS;
+}
+
 static bool is_same_crash(const crash_t *crash, const crash_report_t *report)
 {
 	int64_t gap_ms = crash->at_ms - report->at_ms;
@@ -341,14 +348,15 @@
 }
 
 /* RETURN VALUE: the largest number of crashes of the mask that are apart from
- * each other by CRASHBOARD_TIME_GAP_MS. */
-static unsigned count_times(const crashboard_t *board, uint64_t mask)
+ * each other by `gap_ms`. */
+static unsigned count_times(const crashboard_t *board, uint64_t mask,
+			    int64_t gap_ms)
 {
 	unsigned times = 0;
 
 	for (int64_t at_ms = next_crash_ms(board, mask, NEVER_MS);
 	     at_ms != INT64_MAX;
-	     at_ms = next_crash_ms(board, mask, at_ms + CRASHBOARD_TIME_GAP_MS))
+	     at_ms = next_crash_ms(board, mask, at_ms + gap_ms))
 		times++;
 	return times;
 }
@@ -363,7 +371,7 @@
 	tally.count = count_bits(tally.mask);
 	if (tally.count < CRASHBOARD_MIN_CRASHES)
 		return tally;
-	tally.times = count_times(board, tally.mask);
+	tally.times = count_times(board, tally.mask, CRASHBOARD_TIME_GAP_MS);
 	for (size_t i = 0; i < CRASHBOARD_MAX_CRASHES; i++) {
 		const crash_t *crash = &board->crashes[i];
 
@@ -378,17 +386,17 @@
 	return tally;
 }
 
-/* Time for which an input stays blocked after its last crash. */
-static int64_t block_ms(const crashboard_t *board, unsigned crashes)
+/* RETURN VALUE: when the block of an input with these crashes ends. */
+static int64_t block_until_ms(const crashboard_t *board, const tally_t *tally)
 {
+	unsigned times = count_times(board, tally->mask, CRASHBOARD_BLOCK_MS);
 	int64_t ms = CRASHBOARD_BLOCK_MS;
 
-	for (unsigned i = CRASHBOARD_MIN_CRASHES;
-	     i < crashes && ms < CRASHBOARD_MAX_BLOCK_MS; i++)
+	for (unsigned i = 1; i < times && ms < CRASHBOARD_MAX_BLOCK_MS; i++)
 		ms *= 2;
 	if (ms > CRASHBOARD_MAX_BLOCK_MS)
 		ms = CRASHBOARD_MAX_BLOCK_MS;
-	return ms + board->host % CRASHBOARD_BLOCK_MS;
+	return tally->last_ms + ms + board->host % CRASHBOARD_BLOCK_MS;
 }
 
 static bool is_convicted(const crashboard_t *board, const tally_t *tally,
@@ -399,7 +407,7 @@
 	       (tally->has_two_reporters ||
 		tally->own >= CRASHBOARD_MIN_CRASHES) &&
 	       now_ms - tally->first_ms >= board->settle_ms &&
-	       now_ms < tally->last_ms + block_ms(board, tally->count);
+	       now_ms < block_until_ms(board, tally);
 }
 
 static void add_block(crashboard_t *board, const input_t *input,
@@ -410,8 +418,7 @@
 	*block = (crash_block_t){.inputs = {input->id},
 				 .input_count = 1,
 				 .crashes = tally->count,
-				 .until_ms = tally->last_ms +
-					     block_ms(board, tally->count)};
+				 .until_ms = block_until_ms(board, tally)};
 	for (size_t i = 0; i < board->input_count; i++) {
 		const input_t *other = &board->inputs[i];
 
@@ -542,31 +549,36 @@
 	return board->blocks;
 }
 
-/* Appends the inputs of the block that the crash counts against. */
-static void add_block_inputs(const crashboard_t *board,
-			     const crash_block_t *block, size_t crash,
-			     crash_report_t *report)
+static bool is_blocked(const crashboard_t *board, uint64_t input)
 {
-	for (size_t i = 0; i < block->input_count; i++) {
-		const input_t *input = find_input(board, block->inputs[i]);
-
-		if (input && report->input_count < CRASHBOARD_REPORT_INPUTS &&
-		    (counted_crashes(board, input) >> crash & 1))
-			report->inputs[report->input_count++] = input->id;
-	}
+	for (size_t i = 0; i < board->block_count; i++)
+		if (has_input(board->blocks[i].inputs,
+			      board->blocks[i].input_count, input))
+			return true;
+	return false;
 }
 
-bool crashboard_get_blocking(const crashboard_t *board, size_t index,
-			     crash_report_t *report)
+bool crashboard_get(const crashboard_t *board, size_t index,
+		    crash_report_t *report)
 {
 	const crash_t *crash = &board->crashes[index];
+	bool is_recent = crash->at_ms > board->reported_ms - RECENT_CRASH_MS;
 
 	*report = (crash_report_t){.process = crash->process,
 				   .at_ms = crash->at_ms,
 				   .reporter_count = crash->reporter_count};
 	memcpy(report->reporters, crash->reporters, sizeof(crash->reporters));
-	for (size_t i = 0; crash->used && i < board->block_count; i++)
-		add_block_inputs(board, &board->blocks[i], index, report);
+	for (size_t i = 0; crash->used && i < board->input_count &&
+			   report->input_count < CRASHBOARD_REPORT_INPUTS;
+	     i++) {
+		const input_t *input = &board->inputs[i];
+		uint64_t counted = counted_crashes(board, input);
+
+		if ((counted >> index & 1) &&
+		    (is_blocked(board, input->id) ||
+		     (is_recent && count_bits(counted) > 1)))
+			report->inputs[report->input_count++] = input->id;
+	}
 	return report->input_count > 0;
 }
 
@@ -604,3 +616,34 @@
 	}
 	return count;
 }
+
+/* True when the known sound answer clears the input from a recent crash. */
+static bool is_cleared_recently(const crashboard_t *board, const input_t *input)
+{
+	uint64_t cleared = input->crashes & ~counted_crashes(board, input);
+
+	for (size_t i = 0; i < CRASHBOARD_MAX_CRASHES; i++)
+		if ((cleared >> i & 1) &&
+		    board->crashes[i].at_ms <= board->reported_ms &&
+		    board->crashes[i].at_ms >
+			    board->reported_ms - RECENT_CRASH_MS)
+			return true;
+	return false;
+}
+
+size_t crashboard_get_sound(const crashboard_t *board, sound_input_t *sound,
+			    size_t max)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < board->input_count && count < max; i++) {
+		const input_t *input = &board->inputs[i];
+
+		if (input->sound_ms != NEVER_MS &&
+		    count_bits(input->crashes) > 1 &&
+		    is_cleared_recently(board, input))
+			sound[count++] =
+				(sound_input_t){input->id, input->sound_ms};
+	}
+	return count;
+}
--- a/lib/coordination/crashboard.h
+++ b/lib/coordination/crashboard.h
@@ -23,9 +23,9 @@
  * all of them is refused, until an answer or a crash separates them.
  *
  * A block ends when an answer with the input goes on, or after
- * CRASHBOARD_BLOCK_MS without a crash, doubled with each further crash. Hosts
- * end it at different times, so that few requests test the input again; one
- * crash then blocks it again.
+ * CRASHBOARD_BLOCK_MS without a crash. Hosts end it at different times, so that
+ * few requests test the input again; one crash then blocks it for twice as
+ * long.
  *
  * Hosts exchange crashes and sound inputs (see crashnews.h) and each decides by
  * itself. Both tables are bounded. The board does no input or output; times
@@ -53,7 +53,7 @@
 #define CRASHBOARD_BLOCK_MS 120000
 #define CRASHBOARD_MAX_BLOCK_MS 3600000
 #define CRASHBOARD_MAX_REPORTERS 4
-#define CRASHBOARD_REPORT_INPUTS 32
+#define CRASHBOARD_REPORT_INPUTS 64
 
 /* A crash as one host saw it, or as several did. */
 typedef struct crash_report {
@@ -97,6 +97,9 @@
 bool crashboard_is_sound(const crashboard_t *board, uint64_t input,
 			 int64_t at_ms);
 
+/* True when this host remembers a sound answer with the input, however old. */
+bool crashboard_was_sound(const crashboard_t *board, uint64_t input);
+
 /* Adds a crash. RETURN VALUE: true when the crash, an input or a reporter of it
  * was news. */
 bool crashboard_add(crashboard_t *board, const crash_report_t *report);
@@ -118,13 +121,14 @@
 				       size_t *count);
 
 /*
- * Copies the crash at `index`, below CRASHBOARD_MAX_CRASHES, with the blocked
- * inputs that it counts against.
+ * Copies the crash at `index`, below CRASHBOARD_MAX_CRASHES, for hosts that may
+ * have missed it: with the blocked inputs that it counts against, and for a
+ * while also with those that other crashes count against.
  *
- * RETURN VALUE: false when there is none, or no block rests on it.
+ * RETURN VALUE: false when there is none, or it has no such input.
  */
-bool crashboard_get_blocking(const crashboard_t *board, size_t index,
-			     crash_report_t *report);
+bool crashboard_get(const crashboard_t *board, size_t index,
+		    crash_report_t *report);
 
 /* A sound input of which other hosts may not know. */
 typedef struct sound_input {
@@ -141,4 +145,9 @@
 size_t crashboard_take_sound(crashboard_t *board, sound_input_t *sound,
 			     size_t max);
 
+/* Copies the latest known sound answers that clear inputs of several crashes,
+ * for hosts that may have missed them. RETURN VALUE: as above. */
+size_t crashboard_get_sound(const crashboard_t *board, sound_input_t *sound,
+			    size_t max);
+
 #endif
--- a/lib/coordination/crashnews.h
+++ b/lib/coordination/crashnews.h
@@ -29,7 +29,7 @@
 /* In a message. */
 #define CRASHNEWS_MAX_SOUND 32
 #define CRASHNEWS_MAX_CRASHES 8
-#define CRASHNEWS_MAX_INPUTS 64 /* of all its crashes */
+#define CRASHNEWS_MAX_INPUTS CRASHBOARD_REPORT_INPUTS /* of all its crashes */
 
 typedef struct crashnews {
 	crashnews_kind_t kind;
--- a/lib/request/crashsync.c
+++ b/lib/request/crashsync.c
@@ -121,7 +121,7 @@
 
 static void send_digest(const crashsync_t *sync, crashnews_t *news)
 {
-	if (!news->crash_count)
+	if (!news->crash_count && !news->sound_count)
 		return;
 	news->source = sync->host_id;
 	if (relays_is_self(sync->relays)) {
@@ -133,18 +133,21 @@
 	send_to(sync, relays_own(sync->relays)->member->ip, news);
 }
 
-static void send_blocking_crashes(const crashsync_t *sync)
+static void send_digests(const crashsync_t *sync)
 {
+	const crashboard_t *board = sync->router->crashes;
 	crashnews_t news = {.crash_count = 0};
 	crash_report_t report;
 
+	news.sound_count =
+		crashboard_get_sound(board, news.sound, CRASHNEWS_MAX_SOUND);
 	for (size_t i = 0; i < CRASHBOARD_MAX_CRASHES; i++) {
-		if (!crashboard_get_blocking(sync->router->crashes, i,
-					     &report) ||
+		if (!crashboard_get(board, i, &report) ||
 		    crashnews_add(&news, &report))
 			continue;
 		send_digest(sync, &news);
 		news.crash_count = 0;
+		news.sound_count = 0;
 		crashnews_add(&news, &report);
 	}
 	send_digest(sync, &news);
@@ -172,7 +175,7 @@
 		return;
 	sync->digest_ms = now_ms + DIGEST_INTERVAL_MS;
 	if (is_digest_sender(sync))
-		send_blocking_crashes(sync);
+		send_digests(sync);
 }
 
 /* Adds the message's entries to the board and keeps those that were news. */
--- a/lib/request/crashsync.h
+++ b/lib/request/crashsync.h
@@ -9,10 +9,11 @@
  *
  * Takes the path of loads: host, relay of its region, other relays, their
  * hosts; see loadsync.h. News are passed on at once. Datagrams may be lost and
- * relays fail, so a host repeats its own reports for some seconds. While an
- * input is blocked, relays repeat the crashes on which the block rests, and a
- * few hosts send them to their relay: so hosts that have restarted, a relay
- * among them, decide as the others do.
+ * relays fail: a host repeats its own reports for some seconds, and relays
+ * repeat every second what decisions rest on, recent crashes and sound answers
+ * and those of blocked inputs. A few hosts also send that to their relay. So
+ * hosts that missed news or have restarted, a relay among them, decide as the
+ * others do.
  */
 #define CRASHSYNC_MAX_OWN 32 /* reports of this host that are repeated */
 
--- a/tests/unit/test_crashboard.c
+++ b/tests/unit/test_crashboard.c
@@ -364,7 +364,7 @@
 	err_t err = {0};
 
 	for (size_t i = 0; i < CRASHBOARD_MAX_CRASHES; i++)
-		if (crashboard_get_blocking(board, i, &report))
+		if (crashboard_get(board, i, &report))
 			CU_ASSERT_TRUE(crashnews_add(&news, &report));
 	crashnews_write(&news, now_ms, &message);
 	CU_ASSERT_TRUE(crashnews_is_message(buf_view(&message)));
@@ -380,6 +380,44 @@
 	crashboard_free(restarted);
 }
 
+/* Sends what `from` repeats to `to`. */
+static void repeat_news(const crashboard_t *from, crashboard_t *to)
+{
+	crash_report_t report;
+	sound_input_t sound[CRASHNEWS_MAX_SOUND];
+	size_t count = crashboard_get_sound(from, sound, CRASHNEWS_MAX_SOUND);
+
+	for (size_t i = 0; i < CRASHBOARD_MAX_CRASHES; i++)
+		if (crashboard_get(from, i, &report))
+			crashboard_add(to, &report);
+	for (size_t i = 0; i < count; i++)
+		crashboard_add_sound(to, sound[i].input, sound[i].began_ms);
+}
+
+/* Scenario: datagrams are lost, so a host hears neither of the sound answers to
+ * a part that all prompts of a class have, nor of the faulty part in the same
+ * crashes. Guards against a host that refuses the whole class from then on. */
+static void test_missed_news_are_repeated(void)
+{
+	crashboard_t *board = create_board();
+	crashboard_t *other = create_board();
+	uint64_t both[] = {CLASS_PART, FAULTY_PART};
+	uint64_t class_part = CLASS_PART;
+	int64_t now_ms =
+		crash_in_turn(board, CRASHBOARD_MIN_CRASHES, START_MS, both, 2);
+
+	crash_in_turn(other, CRASHBOARD_MIN_CRASHES, START_MS, &class_part, 1);
+	CU_ASSERT_TRUE(blocks_input(other, CLASS_PART));
+	crashboard_add_sound(board, CLASS_PART, now_ms);
+	crashboard_update(board, now_ms);
+	repeat_news(board, other);
+	crashboard_update(other, now_ms);
+	CU_ASSERT_FALSE(blocks_input(other, CLASS_PART));
+	CU_ASSERT_TRUE(blocks_input(other, FAULTY_PART));
+	crashboard_free(board);
+	crashboard_free(other);
+}
+
 /* Guards against a host that reports crashes in other hosts' names, and against
  * malformed messages. */
 static void test_news_of_host_and_malformed(void)
@@ -525,6 +563,7 @@
 		 test_running_endpoint_refutes_crash},
 		{"tables are bounded", test_tables_are_bounded},
 		{"a restarted host learns", test_restarted_host_learns},
+		{"missed news are repeated", test_missed_news_are_repeated},
 		{"news of a host, malformed news",
 		 test_news_of_host_and_malformed},
 		{"ordinary crashes block nothing",
