Give up a request after two broken sends

A call that crashes endpoints took down three of them within 2 ms: each lost answer was followed at once by a send to the next endpoint, up to the route's attempts and SEND_MAX_FAILURES.

Change: a request whose connection broke twice before an answer began is not sent a third time. Sends that were refused, failed with an answer, or broke within a stream are repeated as before.

--- a/lib/request/request.h
+++ b/lib/request/request.h
@@ -73,6 +73,7 @@
 	unsigned sends;		/* written to a connected endpoint */
 	unsigned possible_runs; /* sends that the endpoint may have run */
 	unsigned failures;	/* failed sends of any kind */
+	unsigned broken_sends;	/* whose connection broke before an answer */
 	uint64_t tried[REQUEST_MAX_TRIED]; /* hashes of endpoints that failed;
 					      they aren't chosen again */
 	unsigned tried_count;
--- a/lib/request/send.c
+++ b/lib/request/send.c
@@ -11,6 +11,9 @@
 
 /* Failed sends of any kind after which a request is given up. */
 #define SEND_MAX_FAILURES 4
+/* Sends whose connection broke before an answer began, after which a request is
+ * given up: it may be what crashes the endpoints. */
+#define SEND_MAX_BROKEN 2
 /* A repeatable request is sent again after this multiple of the service's mean
  * response time, but not before this fraction of the route's target. */
 #define SEND_STALL_FACTOR 4.0
@@ -293,7 +296,8 @@
 	const catalog_route_t *route = request->admission.route;
 
 	if (request_now_ms(request) >= request->deadline_ms ||
-	    request->failures >= SEND_MAX_FAILURES)
+	    request->failures >= SEND_MAX_FAILURES ||
+	    request->broken_sends >= SEND_MAX_BROKEN)
 		return false;
 	return !request->possible_runs ||
 	       (admit_may_retry(&request->admission) &&
@@ -388,6 +392,13 @@
 		   (unsigned long long)request->event_count, parts);
 }
 
+static bool broke_before_answer(const request_t *request)
+{
+	return !request->answer_began_ms &&
+	       (request->last_break == SEND_BREAK_CLOSED ||
+		request->last_break == SEND_BREAK_RESET);
+}
+
 void request_on_failure(request_t *request, send_failure_t failure)
 {
 	request->failures++;
@@ -403,8 +414,10 @@
 			 failure_name(failure));
 	update_breaker(request, failure);
 	update_warmth(request, failure);
-	if (failure == SEND_LOST)
+	if (failure == SEND_LOST) {
+		request->broken_sends += broke_before_answer(request);
 		crashes_on_lost(request);
+	}
 	if (failure != SEND_OUTDATED)
 		add_tried(request, request->endpoint);
 	release_send(request);
