Refuse calls that crash endpoints although they have no prompt parts

A caller that repeats one call which crashes the endpoints of a plain service took down one after the other, on the own interface and on the platform's: only shared parts of prompts were counted against crashes.

Change: the request as a whole, a hash of its method, target and body, is one more input of every request. Popular calls are cleared by their own sound answers like popular parts.

Event E4108 names the input, no longer the part.

--- a/lib/coordination/promptparts.h
+++ b/lib/coordination/promptparts.h
@@ -12,7 +12,7 @@
  * it, as engines cache them; an id stands for the part alone.
  */
 #define PROMPTPARTS_MAX_HASHES 8
-#define PROMPTPARTS_MAX_IDS 64
+#define PROMPTPARTS_MAX_IDS 32
 #define PROMPTPARTS_MAX_PRINTED_IDS 8
 #define PROMPTPARTS_TEXT_BYTES (PROMPTPARTS_MAX_PRINTED_IDS * 17 + 4)
 
--- a/lib/request/crashcheck.c
+++ b/lib/request/crashcheck.c
@@ -88,19 +88,32 @@
 		       CRASHCHECK_TIMEOUT_MS, on_timeout, check);
 }
 
-static void add_inputs(crash_report_t *report, const uint64_t *inputs,
-		       size_t count)
+static bool has_input(const crash_report_t *report, uint64_t input)
 {
-	for (size_t i = 0;
-	     i < count && report->input_count < CRASHBOARD_REPORT_INPUTS; i++) {
-		size_t at = 0;
-
-		while (at < report->input_count &&
-		       report->inputs[at] != inputs[i])
-			at++;
-		if (at == report->input_count)
-			report->inputs[report->input_count++] = inputs[i];
+	for (size_t i = 0; i < report->input_count; i++)
+		if (report->inputs[i] == input)
+			return true;
+	return false;
+}
+
+/* Adds an input; when the report is full, one that was sound before gives way
+ * to one that never was. */
+static void add_input(const crashboard_t *board, crash_report_t *report,
+		      uint64_t input)
+{
+	size_t at = 0;
+
+	if (report->input_count < CRASHBOARD_REPORT_INPUTS) {
+		report->inputs[report->input_count++] = input;
+		return;
 	}
+	if (crashboard_was_sound(board, input))
+		return;
+	while (at < report->input_count &&
+	       !crashboard_was_sound(board, report->inputs[at]))
+		at++;
+	if (at < report->input_count)
+		report->inputs[at] = input;
 }
 
 static crashcheck_t *find(const router_t *router, const endpoint_t *endpoint)
@@ -141,8 +154,9 @@
 
 	if (!check && router->crash_check_count < CRASHCHECK_MAX_CHECKS)
 		check = create(router, endpoint);
-	if (check)
-		add_inputs(&check->report, inputs, count);
+	for (size_t i = 0; check && i < count; i++)
+		if (!has_input(&check->report, inputs[i]))
+			add_input(router->crashes, &check->report, inputs[i]);
 }
 
 void crashcheck_stop_all(router_t *router)
--- a/lib/request/crashes.c
+++ b/lib/request/crashes.c
@@ -1,23 +1,37 @@
 #include "request/crashes.h"
 
+#include <string.h>
+#include <xxhash.h>
+
 #include "base/metrics.h"
 #include "base/plog.h"
 #include "request/caller.h"
 #include "request/channel.h"
 #include "request/crashcheck.h"
 
-static size_t get_inputs(const request_t *request, const uint64_t **inputs)
+/* Hash of what the request asks for, the same when a caller repeats it. */
+static uint64_t hash_request(const request_t *request)
 {
-	*inputs = request->call.parts.ids;
-	return prompt_parts_shared_ids(&request->call.parts);
+	str_t target = http1_target(request->head);
+	uint64_t hash = XXH64(target.ptr, target.len, request->head->method);
+
+	return XXH64(request->body.ptr, request->body.len, hash);
 }
 
-const crash_block_t *crashes_find_block(const request_t *request)
+void crashes_read_inputs(request_t *request)
 {
-	const uint64_t *inputs;
-	size_t count = get_inputs(request, &inputs);
+	const prompt_parts_t *parts = &request->call.parts;
 
-	return crashboard_find(request->router->crashes, inputs, count);
+	request->input_count = prompt_parts_shared_ids(parts);
+	memcpy(request->inputs, parts->ids,
+	       request->input_count * sizeof(*parts->ids));
+	request->inputs[request->input_count++] = hash_request(request);
+}
+
+const crash_block_t *crashes_find_block(const request_t *request)
+{
+	return crashboard_find(request->router->crashes, request->inputs,
+			       request->input_count);
 }
 
 /* True when the response has gone on for so long that its beginning can't have
@@ -33,20 +47,18 @@
 static size_t select_suspects(const request_t *request, uint64_t *suspects)
 {
 	const router_t *router = request->router;
-	const uint64_t *inputs;
-	size_t count = get_inputs(request, &inputs);
 	size_t selected = 0;
 
-	for (size_t i = 0; i < count; i++)
-		if (!crashboard_is_sound(router->crashes, inputs[i],
+	for (size_t i = 0; i < request->input_count; i++)
+		if (!crashboard_is_sound(router->crashes, request->inputs[i],
 					 router_now_ms(router)))
-			suspects[selected++] = inputs[i];
+			suspects[selected++] = request->inputs[i];
 	return selected;
 }
 
 void crashes_on_lost(request_t *request)
 {
-	uint64_t suspects[PROMPTPARTS_MAX_IDS];
+	uint64_t suspects[REQUEST_MAX_INPUTS];
 	endpoint_t *endpoint = request->endpoint;
 	size_t count;
 
@@ -62,14 +74,11 @@
 
 void crashes_on_sound(request_t *request)
 {
-	const uint64_t *inputs;
-	size_t count = get_inputs(request, &inputs);
-
 	if (request->reported_sound)
 		return;
 	request->reported_sound = true;
-	crashboard_on_sound(request->router->crashes, inputs, count,
-			    request->answer_began_ms);
+	crashboard_on_sound(request->router->crashes, request->inputs,
+			    request->input_count, request->answer_began_ms);
 }
 
 void crashes_on_reply(router_t *router, const endpoint_t *endpoint,
@@ -102,11 +111,12 @@
 	plog_write(PLOG_BLOCKS_CHANGED, "blocks=%zu", count);
 	for (size_t i = 0; i < count; i++)
 		for (size_t j = 0; j < blocks[i].input_count; j++)
-			plog_write(PLOG_INPUT_BLOCKED,
-				   "part=%llx with=%zu crashes=%u left_ms=%lld",
-				   (unsigned long long)blocks[i].inputs[j],
-				   blocks[i].input_count - 1, blocks[i].crashes,
-				   (long long)(blocks[i].until_ms - now_ms));
+			plog_write(
+				PLOG_INPUT_BLOCKED,
+				"input=%llx with=%zu crashes=%u left_ms=%lld",
+				(unsigned long long)blocks[i].inputs[j],
+				blocks[i].input_count - 1, blocks[i].crashes,
+				(long long)(blocks[i].until_ms - now_ms));
 }
 
 /* Ends the send of a request that is now blocked, before an endpoint begins to
--- a/lib/request/crashes.h
+++ b/lib/request/crashes.h
@@ -7,11 +7,16 @@
  * crashes - connects requests with the board of inputs that crash endpoints
  *
  * The inputs of a request are the ids of the parts of its prompt that others
- * may share; see crashboard.h for the decision. A blocked request is refused
+ * may share, and a hash of its method, target and body: a request without such
+ * parts may crash endpoints too, when its caller repeats it. See crashboard.h
+ * for the decision. A blocked request is refused
  * with the time until the block ends: nothing that the caller could do sooner
  * would help, and the refusal is true, since no endpoint has got it.
  */
 
+/* Sets the inputs of a request that has been read. */
+void crashes_read_inputs(request_t *request);
+
 /* Called when the connection of a send broke, and when a response ended with
  * its connection: a crash may have cut it. */
 void crashes_on_lost(request_t *request);
--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -22,7 +22,7 @@
 /* The same for an engine saturated with prefill; the request is sent to it when
  * this time is over. */
 #define REQUEST_SATURATED_WAIT_FRACTION 0.7
-#define BLOCKED_REASON "a part of the prompt crashes endpoints"
+#define BLOCKED_REASON "the request, or a part of its prompt, crashes endpoints"
 
 static void on_deadline(void *user);
 
@@ -105,6 +105,7 @@
 					       request->call.timeout_ms :
 					       REQUEST_DEFAULT_TIMEOUT_MS);
 	request->id_hash = XXH64(request->call.id.ptr, request->call.id.len, 0);
+	crashes_read_inputs(request);
 	caller->request = request;
 	router->request_count++;
 	if (router->tracer)
--- a/lib/request/request.h
+++ b/lib/request/request.h
@@ -15,6 +15,8 @@
  */
 #define REQUEST_MAX_TRIED 8
 #define REQUEST_EVENT_ID_BYTES 32
+/* Shared parts of the prompt, and the request as a whole. */
+#define REQUEST_MAX_INPUTS (PROMPTPARTS_MAX_IDS + 1)
 #define REQUEST_ID_BYTES 33 /* of an id assigned by this host */
 #define REQUEST_PEER_BYTES 64
 
@@ -62,8 +64,11 @@
 	struct customer_load *customer_load;	/* NULL: not counted */
 	double fair_order; /* place in the weighted order of customers within
 			      the class, lowest first; 0: order of arrival */
-	uint64_t id_hash;  /* picks the service of a split route and ranks
-			      endpoints; the same for all sends */
+	uint64_t inputs[REQUEST_MAX_INPUTS]; /* that may crash an endpoint, see
+						crashes.h */
+	size_t input_count;
+	uint64_t id_hash; /* picks the service of a split route and ranks
+			     endpoints; the same for all sends */
 	request_state_t state;
 	int64_t arrived_ms;    /* when the request had been read completely */
 	int64_t deadline_ms;   /* when the request is given up */
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -23,6 +23,7 @@
                                        within its head (head), or within an event
                                        of a stream without a length (event);
                                        prints a line "crash" for each
+          /control/crash?body=B&how=H  the same, on each request with the body B
           /control/crash               the same, once, now
 
 A server of kind "native" serves the endpoint interface of peridot-routerd
@@ -244,12 +245,14 @@
         self.seen = []
         self.count = 0
         self.crash_part = None
+        self.crash_body = None
         self.crash_start = b""  # sent before a crash
         self.crash_listener = None  # set by main()
 
-    def has_crash_part(self, headers):
+    def is_crashing(self, headers, body):
         parts = headers.get(self.header_names["parts"].lower(), "").split(",")
-        return self.crash_part in [part.split(":")[0] for part in parts]
+        return (body == self.crash_body or
+                self.crash_part in [part.split(":")[0] for part in parts])
 
     def next_mode(self):
         with self.lock:
@@ -269,8 +272,9 @@
             connection.respond(200, [], b"")
         elif url.path == "/control/crash":
             connection.respond(200, [], b"")
-            if "part" in query:
-                self.crash_part = query["part"]
+            if "how" in query:
+                self.crash_part = query.get("part")
+                self.crash_body = query.get("body", "").encode() or None
                 self.crash_start = CRASH_START[query["how"]]
             else:
                 self.crash_listener()
@@ -511,7 +515,7 @@
                 continue
             mode = self.next_mode()
             self.record_request(request, mode)
-            if self.has_crash_part(request[2]):
+            if self.is_crashing(request[2], request[4]):
                 print("crash", flush=True)
                 connection.sock.sendall(self.crash_start % {
                     b"id": request[2][self.header_names["id"].lower()].encode()})
