--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "coordination/crashnews.h"
 #include "coordination/gossip.h"
 #include "coordination/loadboard.h"
 #include "coordination/prefixnews.h"
@@ -344,6 +345,31 @@
 	loadboard_free(board);
 }
 
+static void run_crash_news(str_t input, uint64_t random_value)
+{
+	crashboard_t *board = crashboard_create();
+	bool is_message = crashnews_is_message(input);
+	crashnews_t news;
+	size_t blocks;
+	err_t err;
+
+	crashboard_set_host(board, (uint32_t)random_value, 0);
+	if (crashnews_read(input, NOW_MS, &news, &err) == ERR_OK) {
+		require(is_message, "an accepted message has a known kind");
+		for (size_t i = 0; i < news.crash_count; i++)
+			crashboard_add(board, &news.crashes[i]);
+		for (size_t i = 0; i < news.sound_count; i++)
+			crashboard_add_sound(board, news.sound[i].input,
+					     news.sound[i].began_ms);
+		crashboard_update(board, NOW_MS);
+		crashboard_blocks(board, &blocks);
+		require(news.kind != CRASHNEWS_HOST || !blocks ||
+				news.source == (uint32_t)random_value,
+			"one host's message blocks nothing");
+	}
+	crashboard_free(board);
+}
+
 static void run_prefix_news(str_t input, uint64_t random_value)
 {
 	static prefixmap_t map;
@@ -428,6 +454,7 @@
 	{"gossip", run_gossip},
 	{"loads", run_loads},
 	{"prefix-news", run_prefix_news},
+	{"crash-news", run_crash_news},
 	{"pull", run_pull},
 	{"frame", run_frame},
 	{NULL, NULL}};
