Take a host's digest of crashes as one reporter

A block needs crashes that two hosts reported, so that no host shuts out a prompt by itself. A digest, by which hosts teach a relay that has restarted, named its reporters itself: one faulty host could name two.

Change: in all messages from a host to its relay the sender counts as the only reporter.

must_be_blocked and next_to_block were is_convicted and next_convicted.

--- a/Makefile
+++ b/Makefile
@@ -80,7 +80,8 @@
 	$(filter-out lib/request/tracer.c,$(wildcard lib/request/*.c)) \
 	$(patsubst %,lib/base/%.c,buf err histogram mclock metrics \
 	msgcodec plog str) \
-	$(patsubst %,lib/coordination/%.c,balance breaker coldgate crashboard crashboard_blocks crashnews floors gossip \
+	$(patsubst %,lib/coordination/%.c,balance breaker coldgate crashboard \
+	crashboard_blocks crashnews floors gossip \
 	gossip_message lanes \
 	loadboard notice peersync peersync_pull policy prefixmap promptparts \
 	prefixnews pullcodec readers retryafter retrybudget warmth) \
--- a/lib/coordination/crashboard_blocks.c
+++ b/lib/coordination/crashboard_blocks.c
@@ -91,8 +91,8 @@
 	return tally->last_ms + ms + board->host % CRASHBOARD_BLOCK_MS;
 }
 
-static bool is_convicted(const crashboard_t *board, const tally_t *tally,
-			 int64_t now_ms)
+static bool must_be_blocked(const crashboard_t *board, const tally_t *tally,
+			    int64_t now_ms)
 {
 	return tally->count >= CRASHBOARD_MIN_CRASHES &&
 	       tally->times >= CRASHBOARD_MIN_TIMES &&
@@ -125,9 +125,9 @@
  * Finds the input with the most crashes that is to be blocked next. `explained`
  * is the mask of the crashes of the inputs that are blocked already.
  */
-static const input_t *next_convicted(const crashboard_t *board,
-				     uint64_t explained, int64_t now_ms,
-				     tally_t *tally)
+static const input_t *next_to_block(const crashboard_t *board,
+				    uint64_t explained, int64_t now_ms,
+				    tally_t *tally)
 {
 	const input_t *worst = NULL;
 
@@ -135,7 +135,7 @@
 		tally_t at = make_tally(board, &board->inputs[i]);
 		uint64_t unexplained = at.mask & ~explained;
 
-		if (!is_convicted(board, &at, now_ms) ||
+		if (!must_be_blocked(board, &at, now_ms) ||
 		    crashboard_count_bits(unexplained) <
 			    CRASHBOARD_MIN_UNEXPLAINED ||
 		    (worst && at.count <= tally->count))
@@ -173,7 +173,7 @@
 	crashboard_expire(board, now_ms);
 	board->block_count = 0;
 	while (board->block_count < CRASHBOARD_MAX_BLOCKS &&
-	       (input = next_convicted(board, explained, now_ms, &tally))) {
+	       (input = next_to_block(board, explained, now_ms, &tally))) {
 		add_block(board, input, &tally);
 		explained |= tally.mask;
 	}
--- a/lib/coordination/crashnews.c
+++ b/lib/coordination/crashnews.c
@@ -165,6 +165,20 @@
 	return true;
 }
 
+/* True for messages that a relay gets from hosts of its region. */
+static bool is_from_host(crashnews_kind_t kind)
+{
+	return kind == CRASHNEWS_HOST || kind == CRASHNEWS_DIGEST;
+}
+
+static void set_reporter(crashnews_t *news)
+{
+	for (size_t i = 0; i < news->crash_count; i++) {
+		news->crashes[i].reporters[0] = news->source;
+		news->crashes[i].reporter_count = 1;
+	}
+}
+
 static bool read_message(const msgpack_object *root, int64_t now_ms,
 			 crashnews_t *news)
 {
@@ -180,11 +194,8 @@
 		return false;
 	news->kind = (crashnews_kind_t)kind;
 	news->source = (uint32_t)source;
-	for (size_t i = 0; kind == CRASHNEWS_HOST && i < news->crash_count;
-	     i++) {
-		news->crashes[i].reporters[0] = news->source;
-		news->crashes[i].reporter_count = 1;
-	}
+	if (is_from_host(news->kind))
+		set_reporter(news);
 	return true;
 }
 
--- a/lib/coordination/crashnews.h
+++ b/lib/coordination/crashnews.h
@@ -49,8 +49,8 @@
 void crashnews_write(const crashnews_t *news, int64_t now_ms, buf_t *out);
 
 /*
- * Decodes a message. In one of CRASHNEWS_HOST the sender counts as the only
- * reporter, whatever it states.
+ * Decodes a message. In one from a host to its relay the sender counts as the
+ * only reporter, whatever it states: no host can report in the names of others.
  *
  * ERRORS: ERR_INVALID.
  */
--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -363,7 +363,9 @@
 					     news.sound[i].began_ms);
 		crashboard_update(board, NOW_MS);
 		crashboard_blocks(board, &blocks);
-		require(news.kind != CRASHNEWS_HOST || !blocks ||
+		require((news.kind != CRASHNEWS_HOST &&
+			 news.kind != CRASHNEWS_DIGEST) ||
+				!blocks ||
 				news.source == (uint32_t)random_value,
 			"one host's message blocks nothing");
 	}
--- a/tests/unit/test_crashboard.c
+++ b/tests/unit/test_crashboard.c
@@ -440,6 +440,13 @@
 		ERR_OK);
 	CU_ASSERT_EQUAL(received.crashes[0].reporter_count, 1);
 	CU_ASSERT_EQUAL(received.crashes[0].reporters[0], HOST_B);
+	buf_reset(&message);
+	news.kind = CRASHNEWS_DIGEST;
+	crashnews_write(&news, START_MS, &message);
+	CU_ASSERT_EQUAL(
+		crashnews_read(buf_view(&message), START_MS, &received, &err),
+		ERR_OK);
+	CU_ASSERT_EQUAL(received.crashes[0].reporter_count, 1);
 	for (size_t len = 0; len < message.len; len++)
 		CU_ASSERT_EQUAL(crashnews_read((str_t){message.ptr, len},
 					       START_MS, &received, &err),
