Show blocked inputs in the status of a host

An operator could see a block only in the log. The status of peridot-routerd lists the blocks in force with their inputs, crashes and the time left. test_crashing_input_native checks it and failed before.

--- a/programs/routerd/status.c
+++ b/programs/routerd/status.c
@@ -129,6 +129,29 @@
 	return rows;
 }
 
+static json_t *report_blocks(const routerd_t *routerd, int64_t now_ms)
+{
+	size_t count;
+	const crash_block_t *blocks =
+		crashboard_blocks(routerd->host.router->crashes, &count);
+	json_t *rows = json_array();
+
+	for (size_t i = 0; i < count; i++) {
+		json_t *inputs = json_array();
+
+		for (size_t j = 0; j < blocks[i].input_count; j++)
+			json_array_append_new(
+				inputs,
+				json_sprintf("%" PRIx64, blocks[i].inputs[j]));
+		json_array_append_new(
+			rows,
+			json_pack("{s:o, s:i, s:I}", "inputs", inputs,
+				  "crashes", (int)blocks[i].crashes, "left_ms",
+				  (json_int_t)(blocks[i].until_ms - now_ms)));
+	}
+	return rows;
+}
+
 static void add_sheet(json_t *status, const sheet_t *sheet, int64_t wall_s)
 {
 	char hex[2 * SHEET_DIGEST_BYTES + 1] = "";
@@ -169,6 +192,7 @@
 	/* Pauses of this process; see detect_pause(). */
 	json_object_set_new(status, "pauses",
 			    json_integer((json_int_t)routerd->pause_count));
+	json_object_set_new(status, "blocks", report_blocks(routerd, now_ms));
 	json_object_set_new(status, "classes", report_classes(routerd));
 	json_object_set_new(status, "endpoints",
 			    report_endpoints(routerd, now_ms));
--- a/tests/session/test_crashing_input_native.sh
+++ b/tests/session/test_crashing_input_native.sh
@@ -60,6 +60,9 @@
 late=$(($(crash_sends) - before))
 pass_or_fail "$late calls reach endpoints after $contact_s s, $max_late_sends at most" \
 	test $late -le $max_late_sends
+status_of north-1 >"$work/status"
+pass_or_fail "the status shows the block" grep -q \
+	'"blocks":\[{"crashes":[0-9]*,"inputs":\["[0-9a-f]*"\]' "$work/status"
 pass_or_fail "another call is served" \
 	responds_with 200 call_service north-1 claim_status '{"claim":"sound"}'
 finish
