Keep new inputs when the table of suspects is full

Cause: a crash brings up to 64 inputs, twice as many since whole requests count. In a full table the input with the fewest crashes gave way, which is each new one in turn: a part lost its first crash to the next one's bystanders.

test_crashboard, "a full table keeps a new input", failed before and passes.

--- a/lib/coordination/crashboard.c
+++ b/lib/coordination/crashboard.c
@@ -9,6 +9,9 @@
 /* Lifetime of a crash, and of one on which a block rests or rested. */
 #define CRASH_TTL_MS 600000
 #define LASTING_CRASH_TTL_MS (2 * CRASHBOARD_MAX_BLOCK_MS)
+/* Time for which an input stays longer in a full table for each crash beyond
+ * its first. */
+#define KEEP_MS_PER_CRASH 30000
 /* Time for which crashes are repeated that no block rests on. */
 #define RECENT_CRASH_MS 10000
 /* A sound answer is shared again when the last shared one is this much older.
@@ -65,13 +68,12 @@
 {
 	uint64_t mask = 0;
 
-	for (unsigned i = 0; i < CRASHBOARD_MAX_CRASHES; i++) {
-		const crash_t *crash = &board->crashes[i];
+	for (uint64_t left = input->crashes; left; left &= left - 1) {
+		const crash_t *crash = &board->crashes[__builtin_ctzll(left)];
 
-		if ((input->crashes >> i & 1) && !crash->refuted &&
-		    crash->at_ms <= board->reported_ms &&
+		if (!crash->refuted && crash->at_ms <= board->reported_ms &&
 		    crash->at_ms > input->sound_ms + CRASHBOARD_SOUND_MS)
-			mask |= UINT64_C(1) << i;
+			mask |= left & -left;
 	}
 	return mask;
 }
@@ -214,28 +216,60 @@
 	return true;
 }
 
-/* RETURN VALUE: the entry of the input, added if needed; the one with the
- * fewest crashes gives way. */
+static bool is_blocked(const crashboard_t *board, uint64_t input)
+{
+	for (size_t i = 0; i < board->block_count; i++)
+		for (size_t j = 0; j < board->blocks[i].input_count; j++)
+			if (board->blocks[i].inputs[j] == input)
+				return true;
+	return false;
+}
+
+/* Rank by which inputs give way in a full table, lowest first: those that were
+ * sound since their last crash, then by the time of that crash; each further
+ * crash keeps an input longer. */
+static int64_t keep_rank(const crashboard_t *board, const input_t *input)
+{
+	int64_t more_crashes =
+		(int64_t)crashboard_count_bits(input->crashes) - 1;
+
+	if (is_blocked(board, input->id))
+		return INT64_MAX;
+	if (input->sound_ms + CRASHBOARD_SOUND_MS >= input->last_crash_ms)
+		return CRASHBOARD_NEVER_MS;
+	return input->last_crash_ms + more_crashes * KEEP_MS_PER_CRASH;
+}
+
+static input_t *input_to_replace(crashboard_t *board)
+{
+	input_t *lowest = &board->inputs[0];
+	int64_t lowest_rank = keep_rank(board, lowest);
+
+	for (size_t i = 1; i < board->input_count; i++) {
+		int64_t rank = keep_rank(board, &board->inputs[i]);
+
+		if (rank < lowest_rank) {
+			lowest = &board->inputs[i];
+			lowest_rank = rank;
+		}
+	}
+	return lowest;
+}
+
+/* RETURN VALUE: the entry of the input, added if needed. */
 static input_t *get_input(crashboard_t *board, uint64_t id)
 {
 	input_t *input = crashboard_find_input(board, id);
 
 	if (input)
 		return input;
-	if (board->input_count < CRASHBOARD_MAX_INPUTS) {
-		input = &board->inputs[board->input_count++];
-	} else {
-		input = &board->inputs[0];
-		for (size_t i = 1; i < board->input_count; i++)
-			if (crashboard_count_bits(crashboard_counted(
-				    board, &board->inputs[i])) <
-			    crashboard_count_bits(
-				    crashboard_counted(board, input)))
-				input = &board->inputs[i];
-	}
+	input = board->input_count < CRASHBOARD_MAX_INPUTS ?
+			&board->inputs[board->input_count++] :
+			input_to_replace(board);
 	*input = (input_t){.id = id,
 			   .sound_ms = own_sound_ms(board, id),
-			   .shared_ms = CRASHBOARD_NEVER_MS};
+			   .shared_ms = CRASHBOARD_NEVER_MS,
+			   .last_crash_ms = CRASHBOARD_NEVER_MS};
 	return input;
 }
 
@@ -253,6 +287,8 @@
 
 		is_news |= !(input->crashes & bit);
 		input->crashes |= bit;
+		if (report->at_ms > input->last_crash_ms)
+			input->last_crash_ms = report->at_ms;
 	}
 	return is_news;
 }
@@ -297,15 +333,6 @@
 	}
 }
 
-static bool is_blocked(const crashboard_t *board, uint64_t input)
-{
-	for (size_t i = 0; i < board->block_count; i++)
-		for (size_t j = 0; j < board->blocks[i].input_count; j++)
-			if (board->blocks[i].inputs[j] == input)
-				return true;
-	return false;
-}
-
 bool crashboard_get(const crashboard_t *board, size_t index,
 		    crash_report_t *report)
 {
--- a/lib/coordination/crashboard_internal.h
+++ b/lib/coordination/crashboard_internal.h
@@ -25,9 +25,10 @@
 
 typedef struct input {
 	uint64_t id;
-	uint64_t crashes;  /* mask of those that were reported with it */
-	int64_t sound_ms;  /* latest known sound answer, or NEVER_MS */
-	int64_t shared_ms; /* the latest one that other hosts know of */
+	uint64_t crashes;      /* mask of those that were reported with it */
+	int64_t sound_ms;      /* latest known sound answer, or NEVER_MS */
+	int64_t shared_ms;     /* the latest one that other hosts know of */
+	int64_t last_crash_ms; /* latest one that was reported with it */
 } input_t;
 
 typedef struct sound_slot {
--- a/tests/unit/test_crashboard.c
+++ b/tests/unit/test_crashboard.c
@@ -347,6 +347,31 @@
 	crashboard_free(board);
 }
 
+/* Load: a storm of crashes, each with many requests that wait, and shortly
+ * afterwards crashes by another part, each with as many. Guards against a full
+ * table that forgets the first crashes of the part, so that bystanders are
+ * blocked before it. */
+static void test_full_table_keeps_new_input(void)
+{
+	crashboard_t *board = create_board();
+	uint64_t next = 1000;
+
+	for (unsigned i = 0; i < 20; i++) {
+		int64_t at_ms = START_MS + i * STEP_MS;
+		uint64_t inputs[CRASHBOARD_REPORT_INPUTS];
+
+		for (unsigned j = 0; j < CRASHBOARD_REPORT_INPUTS; j++)
+			inputs[j] = next++;
+		if (i >= 20 - CRASHBOARD_MIN_CRASHES)
+			inputs[0] = FAULTY_PART;
+		report_inputs(board, i % 2 ? HOST_A : HOST_B, i, at_ms, inputs,
+			      CRASHBOARD_REPORT_INPUTS);
+	}
+	crashboard_update(board, START_MS + 20 * STEP_MS);
+	CU_ASSERT_TRUE(blocks_input(board, FAULTY_PART));
+	crashboard_free(board);
+}
+
 /* Scenario: a host restarts with nothing in memory. Guards against a host that
  * goes on sending requests with a part that all others refuse. */
 static void test_restarted_host_learns(void)
@@ -570,6 +595,8 @@
 		{"a running endpoint refutes a crash",
 		 test_running_endpoint_refutes_crash},
 		{"tables are bounded", test_tables_are_bounded},
+		{"a full table keeps a new input",
+		 test_full_table_keeps_new_input},
 		{"a restarted host learns", test_restarted_host_learns},
 		{"missed news are repeated", test_missed_news_are_repeated},
 		{"news of a host, malformed news",
