--- a/lib/request/channel.c
+++ b/lib/request/channel.c
@@ -3,7 +3,6 @@
 #include <limits.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
-#include <xxhash.h>
 
 #include "base/plog.h"
 #include "request/crashes.h"
@@ -158,20 +157,13 @@
 	endpoint->idle_channels = channel;
 }
 
-static uint64_t hash_id(const request_t *request)
-{
-	return XXH64(request->call.id.ptr, request->call.id.len, 0);
-}
-
 /* True when the connection has answered the same id before: a late copy of that
  * response would be taken for the new one. */
 static bool has_answered(const channel_t *channel, const request_t *request)
 {
-	uint64_t id = hash_id(request);
-
 	for (unsigned i = 0; i < channel->answers && i < CHANNEL_ANSWERED_IDS;
 	     i++)
-		if (channel->answered_ids[i] == id)
+		if (channel->answered_ids[i] == request->id_hash)
 			return true;
 	return false;
 }
@@ -191,7 +183,7 @@
 	channel->request = NULL;
 	request->channel = NULL;
 	channel->answered_ids[channel->answers++ % CHANNEL_ANSWERED_IDS] =
-		hash_id(request);
+		request->id_hash;
 	request_on_reply_end(request, &channel->http.head, &channel->reply);
 	if (reusable)
 		keep_idle(channel);
--- a/lib/request/crashsync.c
+++ b/lib/request/crashsync.c
@@ -49,9 +49,10 @@
 	}
 }
 
-/* Passes on what this host found itself, or as a relay received from its
- * region. */
-static void distribute(const crashsync_t *sync, crashnews_t *news)
+/* Sends news to all hosts: a relay to the other relays and to its region, any
+ * other host, in a message of kind `to_relay`, to its relay. */
+static void distribute(const crashsync_t *sync, crashnews_t *news,
+		       crashnews_kind_t to_relay)
 {
 	if (!sync->relays->count || (!news->crash_count && !news->sound_count))
 		return;
@@ -61,7 +62,7 @@
 		send_to_region(sync, news);
 		return;
 	}
-	news->kind = CRASHNEWS_HOST;
+	news->kind = to_relay;
 	send_to(sync, relays_own(sync->relays)->member->ip, news);
 }
 
@@ -70,7 +71,7 @@
 	crashnews_t news = {.crash_count = 0};
 
 	crashnews_add(&news, report);
-	distribute(sync, &news);
+	distribute(sync, &news, CRASHNEWS_HOST);
 }
 
 static void on_crash(void *user, const crash_report_t *report)
@@ -116,21 +117,7 @@
 
 	news.sound_count = crashboard_take_sound(
 		sync->router->crashes, news.sound, CRASHNEWS_MAX_SOUND);
-	distribute(sync, &news);
-}
-
-static void send_digest(const crashsync_t *sync, crashnews_t *news)
-{
-	if (!news->crash_count && !news->sound_count)
-		return;
-	news->source = sync->host_id;
-	if (relays_is_self(sync->relays)) {
-		send_to_relays(sync, news);
-		send_to_region(sync, news);
-		return;
-	}
-	news->kind = CRASHNEWS_DIGEST;
-	send_to(sync, relays_own(sync->relays)->member->ip, news);
+	distribute(sync, &news, CRASHNEWS_HOST);
 }
 
 static void send_digests(const crashsync_t *sync)
@@ -145,12 +132,12 @@
 		if (!crashboard_get(board, i, &report) ||
 		    crashnews_add(&news, &report))
 			continue;
-		send_digest(sync, &news);
+		distribute(sync, &news, CRASHNEWS_DIGEST);
 		news.crash_count = 0;
 		news.sound_count = 0;
 		crashnews_add(&news, &report);
 	}
-	send_digest(sync, &news);
+	distribute(sync, &news, CRASHNEWS_DIGEST);
 }
 
 /* True for relays, and for few of the other hosts in each interval. */
