Log the request rates that endpoints state

Change: responses are searched for the rate that the endpoint accepts from all hosts (Server-Limit on the platform, X-Peridot-Limit on the project's own interface). A limit ends with a response to a request that was sent after the endpoint last stated one, so that responses which overtake each other don't end it.

The choice of an endpoint doesn't use the limit yet, so the fault remains.

The stand-in of the platform's servers can state limits and lists its arrivals.

--- a/Makefile
+++ b/Makefile
@@ -84,7 +84,7 @@
 	crashboard_blocks crashnews floors gossip \
 	gossip_message lanes \
 	loadboard notice peersync peersync_pull policy prefixmap promptparts \
-	prefixnews pullcodec readers retryafter retrybudget warmth) \
+	prefixnews pullcodec ratelimit readers retryafter retrybudget warmth) \
 	$(patsubst %,lib/state/%.c,catalog fleet fleet_lanes hostsettings \
 	noticetable replica) \
 	$(patsubst %,lib/transport/%.c,address frame http1 httptext loop monitor tcp \
--- a/lib/coordination/notice.h
+++ b/lib/coordination/notice.h
@@ -4,15 +4,18 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "coordination/ratelimit.h"
+
 /*
- * notice - an endpoint's requests to stop sending to it or to pause
+ * notice - an endpoint's requests to stop sending to it, to pause or to send
+ * less
  *
- * An endpoint announces in its responses that it is leaving, or refuses a
- * request and states for how long it accepts none. Both take precedence over
- * its record in the configuration. After a pause the number of requests ramps
- * up, so that the whole queue does not arrive at once. When only another host
- * reports that an endpoint is leaving, it is the last resort, and excluded once
- * the drain time is over.
+ * An endpoint announces in its responses that it is leaving, refuses a request
+ * and states for how long it accepts none, or states how many it accepts (see
+ * ratelimit.h). All take precedence over its record in the configuration. After
+ * a pause the number of requests ramps up, so that the whole queue does not
+ * arrive at once. When only another host reports that an endpoint is leaving,
+ * it is the last resort, and excluded once the drain time is over.
  */
 /* Longer pauses are cut to the maximum; one that can't be parsed gets the
  * default. */
@@ -30,6 +33,7 @@
 	int64_t leaving_hint_ms;    /* first report of another host; 0: none */
 	int64_t paused_until_ms;    /* 0: no pause so far */
 	unsigned sends_since_pause; /* since its end */
+	ratelimit_t limit;
 } notice_t;
 
 typedef enum notice_verdict {
--- a/lib/protocol/native.c
+++ b/lib/protocol/native.c
@@ -18,6 +18,7 @@
 #define HEADER_MAX_TOKENS STR_LIT("X-Peridot-Max-Tokens")
 #define HEADER_NOT_RUN STR_LIT("X-Peridot-Not-Run")
 #define HEADER_LEAVING STR_LIT("X-Peridot-Leaving")
+#define HEADER_LIMIT STR_LIT("X-Peridot-Limit")
 #define HEADER_COLD STR_LIT("X-Peridot-Cold-Ms")
 #define HEADER_TRACE STR_LIT("traceparent")
 #define HEADER_LAST_EVENT STR_LIT("Last-Event-ID")
@@ -233,6 +234,8 @@
 		.boot_id = httptext_value(head, HEADER_BOOT),
 		.leaving = http1_find(head, HEADER_LEAVING).ptr != NULL,
 		.keep_alive_ms = httptext_keep_alive_ms(head)};
+	reply->names_limit =
+		httptext_read_lowest(head, HEADER_LIMIT, &reply->limit_per_s);
 	if (reply->status == STATUS_UNAVAILABLE)
 		reply->wants_pause =
 			httptext_retry_after(head, &reply->pause_ms);
--- a/lib/request/channel.c
+++ b/lib/request/channel.c
@@ -102,9 +102,11 @@
 	channel->untrusted =
 		(!reply->id.ptr && own_id.ptr && channel->answers) ||
 		(success && (!reply->stamped || reply->encoded));
-	if (!channel->untrusted)
-		request_on_reply_head(channel->request, &channel->http.head,
-				      reply);
+	if (channel->untrusted)
+		return;
+	notices_apply_unlimited(channel->router, channel->endpoint, reply,
+				channel->request->sent_ms);
+	request_on_reply_head(channel->request, &channel->http.head, reply);
 }
 
 static bool is_refusal(const reply_t *reply)
--- a/lib/request/dialect.h
+++ b/lib/request/dialect.h
@@ -82,6 +82,9 @@
 	bool leaving;	       /* the endpoint is draining: no new requests */
 	bool wants_pause;      /* asks for no requests during `pause_ms` */
 	int64_t pause_ms;      /* -1: the value can't be parsed */
+	bool names_limit;      /* states how many requests it accepts */
+	double limit_per_s;    /* requests/s from all hosts together; -1: the
+				  value can't be parsed */
 } reply_t;
 
 typedef enum reply_framing {
--- a/lib/request/send.c
+++ b/lib/request/send.c
@@ -276,8 +276,8 @@
 	plog_write(PLOG_REQUEST_SENT,
 		   "id=%" STR_FMT " endpoint=%s send=%u wait_ms=%lld "
 		   "left_ms=%lld expected_ms=%.0f in_flight=%u unread=%llu "
-		   "backlog=%llu reading=%.2f source=%s cold=%d version=%lld "
-		   "parts=%s",
+		   "backlog=%llu reading=%.2f source=%s cold=%d limit=%g "
+		   "version=%lld parts=%s",
 		   STR_ARG(request->call.id), request->endpoint->id,
 		   request->sends,
 		   (long long)(request->sent_ms - request->arrived_ms),
@@ -288,6 +288,7 @@
 		   request->prefill_share,
 		   request->prefix_source[0] ? request->prefix_source : "-",
 		   choose_is_cold(request, request->endpoint, request->sent_ms),
+		   notices_limit_per_s(request->endpoint),
 		   (long long)catalog_version(request->catalog), parts);
 }
 
--- a/lib/transport/httptext.c
+++ b/lib/transport/httptext.c
@@ -1,6 +1,7 @@
 #include "transport/httptext.h"
 
 #include <stdio.h>
+#include <string.h>
 
 #define MS_PER_S 1000
 
@@ -125,6 +126,60 @@
 	return true;
 }
 
+/* RETURN VALUE: the number, or -1 unless all of `text` is one. */
+static double parse_decimal(str_t text)
+{
+	double value = 0.0;
+	double unit = 1.0;
+
+	if (!is_digit(text))
+		return -1.0;
+	for (; is_digit(text); text = (str_t){text.ptr + 1, text.len - 1})
+		value = value * 10.0 + (text.ptr[0] - '0');
+	if (text.len && text.ptr[0] == '.')
+		text = (str_t){text.ptr + 1, text.len - 1};
+	for (; is_digit(text); text = (str_t){text.ptr + 1, text.len - 1}) {
+		unit /= 10.0;
+		value += unit * (text.ptr[0] - '0');
+	}
+	return text.len ? -1.0 : value;
+}
+
+/* Takes the first element off a comma-separated list. */
+static str_t next_element(str_t *list)
+{
+	const char *comma =
+		list->len ? memchr(list->ptr, ',', list->len) : NULL;
+	str_t element = *list;
+
+	if (comma)
+		element.len = (size_t)(comma - list->ptr);
+	list->ptr += element.len + (comma != NULL);
+	list->len -= element.len + (comma != NULL);
+	return httptext_trim(element);
+}
+
+bool httptext_read_lowest(const http1_head_t *head, str_t name, double *lowest)
+{
+	bool found = false;
+
+	*lowest = -1.0;
+	for (size_t i = 0; i < head->field_count; i++) {
+		str_t list = http1_field_value(head, i);
+
+		if (!http1_name_equals(http1_field_name(head, i), name))
+			continue;
+		found = true;
+		while (list.len) {
+			double value = parse_decimal(next_element(&list));
+
+			if (value >= 0.0 && (*lowest < 0.0 || value < *lowest))
+				*lowest = value;
+		}
+	}
+	return found;
+}
+
 bool httptext_is_encoded(const http1_head_t *head)
 {
 	str_t coding = httptext_value(head, STR_LIT("Content-Encoding"));
--- a/lib/transport/httptext.h
+++ b/lib/transport/httptext.h
@@ -40,6 +40,16 @@
  */
 bool httptext_retry_after(const http1_head_t *head, int64_t *ms);
 
+/*
+ * Parses a field whose values are numbers with an optional fraction, such as
+ * "2.5", and sets `lowest` to the lowest of them; the field may be repeated or
+ * hold a list. Signs and exponents are not supported. `lowest` is -1 when no
+ * value can be parsed.
+ *
+ * RETURN VALUE: false when the field is absent.
+ */
+bool httptext_read_lowest(const http1_head_t *head, str_t name, double *lowest);
+
 /* True when the body has a content coding. */
 bool httptext_is_encoded(const http1_head_t *head);
 
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -15,6 +15,10 @@
   server: /control/mode?next=M         response modes of the next requests, of
                                        MODES and ENDLESS, separated by commas
           /control/always?mode=M       response mode of all other requests
+          /control/limit?value=V&...   states the limits V in all answers; none
+                                       without V
+          /control/arrivals            time of arrival of each request since the
+                                       start, in ms, one a line
           /control/seen                lists the requests since the last list
           /control/count               number of requests since the start
           /control/crash?part=P&how=H  ends all connections and refuses new ones
@@ -76,12 +80,14 @@
                "target": "X-Peridotpin-Expect-Instance",
                "not-run": "X-Peridotpin-Not-Executed",
                "leaving": "Server-Leaving",
+               "limit": "Server-Limit",
                "parts": "X-Peridotpin-Prompt-Prefix"},
     "native": {"id": "X-Peridot-Request",
                "stamp": "X-Stamp",
                "target": "X-Peridot-Endpoint",
                "not-run": "X-Peridot-Not-Run",
                "leaving": "X-Peridot-Leaving",
+               "limit": "X-Peridot-Limit",
                "parts": "X-Parts"},
 }
 
@@ -244,6 +250,8 @@
         self.default_mode = "ok"
         self.seen = []
         self.count = 0
+        self.arrivals = []
+        self.limits = []
         self.crash_part = None
         self.crash_body = None
         self.crash_start = b""  # sent before a crash
@@ -278,6 +286,13 @@
                 self.crash_start = CRASH_START[query["how"]]
             else:
                 self.crash_listener()
+        elif url.path == "/control/limit":
+            self.limits = urllib.parse.parse_qs(url.query).get("value", [])
+            connection.respond(200, [], b"")
+        elif url.path == "/control/arrivals":
+            with self.lock:
+                text = "".join("%d\n" % ms for ms in self.arrivals)
+            connection.respond(200, [], text.encode())
         elif url.path == "/control/count":
             connection.respond(200, [], str(self.count).encode())
         else:
@@ -291,6 +306,7 @@
         resume = headers.get("last-event-id", "-")
         with self.lock:
             self.count += 1
+            self.arrivals.append(time.time() * 1000)
             self.seen.append("%s %s id=%s body=%d tenant=%s resume=%s %s" % (
                 method, target, headers.get(self.header_names["id"].lower()),
                 len(body), headers.get("x-peridotpin-tenant", "-"), resume,
@@ -390,6 +406,8 @@
                   (self.header_names["stamp"], "stamp-" + self.name)]
         if self.native:
             common.append(("X-Peridot-Boot", "boot-1"))
+        common += [(self.header_names["limit"], value)
+                   for value in self.limits]
         streams = "/stream/" in target or b'"stream":true' in body
         text = ("%s %s %d" % (self.name, target, len(body))).encode()
         if mode == "shed":
--- a/tests/unit/test_headers.c
+++ b/tests/unit/test_headers.c
@@ -224,6 +224,35 @@
 	buf_release(&out);
 }
 
+/* Guards against misreading the rate that an endpoint accepts (LIMIT): of two
+ * values the higher one, or one that is no number as a limit or as its end. */
+static void test_limit_header(void)
+{
+	static const struct {
+		const char *field;
+		double per_s;
+	} rows[] = {{"Server-Limit: 2.5\r\n", 2.5},
+		    {"server-limit:  0 \r\n", 0.0},
+		    {"Server-Limit: 1000000000\r\n", 1e9},
+		    {"Server-Limit: 7.\r\n", 7.0},
+		    {"Server-Limit: 5\r\nServer-Limit: 3\r\n", 3.0},
+		    {"Server-Limit: 5, x, 0.25\r\n", 0.25},
+		    {"Server-Limit: -1\r\n", -1.0},
+		    {"Server-Limit: 1e9\r\n", -1.0},
+		    {"Server-Limit: nan\r\n", -1.0},
+		    {"Server-Limit: .5\r\n", -1.0},
+		    {"Server-Limit:\r\n", -1.0}};
+
+	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		reply_t reply = read_reply("200", rows[i].field);
+
+		CU_ASSERT_TRUE(reply.names_limit);
+		CU_ASSERT_DOUBLE_EQUAL(reply.limit_per_s, rows[i].per_s, 1e-9);
+	}
+	CU_ASSERT_TRUE(read_reply("500", "Server-Limit: 1\r\n").names_limit);
+	CU_ASSERT_FALSE(read_reply("200", "").names_limit);
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {{"call", test_call},
@@ -232,6 +261,7 @@
 			       {"reply", test_reply},
 			       {"pause", test_pause},
 			       {"leaving header", test_leaving_header},
+			       {"limit header", test_limit_header},
 			       {"own reply", test_own_reply},
 			       CU_TEST_INFO_NULL};
 
