Keep the sum of all hosts' requests within the rate an endpoint states

Cause: the choice of an endpoint knew leaving, pauses, cold limits and load, but no rate that an endpoint states; and a host sees only its own sends, so that a limit which each host keeps for itself would let through a multiple.

Change: a stated rate is divided into whole units, one request per window, which belong to hosts of the endpoint's domain by rendezvous hashing over the membership table. The number of units is such that the sum stays within the bound also while other hosts take units over. Hosts pass statements on to each other over the path of loads. A limit ends with a response to a later request that states none, and does not lapse; when nobody hears a statement for 10 s, other hosts get the units. Limited endpoints are left out of the ranking by prefix, of the express lanes and of the sources for copies. When all are limited, callers are refused at once, with a retry time that is spread, urgent ones first. Sends are counted by one ring per endpoint, used by the cold limit too; the formula for shares of a limit stands once. News of crashes and of limits share the code that sends them to all hosts.

--- a/Makefile
+++ b/Makefile
@@ -83,8 +83,9 @@
 	$(patsubst %,lib/coordination/%.c,balance breaker coldgate crashboard \
 	crashboard_blocks crashnews floors gossip \
 	gossip_message lanes \
-	loadboard notice peersync peersync_pull policy prefixmap promptparts \
-	prefixnews pullcodec ratelimit readers retryafter retrybudget warmth) \
+	limitnews loadboard notice peersync peersync_pull policy prefixmap promptparts \
+	prefixnews pullcodec ratelimit readers rendezvous retryafter retrybudget sendring \
+	unitshare warmth) \
 	$(patsubst %,lib/state/%.c,catalog fleet fleet_lanes hostsettings \
 	noticetable replica) \
 	$(patsubst %,lib/transport/%.c,address frame http1 httptext loop monitor tcp \
--- a/lib/base/msgcodec.c
+++ b/lib/base/msgcodec.c
@@ -103,3 +103,14 @@
 	       msgpack_unpack_next(result, bytes.ptr, bytes.len, NULL) ==
 		       MSGPACK_UNPACK_SUCCESS;
 }
+
+bool msgcodec_read_numbers(const msgpack_object *fields, uint64_t *numbers,
+			   size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (fields[i].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+			return false;
+		numbers[i] = fields[i].via.u64;
+	}
+	return true;
+}
--- a/lib/base/msgcodec.h
+++ b/lib/base/msgcodec.h
@@ -26,4 +26,9 @@
  */
 bool msgcodec_unpack(str_t bytes, msgpack_unpacked *result);
 
+/* Reads `count` numbers. RETURN VALUE: false when a field isn't one, or is
+ * negative. */
+bool msgcodec_read_numbers(const msgpack_object *fields, uint64_t *numbers,
+			   size_t count);
+
 #endif
--- a/lib/coordination/coldgate.h
+++ b/lib/coordination/coldgate.h
@@ -2,7 +2,8 @@
 #define COORDINATION_COLDGATE_H
 
 #include <stdbool.h>
-#include <stdint.h>
+
+#include "coordination/sendring.h"
 
 /*
  * coldgate - rate limit of this host's requests to a cold endpoint
@@ -11,30 +12,23 @@
  * the number of hosts that may send to the endpoint, so it holds although hosts
  * don't know each other's sends.
  */
-#define COLDGATE_MAX_SENDS 64
 /* Longer than the second of the limit, since delays in the network may bring
  * requests closer together. */
 #define COLDGATE_WINDOW_MS 1200
 /* Share of the limit that is reserved for hosts that are not known yet. */
 #define COLDGATE_RESERVE_SHARE 0.1
 
-typedef struct coldgate {
-	int64_t sends_ms[COLDGATE_MAX_SENDS]; /* ring; newest at next - 1 */
-	unsigned next;
-} coldgate_t;
-
 /*
  * Computes how many requests each of `hosts` hosts may send per window, for a
  * limit of `per_s` x `overshoot` + `slack` requests per second.
  *
- * RETURN VALUE: the number, at most COLDGATE_MAX_SENDS; 0 when the limit is too
+ * RETURN VALUE: the number, at most SENDRING_SIZE; 0 when the limit is too
  * low for one request of each host.
  */
 unsigned coldgate_share(double per_s, double overshoot, double slack,
 			unsigned hosts);
 
 /* Whether fewer than `share` requests were sent in the last window. */
-bool coldgate_allows(const coldgate_t *gate, unsigned share, int64_t now_ms);
-void coldgate_on_send(coldgate_t *gate, int64_t now_ms);
+bool coldgate_allows(const sendring_t *sends, unsigned share, int64_t now_ms);
 
 #endif
--- a/lib/coordination/coldshare.c
+++ b/lib/coordination/coldshare.c
@@ -1,6 +1,7 @@
 #include "coordination/coldshare.h"
 
 #include "coordination/rendezvous.h"
+#include "coordination/unitshare.h"
 
 #define MS_PER_S 1000
 
@@ -50,8 +51,7 @@
 		    !str_equals(listed->address, address))
 			continue;
 		rank = cold_host_rank(domain, endpoint->name, i);
-		return (unsigned)(endpoint->cold_limit / host_count +
-				  (rank < endpoint->cold_limit % host_count));
+		return unitshare_of(endpoint->cold_limit, host_count, rank);
 	}
 	return 0;
 }
--- a/lib/coordination/gossip.c
+++ b/lib/coordination/gossip.c
@@ -167,18 +167,39 @@
 	return &gossip->members[index];
 }
 
+static bool is_in_domain(const member_t *member, const char *domain)
+{
+	return !domain || !strcmp(member->domain, domain);
+}
+
+/* True when the host shares fleet-wide limits. */
+static bool is_counted(const member_t *member, const char *domain,
+		       int64_t now_ms)
+{
+	return now_ms - member->last_heard_ms < GOSSIP_HOST_COUNT_MS &&
+	       is_in_domain(member, domain);
+}
+
 static unsigned count_members(const gossip_t *gossip, int64_t now_ms,
 			      const char *domain)
 {
 	unsigned count = 1;
 
-	for (size_t i = 0; i < gossip->count; i++) {
-		const member_t *member = &gossip->members[i];
+	for (size_t i = 0; i < gossip->count; i++)
+		count += is_counted(&gossip->members[i], domain, now_ms);
+	return count;
+}
 
-		if (now_ms - member->last_heard_ms < GOSSIP_HOST_COUNT_MS &&
-		    (!domain || !strcmp(member->domain, domain)))
-			count++;
-	}
+size_t gossip_host_names(const gossip_t *gossip, const char *domain,
+			 int64_t now_ms, str_t *names, size_t max)
+{
+	size_t count = 0;
+
+	if (max && is_in_domain(&gossip->self, domain))
+		names[count++] = str_from(gossip->self.name);
+	for (size_t i = 0; i < gossip->count && count < max; i++)
+		if (is_counted(&gossip->members[i], domain, now_ms))
+			names[count++] = str_from(gossip->members[i].name);
 	return count;
 }
 
--- a/lib/coordination/gossip.h
+++ b/lib/coordination/gossip.h
@@ -129,6 +129,15 @@
 unsigned gossip_host_count(const gossip_t *gossip, int64_t now_ms);
 unsigned gossip_domain_host_count(const gossip_t *gossip, int64_t now_ms);
 
+/*
+ * Lists the names of these hosts: of a domain, or of all domains if `domain` is
+ * NULL. This host, if it is one of them, comes first.
+ *
+ * RETURN VALUE: the number of names, at most `max`.
+ */
+size_t gossip_host_names(const gossip_t *gossip, const char *domain,
+			 int64_t now_ms, str_t *names, size_t max);
+
 /*
  * Chooses a live host to pull records from that are newer than `revision`.
  * Hosts of the own domain come first, since traffic between domains is billed;
--- a/lib/coordination/loadboard.c
+++ b/lib/coordination/loadboard.c
@@ -162,17 +162,6 @@
 	return slot;
 }
 
-static bool read_numbers(const msgpack_object *fields, uint64_t *numbers,
-			 size_t count)
-{
-	for (size_t i = 0; i < count; i++) {
-		if (fields[i].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
-			return false;
-		numbers[i] = fields[i].via.u64;
-	}
-	return true;
-}
-
 static bool read_entries(loadboard_t *board, uint32_t source,
 			 const msgpack_object_array *array, int64_t now_ms)
 {
@@ -182,7 +171,8 @@
 		uint64_t fields[ENTRY_FIELDS];
 		slot_t *slot;
 
-		if (!read_numbers(array->ptr + i, fields, ENTRY_FIELDS) ||
+		if (!msgcodec_read_numbers(array->ptr + i, fields,
+					   ENTRY_FIELDS) ||
 		    fields[0] > UINT32_MAX || fields[3] > UINT32_MAX)
 			return false;
 		slot = find_or_add_slot(board, source, (uint32_t)fields[0]);
@@ -228,8 +218,9 @@
 
 	if (root->type != MSGPACK_OBJECT_ARRAY ||
 	    root->via.array.size != MESSAGE_FIELDS ||
-	    !read_numbers(fields, header, 2) || header[0] > LOADBOARD_REGION ||
-	    header[1] > UINT32_MAX || fields[2].type != MSGPACK_OBJECT_ARRAY)
+	    !msgcodec_read_numbers(fields, header, 2) ||
+	    header[0] > LOADBOARD_REGION || header[1] > UINT32_MAX ||
+	    fields[2].type != MSGPACK_OBJECT_ARRAY)
 		return false;
 	if (header[0] == LOADBOARD_TOTALS &&
 	    !accept_relay(board, (uint32_t)header[1], now_ms))
--- a/lib/coordination/retryafter.h
+++ b/lib/coordination/retryafter.h
@@ -1,6 +1,7 @@
 #ifndef COORDINATION_RETRYAFTER_H
 #define COORDINATION_RETRYAFTER_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /*
@@ -34,4 +35,13 @@
  * spread over time. */
 int64_t retryafter_pause_ms(int64_t paused_ms, uint64_t random);
 
+/*
+ * Time in ms until the retry when endpoints limit their rate, and this host may
+ * send the next request in `next_ms` ms. More callers are refused than the
+ * endpoints can serve soon, so the retries are spread over the time that the
+ * callers accept: urgent ones over its first half, the others over the second.
+ */
+int64_t retryafter_limited_ms(int64_t next_ms, int64_t left_ms, bool is_urgent,
+			      uint64_t random);
+
 #endif
--- a/lib/request/channel.c
+++ b/lib/request/channel.c
@@ -6,6 +6,7 @@
 
 #include "base/plog.h"
 #include "request/crashes.h"
+#include "request/limits.h"
 #include "request/notices.h"
 
 /* The request states the time that was left when connecting began; a longer
@@ -84,7 +85,7 @@
 	const dialect_t *dialect = channel->router->dialect;
 	reply_t *reply = &channel->reply;
 	str_t own_id = channel->request->call.id;
-	bool success;
+	bool success, trusted;
 
 	channel->head_read = true;
 	dialect->ops->read_reply(dialect, &channel->http.head, reply);
@@ -95,18 +96,18 @@
 	channel->for_other_request =
 		reply->status < 200 ||
 		(reply->id.ptr && !str_equals(reply->id, own_id));
-	if (channel->for_other_request)
-		return;
 	/* A response without an id may belong to an earlier request on the
 	 * connection. */
 	channel->untrusted =
-		(!reply->id.ptr && own_id.ptr && channel->answers) ||
-		(success && (!reply->stamped || reply->encoded));
-	if (channel->untrusted)
-		return;
-	notices_apply_unlimited(channel->router, channel->endpoint, reply,
-				channel->request->sent_ms);
-	request_on_reply_head(channel->request, &channel->http.head, reply);
+		!channel->for_other_request &&
+		((!reply->id.ptr && own_id.ptr && channel->answers) ||
+		 (success && (!reply->stamped || reply->encoded)));
+	trusted = !channel->for_other_request && !channel->untrusted;
+	limits_apply(channel->router, channel->endpoint, reply, trusted,
+		     channel->request->sent_ms);
+	if (trusted)
+		request_on_reply_head(channel->request, &channel->http.head,
+				      reply);
 }
 
 static bool is_refusal(const reply_t *reply)
--- a/lib/request/choose.c
+++ b/lib/request/choose.c
@@ -4,6 +4,7 @@
 
 #include "coordination/balance.h"
 #include "request/channel.h"
+#include "request/limits.h"
 #include "request/notices.h"
 #include "request/probe.h"
 #include "request/ranking.h"
@@ -18,6 +19,9 @@
  */
 #define CHOOSE_SATURATED_SHARE 0.6
 
+/* Assumed time until a host without a part of an endpoint's rate gets one. */
+#define CHOOSE_NO_UNIT_MS 1000
+
 /* Eligibility and distance of each domain, computed once per choice. */
 typedef struct domain_limits {
 	bool allowed[FLEET_MAX_DOMAINS + 1];
@@ -66,7 +70,7 @@
 	share = coldgate_share(service->cold_per_s,
 			       router->bounds.cold_overshoot,
 			       router->bounds.cold_slack, router->domain_hosts);
-	return coldgate_allows(&endpoint->gate, share, now_ms);
+	return coldgate_allows(&endpoint->sends, share, now_ms);
 }
 
 bool choose_is_cold(const request_t *request, const endpoint_t *endpoint,
@@ -232,23 +236,40 @@
 		       search->sample_share;
 }
 
-/* True when the endpoint asked for a pause; keeps the earliest end of a pause.
- */
-static bool is_paused(search_t *search, const endpoint_t *endpoint)
+/* Notes that the endpoint accepts no request of this host until `until_ms`. */
+static void note_hold(search_t *search, int64_t until_ms)
 {
-	const router_t *router = search->request->router;
 	choice_t *choice = search->choice;
-	int64_t paused_until_ms;
 
-	if (notices_check(router, endpoint) != NOTICE_PAUSED)
-		return false;
-	paused_until_ms =
-		notice_next_send_ms(endpoint_notice(endpoint), search->now_ms);
-	if (!choice->paused_until_ms ||
-	    paused_until_ms < choice->paused_until_ms)
-		choice->paused_until_ms = paused_until_ms;
+	if (!choice->paused_until_ms || until_ms < choice->paused_until_ms)
+		choice->paused_until_ms = until_ms;
 	if (search->result == CHOOSE_NONE)
 		search->result = CHOOSE_LATER;
+}
+
+static bool is_paused(search_t *search, const endpoint_t *endpoint)
+{
+	if (notices_check(search->request->router, endpoint) != NOTICE_PAUSED)
+		return false;
+	note_hold(search, notice_next_send_ms(endpoint_notice(endpoint),
+					      search->now_ms));
+	return true;
+}
+
+/* True when this host's part of the rate that the endpoint accepts is used up.
+ */
+static bool is_rate_limited(search_t *search, const endpoint_t *endpoint)
+{
+	int64_t next_ms = limits_next_send_ms(
+		endpoint, search->request->admission.priority);
+
+	if (next_ms <= search->now_ms)
+		return false;
+	/* Without any part of it, the time of the next request is unknown. */
+	if (next_ms == INT64_MAX)
+		next_ms = search->now_ms + CHOOSE_NO_UNIT_MS;
+	note_hold(search, next_ms);
+	search->choice->rate_limited = true;
 	return true;
 }
 
@@ -260,7 +281,7 @@
 	balance_option_t option;
 	double cost;
 
-	if (is_paused(search, endpoint))
+	if (is_paused(search, endpoint) || is_rate_limited(search, endpoint))
 		return;
 	if (!has_capacity(request, endpoint, search->now_ms) ||
 	    !may_send_now(request, endpoint, search->now_ms)) {
@@ -327,6 +348,8 @@
 	}
 	if (search.any_at_limit)
 		choice->paused_until_ms = 0;
+	if (search.any_at_limit || choice->endpoint)
+		choice->rate_limited = false;
 	if (choice->endpoint)
 		choice->prefix_source =
 			ranking_find_source(&search.ranking, choice->endpoint);
--- a/lib/request/choose.h
+++ b/lib/request/choose.h
@@ -22,9 +22,12 @@
 	double prefill_share; /* share of its time that the endpoint spends on
 				 prefill */
 	double expected_ms;   /* until the first token or response */
-	/* CHOOSE_LATER: earliest end of the pauses that the endpoints asked
-	 * for; 0: some endpoint is at another limit. */
+	/* CHOOSE_LATER: the earliest time at which an endpoint that paused or
+	 * limits its rate accepts a request of this host; 0: some endpoint is
+	 * at another limit. */
 	int64_t paused_until_ms;
+	bool rate_limited; /* CHOOSE_LATER: an endpoint limits its rate, and
+			      none is at another limit */
 } choice_t;
 
 /*
--- a/lib/request/crashsync.c
+++ b/lib/request/crashsync.c
@@ -7,8 +7,6 @@
 #define OWN_INTERVAL_MS 1000
 #define OWN_MS 10000
 #define DIGEST_INTERVAL_MS 1000
-/* Hosts of a region that send the digest to their relay in an interval. */
-#define DIGEST_SENDERS 2
 /* Time in which reports of sound answers arrive from all hosts: rounds in which
  * a host and its relay send, and the way between regions. */
 #define SETTLE_ROUNDS 2
@@ -19,51 +17,43 @@
 	return router_now_ms(sync->router);
 }
 
-static void send_to(const crashsync_t *sync, const char *ip,
-		    const crashnews_t *news)
+/* crashnews_t as a message on its way to all hosts. */
+typedef struct outgoing {
+	relays_message_t base;
+	crashnews_t *news;
+	crashnews_kind_t to_own_relay;
+	int64_t now_ms;
+} outgoing_t;
+
+static void write_news(const relays_message_t *message, relays_step_t step,
+		       buf_t *out)
 {
-	buf_t message = BUF_INIT;
+	const outgoing_t *outgoing = (const outgoing_t *)message;
+	const crashnews_kind_t kinds[] = {outgoing->to_own_relay,
+					  CRASHNEWS_REGION, CRASHNEWS_RELAY};
 
-	crashnews_write(news, current_ms(sync), &message);
-	sync->send(sync->user, ip, &message);
+	outgoing->news->kind = kinds[step];
+	crashnews_write(outgoing->news, outgoing->now_ms, out);
 }
 
-static void send_to_relays(const crashsync_t *sync, crashnews_t *news)
-{
-	news->kind = CRASHNEWS_REGION;
-	for (size_t i = 0; i < sync->relays->count; i++)
-		if (sync->relays->list[i].member)
-			send_to(sync, sync->relays->list[i].member->ip, news);
-}
+static const relays_message_ops_t message_ops = {write_news};
 
-static void send_to_region(const crashsync_t *sync, crashnews_t *news)
+static outgoing_t make_outgoing(const crashsync_t *sync, crashnews_t *news,
+				crashnews_kind_t to_own_relay)
 {
-	const gossip_t *gossip = peersync_gossip(sync->relays->peersync);
-
-	news->kind = CRASHNEWS_RELAY;
-	for (size_t i = 0; i < gossip_member_count(gossip); i++) {
-		const member_t *member = gossip_member(gossip, i);
-
-		if (relays_in_region(sync->relays, member))
-			send_to(sync, member->ip, news);
-	}
+	news->source = sync->host_id;
+	return (outgoing_t){
+		{&message_ops}, news, to_own_relay, current_ms(sync)};
 }
 
-/* Sends news to all hosts: a relay to the other relays and to its region, any
- * other host, in a message of kind `to_relay`, to its relay. */
+/* Sends news to all hosts; to the own relay in a message of kind `to_relay`. */
 static void distribute(const crashsync_t *sync, crashnews_t *news,
 		       crashnews_kind_t to_relay)
 {
-	if (!sync->relays->count || (!news->crash_count && !news->sound_count))
-		return;
-	news->source = sync->host_id;
-	if (relays_is_self(sync->relays)) {
-		send_to_relays(sync, news);
-		send_to_region(sync, news);
-		return;
-	}
-	news->kind = to_relay;
-	send_to(sync, relays_own(sync->relays)->member->ip, news);
+	outgoing_t outgoing = make_outgoing(sync, news, to_relay);
+
+	if (news->crash_count || news->sound_count)
+		relays_distribute(sync->relays, &outgoing.base);
 }
 
 static void send_report(const crashsync_t *sync, const crash_report_t *report)
@@ -86,13 +76,10 @@
 }
 
 void crashsync_init(crashsync_t *sync, router_t *router, const relays_t *relays,
-		    uint32_t host_id, crashsync_send_t send, void *user)
+		    uint32_t host_id)
 {
-	*sync = (crashsync_t){.router = router,
-			      .relays = relays,
-			      .host_id = host_id,
-			      .send = send,
-			      .user = user};
+	*sync = (crashsync_t){
+		.router = router, .relays = relays, .host_id = host_id};
 	router->crash_observer = (crash_observer_t){on_crash, sync, host_id};
 }
 
@@ -140,16 +127,6 @@
 	distribute(sync, &news, CRASHNEWS_DIGEST);
 }
 
-/* True for relays, and for few of the other hosts in each interval. */
-static bool is_digest_sender(const crashsync_t *sync)
-{
-	const router_t *router = sync->router;
-	unsigned hosts = router->all_hosts / (unsigned)sync->relays->count;
-
-	return relays_is_self(sync->relays) || hosts <= DIGEST_SENDERS ||
-	       router_random(sync->router) % hosts < DIGEST_SENDERS;
-}
-
 void crashsync_on_round(crashsync_t *sync, int64_t round_ms)
 {
 	int64_t now_ms = current_ms(sync);
@@ -161,7 +138,7 @@
 	if (now_ms < sync->digest_ms)
 		return;
 	sync->digest_ms = now_ms + DIGEST_INTERVAL_MS;
-	if (is_digest_sender(sync))
+	if (relays_repeats_all(sync->relays))
 		send_digests(sync);
 }
 
@@ -186,14 +163,13 @@
 /* Passes the news on from a relay. */
 static void forward(const crashsync_t *sync, crashnews_t *news)
 {
-	crashnews_kind_t received = news->kind;
+	relays_step_t received =
+		news->kind == CRASHNEWS_RELAY  ? RELAYS_TO_OWN_REGION :
+		news->kind == CRASHNEWS_REGION ? RELAYS_TO_OTHER_RELAYS :
+						 RELAYS_TO_OWN_RELAY;
+	outgoing_t outgoing = make_outgoing(sync, news, CRASHNEWS_HOST);
 
-	news->source = sync->host_id;
-	if (received == CRASHNEWS_RELAY)
-		return;
-	if (received != CRASHNEWS_REGION)
-		send_to_relays(sync, news);
-	send_to_region(sync, news);
+	relays_forward(sync->relays, &outgoing.base, received);
 }
 
 err_code_t crashsync_read(crashsync_t *sync, str_t message, err_t *err)
@@ -205,8 +181,7 @@
 	merge(sync, &news);
 	if (!news.crash_count && !news.sound_count)
 		return ERR_OK;
-	if (sync->relays->count && relays_is_self(sync->relays))
-		forward(sync, &news);
+	forward(sync, &news);
 	crashes_update(sync->router);
 	return ERR_OK;
 }
--- a/lib/request/crashsync.h
+++ b/lib/request/crashsync.h
@@ -17,8 +17,6 @@
  */
 #define CRASHSYNC_MAX_OWN 32 /* reports of this host that are repeated */
 
-typedef void (*crashsync_send_t)(void *user, const char *ip, buf_t *message);
-
 typedef struct crashsync_own {
 	crash_report_t report;
 	int64_t repeat_ms; /* when it is sent next */
@@ -28,8 +26,6 @@
 	router_t *router;
 	const relays_t *relays;
 	uint32_t host_id;
-	crashsync_send_t send; /* sends a message and releases its buffer */
-	void *user;
 	crashsync_own_t own[CRASHSYNC_MAX_OWN]; /* a ring */
 	size_t own_count;			/* ever added */
 	int64_t digest_ms;			/* when it is sent next */
@@ -37,7 +33,7 @@
 
 /* Becomes the router's observer of crashes. */
 void crashsync_init(crashsync_t *sync, router_t *router, const relays_t *relays,
-		    uint32_t host_id, crashsync_send_t send, void *user);
+		    uint32_t host_id);
 
 /* Repeats what other hosts may lack. Called in each round of loadsync, whose
  * interval is `round_ms`, after relays_find(). */
--- a/lib/request/loadsync.c
+++ b/lib/request/loadsync.c
@@ -8,6 +8,7 @@
 #include "base/metrics.h"
 #include "base/plog.h"
 #include "request/crashsync.h"
+#include "request/limitsync.h"
 #include "request/notices.h"
 #include "request/relays.h"
 #include "transport/udp.h"
@@ -25,6 +26,7 @@
 	loop_timer_t timer;
 	relays_t relays;
 	crashsync_t crashsync;
+	limitsync_t limitsync;
 	loadboard_entry_t entries[MAX_ENDPOINTS];
 	/* On a relay: keys to be sent to the hosts of its own region. */
 	prefixnews_t other_region_keys;
@@ -45,7 +47,7 @@
 	buf_release(message);
 }
 
-static void send_crash_message(void *user, const char *ip, buf_t *message)
+static void send_relays_message(void *user, const char *ip, buf_t *message)
 {
 	send_message(user, ip, message);
 }
@@ -255,6 +257,7 @@
 	}
 	send_prefix_keys(loadsync);
 	crashsync_on_round(&loadsync->crashsync, round_ms);
+	limitsync_on_round(&loadsync->limitsync);
 	loop_timer_set(loadsync->router->loop, &loadsync->timer, round_ms,
 		       on_round, loadsync);
 }
@@ -289,6 +292,8 @@
 		return read_prefix_keys(loadsync, message, err);
 	if (crashnews_is_message(message))
 		return crashsync_read(&loadsync->crashsync, message, err);
+	if (limitnews_is_message(message))
+		return limitsync_read(&loadsync->limitsync, message, err);
 	return loadboard_read(loadsync->board, message, current_ms(loadsync),
 			      err);
 }
@@ -323,12 +328,16 @@
 	if (!loadsync || !(loadsync->name = str_dup(str_from(name))))
 		abort();
 	loadsync->router = router;
-	loadsync->relays = (relays_t){
-		.router = router, .peersync = peersync, .name = loadsync->name};
+	loadsync->relays = (relays_t){.router = router,
+				      .peersync = peersync,
+				      .name = loadsync->name,
+				      .send = send_relays_message,
+				      .user = loadsync};
 	loadsync->board = loadboard_create();
 	loadsync->host_id = relays_host_id(name);
 	crashsync_init(&loadsync->crashsync, router, &loadsync->relays,
-		       loadsync->host_id, send_crash_message, loadsync);
+		       loadsync->host_id);
+	limitsync_init(&loadsync->limitsync, router, &loadsync->relays);
 	loadsync->port = port;
 	loadsync->fd = fd;
 	loop_watch(router->loop, fd, EPOLLIN, on_datagram, loadsync);
@@ -343,6 +352,7 @@
 	loop_timer_cancel(loadsync->router->loop, &loadsync->timer);
 	loop_unwatch(loadsync->router->loop, loadsync->fd);
 	loadsync->router->crash_observer.on_crash = NULL;
+	loadsync->router->limit_observer.on_change = NULL;
 	close(loadsync->fd);
 	loadboard_free(loadsync->board);
 	free(loadsync->name);
--- a/lib/request/notices.c
+++ b/lib/request/notices.c
@@ -27,50 +27,6 @@
 		   endpoint->id, (long long)asked_ms, (long long)kept_ms);
 }
 
-static void log_limit(const endpoint_t *endpoint, double before,
-		      const char *source)
-{
-	plog_write(PLOG_ENDPOINT_LIMITED,
-		   "endpoint=%s per_s=%g before=%g source=%s", endpoint->id,
-		   notices_limit_per_s(endpoint), before, source);
-}
-
-static void apply_limit(router_t *router, endpoint_t *endpoint, double per_s)
-{
-	double before = notices_limit_per_s(endpoint);
-	notice_t *notice;
-
-	if (per_s < 0.0) {
-		plog_write(PLOG_LIMIT_INVALID, "endpoint=%s in_force=%g",
-			   endpoint->id, before);
-		return;
-	}
-	notice = fleet_notice(router->fleet, endpoint);
-	if (ratelimit_on_stated(&notice->limit, per_s, router_now_ms(router)))
-		log_limit(endpoint, before, "answer");
-}
-
-void notices_apply_unlimited(router_t *router, endpoint_t *endpoint,
-			     const reply_t *reply, int64_t sent_ms)
-{
-	double before = notices_limit_per_s(endpoint);
-
-	/* A refusal may come from something in front of the endpoint. */
-	if (before <= 0.0 || reply->names_limit || reply->misdirected ||
-	    reply->not_run || !reply->stamped)
-		return;
-	if (ratelimit_on_unstated(&fleet_notice(router->fleet, endpoint)->limit,
-				  sent_ms, router_now_ms(router)))
-		log_limit(endpoint, before, "answer");
-}
-
-double notices_limit_per_s(const endpoint_t *endpoint)
-{
-	const notice_t *notice = endpoint_notice(endpoint);
-
-	return notice ? notice->limit.per_s : 0.0;
-}
-
 void notices_apply(router_t *router, endpoint_t *endpoint, const reply_t *reply)
 {
 	if (reply->misdirected)
@@ -79,8 +35,6 @@
 		apply_leaving(router, endpoint);
 	if (reply->wants_pause)
 		apply_pause(router, endpoint, reply->pause_ms);
-	if (reply->names_limit)
-		apply_limit(router, endpoint, reply->limit_per_s);
 }
 
 void notices_apply_hint(router_t *router, uint64_t key)
--- a/lib/request/notices.h
+++ b/lib/request/notices.h
@@ -10,19 +10,11 @@
  * See notice.h. Announcements are read from every response, also from a
  * refusal, an error, and a response to a request that was abandoned. Only a
  * misdirected response is skipped: another endpoint has taken over the address.
+ * Rate limits are applied by limits.h.
  */
 void notices_apply(router_t *router, endpoint_t *endpoint,
 		   const reply_t *reply);
 
-/* Notes that a response to a request sent at `sent_ms`, which is known to come
- * from the endpoint, states no rate limit: ends an earlier limit. */
-void notices_apply_unlimited(router_t *router, endpoint_t *endpoint,
-			     const reply_t *reply, int64_t sent_ms);
-
-/* The rate that the endpoint accepts from all hosts, per second; 0 without a
- * limit. */
-double notices_limit_per_s(const endpoint_t *endpoint);
-
 /* Another host reported that the endpoint with this key leaves, see
  * prefixnews_leaving_key(). */
 void notices_apply_hint(router_t *router, uint64_t key);
--- a/lib/request/ranking.c
+++ b/lib/request/ranking.c
@@ -91,6 +91,7 @@
 			  int64_t now_ms)
 {
 	return endpoint->state == ENDPOINT_READY &&
+	       endpoint_limit_per_s(endpoint) <= 0.0 &&
 	       notices_check(router, endpoint) == NOTICE_OPEN &&
 	       !breaker_is_open(&endpoint->breaker, now_ms);
 }
@@ -128,7 +129,9 @@
 	}
 }
 
-/* Rendezvous hashing: removing an endpoint moves only its own prompts. */
+/* Rendezvous hashing: removing an endpoint moves only its own prompts. An
+ * endpoint that limits its rate is left out: most requests of a prefix that
+ * ranked it first would miss the cache elsewhere. */
 ranking_t ranking_make(const request_t *request, size_t count)
 {
 	const router_t *router = request->router;
@@ -142,6 +145,8 @@
 		const endpoint_t *endpoint = router->candidates[i];
 		double weight;
 
+		if (endpoint_limit_per_s(endpoint) > 0.0)
+			continue;
 		weight = ranking_rendezvous_weight(
 			endpoint, parts->hashes[parts->count - 2]);
 		if (is_on_lane(request, endpoint))
--- a/lib/request/relays.c
+++ b/lib/request/relays.c
@@ -4,6 +4,9 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* Hosts of a region beside the relay that repeat all that they know. */
+#define REPEATING_HOSTS 2
+
 uint32_t relays_host_id(const char *name)
 {
 	return (uint32_t)XXH64(name, strlen(name), 0) | 1;
@@ -73,3 +76,69 @@
 	return gossip_is_live(gossip, member, router_now_ms(router)) &&
 	       str_equals(get_region(relays, member), router->region);
 }
+
+bool relays_repeats_all(const relays_t *relays)
+{
+	unsigned hosts;
+
+	if (!relays->count || relays_is_self(relays))
+		return true;
+	hosts = relays->router->all_hosts / (unsigned)relays->count;
+	return hosts <= REPEATING_HOSTS ||
+	       router_random(relays->router) % hosts < REPEATING_HOSTS;
+}
+
+static void send_to(const relays_t *relays, const member_t *member,
+		    const relays_message_t *message, relays_step_t step)
+{
+	buf_t out = BUF_INIT;
+
+	message->ops->write(message, step, &out);
+	relays->send(relays->user, member->ip, &out);
+}
+
+static void send_to_other_relays(const relays_t *relays,
+				 const relays_message_t *message)
+{
+	for (size_t i = 0; i < relays->count; i++)
+		if (relays->list[i].member)
+			send_to(relays, relays->list[i].member, message,
+				RELAYS_TO_OTHER_RELAYS);
+}
+
+static void send_to_own_region(const relays_t *relays,
+			       const relays_message_t *message)
+{
+	const gossip_t *gossip = peersync_gossip(relays->peersync);
+
+	for (size_t i = 0; i < gossip_member_count(gossip); i++) {
+		const member_t *member = gossip_member(gossip, i);
+
+		if (relays_in_region(relays, member))
+			send_to(relays, member, message, RELAYS_TO_OWN_REGION);
+	}
+}
+
+void relays_distribute(const relays_t *relays, const relays_message_t *message)
+{
+	if (!relays->count)
+		return;
+	if (!relays_is_self(relays)) {
+		send_to(relays, relays_own(relays)->member, message,
+			RELAYS_TO_OWN_RELAY);
+		return;
+	}
+	send_to_other_relays(relays, message);
+	send_to_own_region(relays, message);
+}
+
+void relays_forward(const relays_t *relays, const relays_message_t *message,
+		    relays_step_t received)
+{
+	if (received == RELAYS_TO_OWN_REGION || !relays->count ||
+	    !relays_is_self(relays))
+		return;
+	if (received == RELAYS_TO_OWN_RELAY)
+		send_to_other_relays(relays, message);
+	send_to_own_region(relays, message);
+}
--- a/lib/request/relays.h
+++ b/lib/request/relays.h
@@ -14,6 +14,28 @@
  */
 #define RELAYS_MAX_REGIONS 16
 
+/* The steps by which a message reaches all hosts. */
+typedef enum relays_step {
+	RELAYS_TO_OWN_RELAY,	/* from a host */
+	RELAYS_TO_OTHER_RELAYS, /* from a relay */
+	RELAYS_TO_OWN_REGION	/* from a relay to the hosts of its region */
+} relays_step_t;
+
+/* A message with a kind for each step. */
+typedef struct relays_message relays_message_t;
+
+typedef struct relays_message_ops {
+	void (*write)(const relays_message_t *message, relays_step_t step,
+		      buf_t *out);
+} relays_message_ops_t;
+
+struct relays_message {
+	const relays_message_ops_t *ops;
+};
+
+/* Sends a message to a host and releases its buffer. */
+typedef void (*relays_send_t)(void *user, const char *ip, buf_t *message);
+
 typedef struct relay {
 	str_t region;
 	uint32_t weight;
@@ -21,9 +43,11 @@
 } relay_t;
 
 typedef struct relays {
-	const router_t *router;
+	router_t *router;
 	const peersync_t *peersync;
 	const char *name; /* of this host */
+	relays_send_t send;
+	void *user;
 	relay_t list[RELAYS_MAX_REGIONS];
 	size_t count;
 } relays_t;
@@ -42,4 +66,15 @@
 /* True when the other host is live and in this host's region. */
 bool relays_in_region(const relays_t *relays, const member_t *member);
 
+/* True for relays, and at random for few of the other hosts: they repeat all
+ * that they know, for hosts that have missed news or restarted. */
+bool relays_repeats_all(const relays_t *relays);
+
+/* Sends a message of this host on its way to all hosts. */
+void relays_distribute(const relays_t *relays, const relays_message_t *message);
+
+/* Passes on, at a relay, what it received in the given step. */
+void relays_forward(const relays_t *relays, const relays_message_t *message,
+		    relays_step_t received);
+
 #endif
--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -69,6 +69,12 @@
 	int64_t pause_left_ms =
 		request->paused_until_ms - request_now_ms(request);
 
+	if (request->rate_limited)
+		return retryafter_limited_ms(pause_left_ms,
+					     request->deadline_ms -
+						     request_now_ms(request),
+					     !request->admission.priority,
+					     router_random(request->router));
 	if (pause_left_ms > 0)
 		return retryafter_pause_ms(pause_left_ms,
 					   router_random(request->router));
@@ -360,6 +366,7 @@
 		result == CHOOSE_NONE && !request->tried_count;
 	request->paused_until_ms =
 		result == CHOOSE_LATER ? choice.paused_until_ms : 0;
+	request->rate_limited = result == CHOOSE_LATER && choice.rate_limited;
 	if (wait_or_refuse(request, result, &choice))
 		return;
 	if (result != CHOOSE_OK)
--- a/lib/request/request.h
+++ b/lib/request/request.h
@@ -97,8 +97,8 @@
 				      prefill, as estimated at the choice */
 	bool no_eligible_endpoint; /* no known endpoint may serve the request,
 				      now or later */
-	int64_t paused_until_ms;   /* earliest end of the pauses that endpoints
-				      asked for; 0: other limits apply */
+	int64_t paused_until_ms;   /* see choice_t */
+	bool rate_limited;	   /* the same */
 	int64_t answer_began_ms;   /* when the current send's response began; 0:
 				      not yet */
 	bool reported_sound;  /* the current send's response showed that the
--- a/lib/request/router.c
+++ b/lib/request/router.c
@@ -7,6 +7,7 @@
 #include "request/crashcheck.h"
 #include "request/crashes.h"
 #include "request/customers.h"
+#include "request/limits.h"
 #include "request/probe.h"
 #include "request/request.h"
 
@@ -62,6 +63,7 @@
 	fleet_expire_lingering(router->fleet, now_ms);
 	update_lanes(router, now_ms);
 	crashes_update(router);
+	limits_update_units(router);
 	for (size_t i = 0; i < fleet_count(router->fleet); i++)
 		channel_retire_idle(router, fleet_at(router->fleet, i));
 	plog_flush();
--- a/lib/request/router.h
+++ b/lib/request/router.h
@@ -3,6 +3,7 @@
 
 #include "coordination/crashboard.h"
 #include "coordination/floors.h"
+#include "coordination/gossip.h"
 #include "coordination/policy.h"
 #include "coordination/prefixmap.h"
 #include "coordination/prefixnews.h"
@@ -61,6 +62,13 @@
 	uint32_t host; /* id of this host in reports */
 } crash_observer_t;
 
+/* Passes the rates that endpoints state in responses to this host on to other
+ * hosts. */
+typedef struct limit_observer {
+	void (*on_change)(void *user, const endpoint_t *endpoint);
+	void *user;
+} limit_observer_t;
+
 struct request;
 struct caller;
 struct crashcheck;
@@ -108,6 +116,8 @@
 	struct probe *probes; /* in progress */
 	crashboard_t *crashes;
 	crash_observer_t crash_observer;
+	limit_observer_t limit_observer;
+	const gossip_t *gossip; /* membership; NULL: there are no other hosts */
 	struct crashcheck *crash_checks; /* in progress */
 	unsigned crash_check_count;
 	struct customer_load *customers; /* those with requests in progress */
--- a/lib/request/send.c
+++ b/lib/request/send.c
@@ -147,7 +147,7 @@
 	request->state = request->state == REQUEST_ANSWERING ?
 				 REQUEST_ANSWERING :
 				 REQUEST_SENT;
-	coldgate_on_send(&endpoint->gate, request_now_ms(request));
+	sendring_add(&endpoint->sends, request_now_ms(request));
 	if (endpoint->notice_entry)
 		notice_on_send(&endpoint->notice_entry->notice,
 			       request_now_ms(request));
@@ -288,7 +288,7 @@
 		   request->prefill_share,
 		   request->prefix_source[0] ? request->prefix_source : "-",
 		   choose_is_cold(request, request->endpoint, request->sent_ms),
-		   notices_limit_per_s(request->endpoint),
+		   endpoint_limit_per_s(request->endpoint),
 		   (long long)catalog_version(request->catalog), parts);
 }
 
--- a/lib/state/fleet.c
+++ b/lib/state/fleet.c
@@ -358,6 +358,13 @@
 	return endpoint->notice_entry ? &endpoint->notice_entry->notice : NULL;
 }
 
+double endpoint_limit_per_s(const endpoint_t *endpoint)
+{
+	const notice_t *notice = endpoint_notice(endpoint);
+
+	return notice ? notice->limit.per_s : 0.0;
+}
+
 static double decayed_rate(const endpoint_t *endpoint, int64_t now_ms)
 {
 	double age = (double)(now_ms - endpoint->rate_updated_ms);
--- a/lib/state/fleet.h
+++ b/lib/state/fleet.h
@@ -65,7 +65,7 @@
 	int64_t last_probe_ms;		   /* 0: never probed */
 	noticetable_entry_t *notice_entry; /* NULL: no notice was given */
 	/* From this host's own requests and the loads of other hosts. */
-	coldgate_t gate;
+	sendring_t sends;
 	breaker_t breaker;
 	unsigned in_flight;
 	uint64_t last_send_seq; /* among all sends of this host */
@@ -140,6 +140,10 @@
  */
 void fleet_update_express(fleet_t *fleet);
 
+/* An endpoint has begun, or ceased, to limit its requests: limited ones are not
+ * marked as express. */
+void fleet_on_limit_changed(fleet_t *fleet);
+
 /* Resets the lanes of all services to the state without known loads. */
 void fleet_reset_lanes(fleet_t *fleet);
 
@@ -160,6 +164,10 @@
 /* The same, read-only; NULL when there is none. */
 const notice_t *endpoint_notice(const endpoint_t *endpoint);
 
+/* The rate of requests that the endpoint accepts from all hosts together; 0
+ * without a limit. See ratelimit.h. */
+double endpoint_limit_per_s(const endpoint_t *endpoint);
+
 /* Adds the prompt tokens of a send to the endpoint's token rate. */
 void endpoint_count_tokens(endpoint_t *endpoint, uint64_t tokens,
 			   int64_t now_ms);
--- a/lib/state/fleet_lanes.c
+++ b/lib/state/fleet_lanes.c
@@ -6,7 +6,13 @@
 /* Endpoints are marked again when the express share changes by this much. */
 #define FLEET_MIN_SHARE_CHANGE 0.01
 
-/* Orders endpoints by service and domain, which form a group, then by hash. */
+static bool is_limited(const endpoint_t *endpoint)
+{
+	return endpoint_limit_per_s(endpoint) > 0.0;
+}
+
+/* Orders endpoints by service and domain, which form a group, then by hash;
+ * those with a limited rate come last. */
 static int compare_groups(const void *a, const void *b)
 {
 	const endpoint_t *x = *(endpoint_t *const *)a;
@@ -16,6 +22,8 @@
 		return x->service_index < y->service_index ? -1 : 1;
 	if (x->domain_index != y->domain_index)
 		return x->domain_index < y->domain_index ? -1 : 1;
+	if (is_limited(x) != is_limited(y))
+		return is_limited(x) ? 1 : -1;
 	return x->hash < y->hash ? -1 : x->hash > y->hash;
 }
 
@@ -25,15 +33,25 @@
 	       a->domain_index == b->domain_index;
 }
 
+/* At least one endpoint without a limit stays for long prompts. */
 static void mark_group_express(const fleet_t *fleet, endpoint_t **group,
 			       unsigned size)
 {
 	const lanes_t *lanes = &fleet->lanes[group[0]->service_index];
+	unsigned express = lanes_express_count(lanes, size);
+	unsigned unlimited = 0;
 
-	for (unsigned i = 0; i < lanes_express_count(lanes, size); i++)
+	while (unlimited < size && !is_limited(group[unlimited]))
+		unlimited++;
+	for (unsigned i = 0; i < express && i + 1 < unlimited; i++)
 		group[i]->express = true;
 }
 
+void fleet_on_limit_changed(fleet_t *fleet)
+{
+	fleet->express_is_stale = true;
+}
+
 void fleet_update_express(fleet_t *fleet)
 {
 	endpoint_t **sorted;
--- a/programs/host/host.c
+++ b/programs/host/host.c
@@ -293,6 +293,7 @@
 
 	if (code)
 		return code;
+	host->router->gossip = peersync_gossip(host->peersync);
 	set_seeds(host, settings);
 	if (settings->last_port == settings->first_port)
 		return ERR_OK;
@@ -374,6 +375,8 @@
 		caller_close_all(host->router);
 	host->ops->release(host);
 	loadsync_free(host->loadsync);
+	if (host->router)
+		host->router->gossip = NULL;
 	peersync_free(host->peersync);
 	router_free(host->router);
 	replica_free(host->replica);
--- a/tests/unit/test_choose_state.c
+++ b/tests/unit/test_choose_state.c
@@ -122,7 +122,7 @@
 		endpoint = require_endpoint(3, 200, 600);
 		if (strcmp(endpoint->domain, "d0") != 0)
 			continue;
-		coldgate_on_send(&endpoint->gate, START_MS);
+		sendring_add(&endpoint->sends, START_MS);
 		sent++;
 	}
 	CU_ASSERT_TRUE(sent > 0);
--- a/tests/unit/test_limits.c
+++ b/tests/unit/test_limits.c
@@ -16,7 +16,7 @@
 	enum { HOSTS = 3, PER_S = 12, SLACK = 5 };
 	const double overshoot = 1.5;
 	unsigned share = coldgate_share(PER_S, overshoot, SLACK, HOSTS);
-	coldgate_t gates[HOSTS];
+	sendring_t gates[HOSTS];
 	unsigned sent[4000] = {0};
 	unsigned max_sum = 0;
 
@@ -25,7 +25,7 @@
 		for (int host = 0; host < HOSTS; host++)
 			while (coldgate_allows(&gates[host], share,
 					       START_MS + ms)) {
-				coldgate_on_send(&gates[host], START_MS + ms);
+				sendring_add(&gates[host], START_MS + ms);
 				sent[ms]++;
 			}
 	for (int from = 0; from + 1000 <= 4000; from++) {
@@ -44,7 +44,7 @@
  * hosts: none of them may send (FAILBACK). */
 static void test_cold_no_share(void)
 {
-	coldgate_t gate;
+	sendring_t gate;
 
 	memset(&gate, 0, sizeof(gate));
 	CU_ASSERT_EQUAL(coldgate_share(1.0, 1.0, 0.0, 10), 0);
