--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -24,6 +24,8 @@
 #define REQUEST_SATURATED_WAIT_FRACTION 0.7
 #define BLOCKED_REASON "the request, or a part of its prompt, crashes endpoints"
 
+#define RATE_LIMITED_REASON "the endpoints accept no more requests a second"
+
 static void on_deadline(void *user);
 
 int64_t request_now_ms(const request_t *request)
@@ -370,7 +372,10 @@
 	if (wait_or_refuse(request, result, &choice))
 		return;
 	if (result != CHOOSE_OK)
-		request_fail(request, "no endpoint may take the request");
+		request_fail(request,
+			     request->rate_limited ?
+				     RATE_LIMITED_REASON :
+				     "no endpoint may take the request");
 	else if (request->was_queued && !has_time(request, &choice))
 		request_fail(request, "too little time is left");
 	else if (request->sends &&
--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -5,7 +5,9 @@
 
 #include "coordination/crashnews.h"
 #include "coordination/gossip.h"
+#include "coordination/limitnews.h"
 #include "coordination/loadboard.h"
+#include "coordination/ratelimit.h"
 #include "coordination/prefixnews.h"
 #include "coordination/pullcodec.h"
 #include "coordination/sheetsync.h"
@@ -372,6 +374,31 @@
 	crashboard_free(board);
 }
 
+static void run_limit_news(str_t input, uint64_t random_value)
+{
+	ratelimit_t limit = {.per_s = 0.0};
+	bool is_message = limitnews_is_message(input);
+	limitnews_t news;
+	err_t err;
+
+	if (limitnews_read(input, NOW_MS, &news, &err))
+		return;
+	require(is_message, "an accepted message has a known kind");
+	for (size_t i = 0; i < news.count; i++) {
+		ratelimit_on_news(&limit, news.entries[i].per_s,
+				  news.entries[i].stated_ms);
+		require(limit.stated_ms <= NOW_MS,
+			"a statement is not from the future");
+		require(limit.per_s >= 0.0 &&
+				limit.per_s <= RATELIMIT_MAX_PER_S,
+			"a rate is within its range");
+	}
+	limit.all_units =
+		ratelimit_count_units(limit.per_s, random_value % 1000 + 1);
+	require(limit.all_units > 0, "a limit has units");
+	ratelimit_term(&limit, NOW_MS);
+}
+
 static void run_prefix_news(str_t input, uint64_t random_value)
 {
 	static prefixmap_t map;
@@ -457,6 +484,7 @@
 	{"loads", run_loads},
 	{"prefix-news", run_prefix_news},
 	{"crash-news", run_crash_news},
+	{"limit-news", run_limit_news},
 	{"pull", run_pull},
 	{"frame", run_frame},
 	{NULL, NULL}};
--- a/tests/unit/test_retryafter.c
+++ b/tests/unit/test_retryafter.c
@@ -89,6 +89,40 @@
 	CU_ASSERT_EQUAL(count_retries_at_least(RETRYAFTER_BUSY, 12000, 500), 0);
 }
 
+/* Scenario: all endpoints limit their rate, and callers of two classes with 12
+ * s left are refused. Guards against callers that come back all at once, or
+ * before the host may send again, and against urgent ones that come back last.
+ */
+static void test_limited(void)
+{
+	enum { LEFT_MS = 12000, NEXT_MS = 600, ACCEPTED_MS = LEFT_MS / 3 };
+	unsigned buckets[ACCEPTED_MS / BUCKET_MS] = {0};
+	int64_t last_urgent_ms = 0;
+	unsigned most = 0;
+
+	for (unsigned i = 0; i < CALLERS; i++) {
+		uint64_t random = spread_value(i);
+		int64_t urgent_ms =
+			retryafter_limited_ms(NEXT_MS, LEFT_MS, true, random);
+		int64_t other_ms =
+			retryafter_limited_ms(NEXT_MS, LEFT_MS, false, random);
+
+		CU_ASSERT(urgent_ms >= NEXT_MS && other_ms < ACCEPTED_MS);
+		if (urgent_ms > last_urgent_ms)
+			last_urgent_ms = urgent_ms;
+		CU_ASSERT(other_ms >= (NEXT_MS + ACCEPTED_MS) / 2);
+		buckets[urgent_ms / BUCKET_MS]++;
+		buckets[other_ms / BUCKET_MS]++;
+	}
+	CU_ASSERT(last_urgent_ms <= (NEXT_MS + ACCEPTED_MS) / 2);
+	for (unsigned i = 0; i < ACCEPTED_MS / BUCKET_MS; i++)
+		if (buckets[i] > most)
+			most = buckets[i];
+	CU_ASSERT(most < 2 * CALLERS / 20);
+	/* A caller with little time left still gets a time that it accepts. */
+	CU_ASSERT(retryafter_limited_ms(3000, 1500, false, 1) <= 500);
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {
@@ -97,6 +131,7 @@
 		{"spread", test_spread},
 		{"busy", test_busy},
 		{"paused", test_paused},
+		{"limited", test_limited},
 		CU_TEST_INFO_NULL};
 
 	return unit_run("retryafter", tests);
