--- a/lib/coordination/ratelimit.c
+++ b/lib/coordination/ratelimit.c
@@ -41,7 +41,8 @@
 {
 	bool is_same;
 
-	per_s = per_s > 0.0 ? clamp_rate(per_s) : 0.0;
+	if (per_s > 0.0)
+		per_s = clamp_rate(per_s);
 	is_same = per_s == limit->per_s;
 	if (stated_ms <= limit->stated_ms + (is_same ? RATELIMIT_COPY_MS : 0))
 		return false;
@@ -50,9 +51,11 @@
 
 unsigned ratelimit_count_units(double per_s, size_t hosts)
 {
-	double units = clamp_rate(per_s) + RATELIMIT_SPARE_UNITS;
+	double units = per_s + RATELIMIT_SPARE_UNITS;
 	double max_units = (double)hosts * SENDRING_SIZE;
 
+	if (per_s < RATELIMIT_SINGLE_UNIT_PER_S)
+		return 1;
 	return (unsigned)(units < max_units ? units : max_units);
 }
 
--- a/lib/coordination/ratelimit.h
+++ b/lib/coordination/ratelimit.h
@@ -26,12 +26,15 @@
  */
 /* A lower rate, 0 included, counts as the minimum: without any request nobody
  * would notice the end of the limit. */
-#define RATELIMIT_MIN_PER_S 0.1
+#define RATELIMIT_MIN_PER_S 0.2
 #define RATELIMIT_MAX_PER_S 1e6
 /* Rates are rounded down to steps of 1 / RATELIMIT_STEPS_PER_UNIT, so that they
  * are the same on all hosts. */
 #define RATELIMIT_STEPS_PER_UNIT 1000.0
 #define RATELIMIT_SPARE_UNITS 2
+/* Below this rate there is one unit: requests that are evenly spaced notice a
+ * higher rate, or the end of the limit, sooner. */
+#define RATELIMIT_SINGLE_UNIT_PER_S 1.0
 /* Each copy between hosts makes a statement look newer by the time it takes.
  * One with the same rate that is newer by less than this is taken for a copy.
  */
@@ -70,8 +73,8 @@
  * ended. */
 bool ratelimit_on_news(ratelimit_t *limit, double per_s, int64_t stated_ms);
 
-/* The number of units that a rate is divided into. A host keeps the times of
- * SENDRING_SIZE sends, so `hosts` hosts can use a bounded number. */
+/* The number of units that a rate above 0 is divided into. A host keeps the
+ * times of SENDRING_SIZE sends, so `hosts` hosts can use a bounded number. */
 unsigned ratelimit_count_units(double per_s, size_t hosts);
 
 /* Time in which each unit allows one request. */
--- a/lib/request/limits.c
+++ b/lib/request/limits.c
@@ -6,8 +6,71 @@
 #include "coordination/rendezvous.h"
 #include "coordination/unitshare.h"
 
+/* The membership table changes this slowly. */
+#define UPDATE_INTERVAL_MS 1000
 #define KEY_BYTES 160
 
+/* The hosts that share the limit in this term; this one comes first if it is
+ * one of them. */
+static size_t list_hosts(const router_t *router, const endpoint_t *endpoint,
+			 unsigned term, str_t *names)
+{
+	int64_t now_ms = router_now_ms(router);
+	size_t count = 0;
+
+	if (!term)
+		count = gossip_host_names(router->gossip, endpoint->domain,
+					  now_ms, names,
+					  GOSSIP_MAX_MEMBERS + 1);
+	if (!count)
+		count = gossip_host_names(router->gossip, NULL, now_ms, names,
+					  GOSSIP_MAX_MEMBERS + 1);
+	return count;
+}
+
+static void take_share(const router_t *router, endpoint_t *endpoint)
+{
+	ratelimit_t *limit = &endpoint->notice_entry->notice.limit;
+	int64_t now_ms = router_now_ms(router);
+	const char *self = gossip_self(router->gossip)->name;
+	str_t names[GOSSIP_MAX_MEMBERS + 1];
+	char key[KEY_BYTES];
+	unsigned term;
+	size_t count;
+
+	term = ratelimit_term(limit, now_ms);
+	count = list_hosts(router, endpoint, term, names);
+	limit->all_units = ratelimit_count_units(limit->per_s, count);
+	limit->units = 0;
+	if (now_ms - router->started_ms < LIMITS_QUARANTINE_MS ||
+	    !str_equals(names[0], str_from(self)))
+		return;
+	snprintf(key, sizeof(key), "%s %u", endpoint->id, term);
+	limit->units =
+		unitshare_of(limit->all_units, count,
+			     rendezvous_rank((str_t)STR_LIT("rate"),
+					     str_from(key), names, count, 0));
+}
+
+/* A host that exchanges nothing with others has all units. */
+static void take_all_units(endpoint_t *endpoint)
+{
+	ratelimit_t *limit = &endpoint->notice_entry->notice.limit;
+
+	limit->all_units = ratelimit_count_units(limit->per_s, 1);
+	limit->units = limit->all_units;
+}
+
+static void update_units(const router_t *router, endpoint_t *endpoint)
+{
+	if (endpoint_limit_per_s(endpoint) <= 0.0)
+		return;
+	if (router->gossip)
+		take_share(router, endpoint);
+	else
+		take_all_units(endpoint);
+}
+
 static void on_change(router_t *router, endpoint_t *endpoint, double before,
 		      const char *source)
 {
@@ -15,7 +78,16 @@
 		   "endpoint=%s per_s=%g before=%g source=%s", endpoint->id,
 		   endpoint_limit_per_s(endpoint), before, source);
 	fleet_on_limit_changed(router->fleet);
-	limits_update_units(router);
+	update_units(router, endpoint);
+}
+
+static void on_own_change(router_t *router, endpoint_t *endpoint, double before)
+{
+	const limit_observer_t *observer = &router->limit_observer;
+
+	on_change(router, endpoint, before, "answer");
+	if (observer->on_change)
+		observer->on_change(observer->user, endpoint);
 }
 
 static void apply_stated(router_t *router, endpoint_t *endpoint, double per_s)
@@ -31,10 +103,7 @@
 	notice = fleet_notice(router->fleet, endpoint);
 	if (!ratelimit_on_stated(&notice->limit, per_s, router_now_ms(router)))
 		return;
-	on_change(router, endpoint, before, "answer");
-	if (router->limit_observer.on_change)
-		router->limit_observer.on_change(router->limit_observer.user,
-						 endpoint);
+	on_own_change(router, endpoint, before);
 }
 
 static void apply_unstated(router_t *router, endpoint_t *endpoint,
@@ -47,10 +116,7 @@
 		    &fleet_notice(router->fleet, endpoint)->limit, sent_ms,
 		    router_now_ms(router)))
 		return;
-	on_change(router, endpoint, before, "answer");
-	if (router->limit_observer.on_change)
-		router->limit_observer.on_change(router->limit_observer.user,
-						 endpoint);
+	on_own_change(router, endpoint, before);
 }
 
 void limits_apply(router_t *router, endpoint_t *endpoint, const reply_t *reply,
@@ -105,67 +171,16 @@
 		       0;
 }
 
-/* The hosts that share the limit in this term; this one comes first if it is
- * one of them. */
-static size_t list_hosts(const router_t *router, const endpoint_t *endpoint,
-			 unsigned term, str_t *names)
-{
-	int64_t now_ms = router_now_ms(router);
-	size_t count = 0;
-
-	if (!term)
-		count = gossip_host_names(router->gossip, endpoint->domain,
-					  now_ms, names,
-					  GOSSIP_MAX_MEMBERS + 1);
-	if (!count)
-		count = gossip_host_names(router->gossip, NULL, now_ms, names,
-					  GOSSIP_MAX_MEMBERS + 1);
-	return count;
-}
-
-static void update_units(const router_t *router, endpoint_t *endpoint)
-{
-	ratelimit_t *limit = &endpoint->notice_entry->notice.limit;
-	int64_t now_ms = router_now_ms(router);
-	const char *self = gossip_self(router->gossip)->name;
-	str_t names[GOSSIP_MAX_MEMBERS + 1];
-	char key[KEY_BYTES];
-	unsigned term;
-	size_t count;
-
-	term = ratelimit_term(limit, now_ms);
-	count = list_hosts(router, endpoint, term, names);
-	limit->all_units = ratelimit_count_units(limit->per_s, count);
-	limit->units = 0;
-	if (now_ms - router->started_ms < LIMITS_QUARANTINE_MS ||
-	    !str_equals(names[0], str_from(self)))
-		return;
-	snprintf(key, sizeof(key), "%s %u", endpoint->id, term);
-	limit->units =
-		unitshare_of(limit->all_units, count,
-			     rendezvous_rank((str_t)STR_LIT("rate"),
-					     str_from(key), names, count, 0));
-}
-
-/* A host that exchanges nothing with others has all units. */
-static void take_all_units(endpoint_t *endpoint)
+void limits_update_units(router_t *router)
 {
-	ratelimit_t *limit = &endpoint->notice_entry->notice.limit;
-
-	limit->all_units = ratelimit_count_units(limit->per_s, 1);
-	limit->units = limit->all_units;
+	router->limits_updated_ms = router_now_ms(router);
+	for (size_t i = 0; i < fleet_count(router->fleet); i++)
+		update_units(router, fleet_at(router->fleet, i));
 }
 
-void limits_update_units(router_t *router)
+void limits_on_tick(router_t *router)
 {
-	for (size_t i = 0; i < fleet_count(router->fleet); i++) {
-		endpoint_t *endpoint = fleet_at(router->fleet, i);
-
-		if (endpoint_limit_per_s(endpoint) <= 0.0)
-			continue;
-		if (router->gossip)
-			update_units(router, endpoint);
-		else
-			take_all_units(endpoint);
-	}
+	if (router_now_ms(router) - router->limits_updated_ms >=
+	    UPDATE_INTERVAL_MS)
+		limits_update_units(router);
 }
--- a/lib/request/limits.h
+++ b/lib/request/limits.h
@@ -35,4 +35,7 @@
 /* Sets this host's units of all limits. */
 void limits_update_units(router_t *router);
 
+/* The same, once in an interval. */
+void limits_on_tick(router_t *router);
+
 #endif
--- a/lib/request/router.c
+++ b/lib/request/router.c
@@ -63,7 +63,7 @@
 	fleet_expire_lingering(router->fleet, now_ms);
 	update_lanes(router, now_ms);
 	crashes_update(router);
-	limits_update_units(router);
+	limits_on_tick(router);
 	for (size_t i = 0; i < fleet_count(router->fleet); i++)
 		channel_retire_idle(router, fleet_at(router->fleet, i));
 	plog_flush();
--- a/lib/request/router.h
+++ b/lib/request/router.h
@@ -117,6 +117,7 @@
 	crashboard_t *crashes;
 	crash_observer_t crash_observer;
 	limit_observer_t limit_observer;
+	int64_t limits_updated_ms;
 	const gossip_t *gossip; /* membership; NULL: there are no other hosts */
 	struct crashcheck *crash_checks; /* in progress */
 	unsigned crash_check_count;
