--- a/lib/request/limitsync.c
+++ b/lib/request/limitsync.c
@@ -112,27 +112,19 @@
 
 err_code_t limitsync_read(limitsync_t *sync, str_t message, err_t *err)
 {
+	static const relays_step_t steps[] = {
+		[LIMITNEWS_HOST - LIMITNEWS_HOST] = RELAYS_TO_OWN_RELAY,
+		[LIMITNEWS_REGION - LIMITNEWS_HOST] = RELAYS_TO_OTHER_RELAYS,
+		[LIMITNEWS_RELAY - LIMITNEWS_HOST] = RELAYS_TO_OWN_REGION};
 	limitnews_t news;
 	outgoing_t outgoing = make_outgoing(sync, &news);
+	relays_step_t received;
 
 	if (limitnews_read(message, outgoing.now_ms, &news, err))
 		return err->code;
-	switch (news.kind) {
-	case LIMITNEWS_HOST:
-		merge(sync, &news);
-		if (news.count)
-			relays_forward(sync->relays, &outgoing.base,
-				       RELAYS_TO_OWN_RELAY);
-		break;
-	case LIMITNEWS_REGION:
-		merge(sync, &news);
-		if (news.count)
-			relays_forward(sync->relays, &outgoing.base,
-				       RELAYS_TO_OTHER_RELAYS);
-		break;
-	case LIMITNEWS_RELAY:
-		merge(sync, &news);
-		break;
-	}
+	received = steps[news.kind - LIMITNEWS_HOST];
+	merge(sync, &news);
+	if (news.count)
+		relays_forward(sync->relays, &outgoing.base, received);
 	return ERR_OK;
 }
