--- a/lib/request/limitsync.c
+++ b/lib/request/limitsync.c
@@ -110,19 +110,29 @@
 	news->count = kept;
 }
 
+/* The step by which a message of this kind came. */
+static relays_step_t step_of(limitnews_kind_t kind)
+{
+	switch (kind) {
+	case LIMITNEWS_HOST:
+		return RELAYS_TO_OWN_RELAY;
+	case LIMITNEWS_REGION:
+		return RELAYS_TO_OTHER_RELAYS;
+	case LIMITNEWS_RELAY:
+		break;
+	}
+	return RELAYS_TO_OWN_REGION;
+}
+
 err_code_t limitsync_read(limitsync_t *sync, str_t message, err_t *err)
 {
-	static const relays_step_t steps[] = {
-		[LIMITNEWS_HOST - LIMITNEWS_HOST] = RELAYS_TO_OWN_RELAY,
-		[LIMITNEWS_REGION - LIMITNEWS_HOST] = RELAYS_TO_OTHER_RELAYS,
-		[LIMITNEWS_RELAY - LIMITNEWS_HOST] = RELAYS_TO_OWN_REGION};
 	limitnews_t news;
 	outgoing_t outgoing = make_outgoing(sync, &news);
 	relays_step_t received;
 
 	if (limitnews_read(message, outgoing.now_ms, &news, err))
 		return err->code;
-	received = steps[news.kind - LIMITNEWS_HOST];
+	received = step_of(news.kind);
 	merge(sync, &news);
 	if (news.count)
 		relays_forward(sync->relays, &outgoing.base, received);
