Test that the next engine in rank takes over the prefixes of a limited one

With the ranking's exclusion of limited engines removed on a scratch copy, no test failed. The test of affinity now also checks that the engine which gets the prompts counts as the first in rank; it fails without the exclusion.

--- a/tests/unit/test_choose_limits.c
+++ b/tests/unit/test_choose_limits.c
@@ -59,6 +59,8 @@
 	/* All requests with the prefix go to the same engine now. */
 	for (int i = 0; i < 10; i++)
 		CU_ASSERT_PTR_EQUAL(require_endpoint(3, LONG_PROMPT), other);
+	/* It counts as the first in rank, which keeps the prefix cached. */
+	CU_ASSERT_EQUAL(choose(3, LONG_PROMPT).prefill_tokens, 6000);
 	mclock_manual_advance(&manual_clock, 100);
 	end_limit(preferred);
 	CU_ASSERT_PTR_EQUAL(require_endpoint(3, LONG_PROMPT), preferred);
