Split the tables that peridotctl sums over all hosts from the status of each

The commands for endpoints, classes and domains are in totals.c now, what both parts use in status.c. No change in behaviour: test_ctl and its golden files pass.

--- a/programs/ctl/ctl.h
+++ b/programs/ctl/ctl.h
@@ -96,8 +96,19 @@
 int ctl_run_drain(const ctl_args_t *args);
 int ctl_run_metrics(const ctl_args_t *args);
 
-/* show.c: tables of the status that hosts report */
+/* status.c: the status that hosts report */
+/* Requests the status of all hosts. Returns NULL if there is no operator key; a
+ * response that is not JSON counts as unreachable. */
+ctl_response_t *ctl_request_status(const ctl_args_t *args);
+/* Fields of a status; 0, "-" or false when one is missing. */
+json_int_t ctl_get_int(const json_t *json, const char *key);
+const char *ctl_get_text(const json_t *json, const char *key);
+bool ctl_is_set(const json_t *json, const char *key);
+
+/* show.c: the status of each host */
 int ctl_run_status(const ctl_args_t *args);
+
+/* totals.c: endpoints, classes and domains, summed over all hosts */
 int ctl_run_endpoints(const ctl_args_t *args);
 int ctl_run_classes(const ctl_args_t *args);
 int ctl_run_domains(const ctl_args_t *args);
