--- a/lib/request/notices.h
+++ b/lib/request/notices.h
@@ -4,8 +4,7 @@
 #include "request/router.h"
 
 /*
- * notices - applies an endpoint's announcements that it leaves, needs a pause
- * or accepts fewer requests
+ * notices - applies an endpoint's announcements that it leaves or needs a pause
  *
  * See notice.h. Announcements are read from every response, also from a
  * refusal, an error, and a response to a request that was abandoned. Only a
