--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -12,6 +12,12 @@
           /control/silent?on=1         sends no responses; requests open in
                                        that time never get one
           /control/forget              compacts the history: watches get 410
+          /control/restore?revision=N  goes back to the records of revision N and
+                                       cuts the watches; the era rises by one
+          /control/era?value=V         states V as the era instead, or none
+                                       without V
+          /control/calls               number of calls since the start
+          /control/revision            the current revision
   server: /control/mode?next=M         response modes of the next requests, of
                                        MODES and ENDLESS, separated by commas
           /control/always?mode=M       response mode of all other requests
@@ -149,6 +155,9 @@
         self.history = []
         self.oldest_watchable = 0
         self.revision = 1
+        self.era = 1
+        self.stated_era = None  # a text that replaces the era
+        self.calls = 0
         self.refuses = False
         self.silent = False
         self.silence_count = 0
@@ -158,20 +167,40 @@
             self.revision += 1
             event = {"key": key, "revision": self.revision}
             if value is None:
-                self.records.pop(key, None)
                 event["deleted"] = True
             else:
                 encoded = base64.b64encode(value.encode()).decode()
                 event.update(value=encoded, created=self.revision, lease=0)
-                self.records[key] = event
+            self.apply(event)
             self.history.append(event)
             self.lock.notify_all()
 
+    def apply(self, event):
+        if "deleted" in event:
+            self.records.pop(event["key"], None)
+        else:
+            self.records[event["key"]] = event
+
+    def restore(self, revision):
+        with self.lock:
+            self.history = [e for e in self.history
+                            if e["revision"] <= revision]
+            self.records = {}
+            for event in self.history:
+                self.apply(event)
+            self.revision = revision
+            self.era += 1
+            self.lock.notify_all()
+
+    def era_headers(self):
+        era = str(self.era) if self.stated_era is None else self.stated_era
+        return [("Store-Era", era)] if era else []
+
     def watch(self, prefix, after, wait_s):
         end = time.monotonic() + wait_s
         with self.lock:
             while True:
-                if after < self.oldest_watchable:
+                if after < self.oldest_watchable or after > self.revision:
                     return 410, {}
                 events = [e for e in self.history if e["revision"] > after
                           and e["key"].startswith(prefix)]
@@ -201,6 +230,17 @@
                 self.revision += 1
                 self.lock.notify_all()
             return 200, {}
+        if path == "/control/restore":
+            self.restore(int(query["revision"]))
+            return 200, {}
+        if path == "/control/era":
+            self.stated_era = query.get("value", "")
+            return 200, {}
+        if path == "/control/calls":
+            return 200, self.calls
+        if path == "/control/revision":
+            return 200, self.revision
+        self.calls += 1
         if self.refuses:
             return 503, {}
         if path == "/peridotpin/kv-range":
@@ -234,8 +274,8 @@
                     self.silent or self.silence_count != silence_count):
                 connection.read_request()  # returns when the caller closes
                 return
-            connection.respond(status, [("Content-Type", "application/json")],
-                               json.dumps(body).encode())
+            connection.respond(status, [("Content-Type", "application/json")] +
+                               self.era_headers(), json.dumps(body).encode())
 
 
 class Server:
