Follow the store through a restore: order records by era, then revision

Cause: the revision was trusted to rise for ever. A restore sets it back and gives the same numbers to other changes, but the replica, the end of a listing, the start of the watch, gossip, the choice of a peer and the pull all compared bare numbers. Evidence: E3111 for op/config at revision 17 on hosts at revision 17.

Change: a position is an era and a revision, everywhere. The store's header tells the era; a response of another era is dropped and all records are listed again. What peers say of an era is a reason to ask the store; records of a later era are pulled only while it can't be reached. The first listing of an era is an older copy: what it lacks, has in an older state or has again after its removal is held for 4 s, until operators and endpoints have written again. Values are compared by the version of a configuration, and by birth and report number of an endpoint. Repeated 410 are followed by a back-off. Gossip messages have version 4.

Ruled out: pulls that bring the old state back (no E2102), and hosts that don't reach the store (all did within 2.3 s).

Why it works: two numbers are compared only if they were counted by the same history, and the copy can't undo what was in force before.

--- a/Makefile
+++ b/Makefile
@@ -87,7 +87,7 @@
 	prefixnews pullcodec ratelimit readers rendezvous retryafter retrybudget sendring \
 	unitshare warmth) \
 	$(patsubst %,lib/state/%.c,catalog fleet fleet_lanes hostsettings \
-	noticetable replica) \
+	noticetable replica replica_era) \
 	$(patsubst %,lib/transport/%.c,address frame http1 httptext loop monitor tcp \
 	udp)
 HOSTD_LIBS := http_parser jansson b64 msgpackc xxhash
--- a/lib/coordination/gossip.c
+++ b/lib/coordination/gossip.c
@@ -223,19 +223,37 @@
 {
 	if (is_own_domain(gossip, a) != is_own_domain(gossip, b))
 		return is_own_domain(gossip, a);
-	return a->revision > b->revision;
+	return position_is_newer(a->position, b->position);
 }
 
-const member_t *gossip_pull_source(const gossip_t *gossip, int64_t revision,
-				   const char *excluded_ip, int64_t now_ms)
+static bool was_heard_lately(const member_t *member, int64_t now_ms)
+{
+	return member->last_message_ms &&
+	       now_ms - member->last_message_ms <= GOSSIP_LIVE_MS;
+}
+
+/* A host that has just begun an era has no revision in it. */
+static bool has_newer_records(const member_t *member, position_t own,
+			      gossip_eras_t eras)
+{
+	return member->position.revision &&
+	       position_is_newer(member->position, own) &&
+	       (member->position.era == own.era ||
+		(eras == GOSSIP_LATER_ERAS &&
+		 position_accepts_era(own, member->position.era)));
+}
+
+const member_t *gossip_pull_source(const gossip_t *gossip, position_t own,
+				   gossip_eras_t eras, const char *excluded_ip,
+				   int64_t now_ms)
 {
 	const member_t *best = NULL;
 
 	for (size_t i = 0; i < gossip->count; i++) {
 		const member_t *member = &gossip->members[i];
 
-		if (member->revision <= revision || !member->last_message_ms ||
-		    now_ms - member->last_message_ms > GOSSIP_LIVE_MS ||
+		if (!has_newer_records(member, own, eras) ||
+		    !was_heard_lately(member, now_ms) ||
 		    (excluded_ip && !strcmp(member->ip, excluded_ip)))
 			continue;
 		if (!best || is_better_source(gossip, member, best))
@@ -243,3 +261,19 @@
 	}
 	return best;
 }
+
+int64_t gossip_latest_era(const gossip_t *gossip, position_t own,
+			  int64_t now_ms)
+{
+	int64_t latest = own.era;
+
+	for (size_t i = 0; i < gossip->count; i++) {
+		const member_t *member = &gossip->members[i];
+
+		if (member->position.era > latest &&
+		    position_accepts_era(own, member->position.era) &&
+		    was_heard_lately(member, now_ms))
+			latest = member->position.era;
+	}
+	return latest;
+}
--- a/lib/coordination/gossip.h
+++ b/lib/coordination/gossip.h
@@ -6,12 +6,13 @@
 
 #include "base/buf.h"
 #include "base/err.h"
+#include "state/position.h"
 
 /*
- * gossip - fleet membership and the replica revision of each host
+ * gossip - fleet membership and the position of each host's replica
  *
  * In each round a host sends a digest to a few others: its own state, the
- * revision of its replica, full entries of some known hosts, and for more of
+ * position of its replica, full entries of some known hosts, and for more of
  * them only a tag and the time since they were last heard of. New hosts get
  * full entries. So do old ones in a message to a host that is new or that
  * reported fewer known hosts. The bytes that a host sends and stores are
@@ -57,7 +58,7 @@
 	uint32_t tag;		/* hash of name and incarnation */
 	int64_t first_heard_ms; /* of this incarnation */
 	int64_t last_heard_ms;	/* of it, directly or via other hosts */
-	int64_t revision;	/* of its replica, from its own messages */
+	position_t position;	/* of its replica, from its own messages */
 	unsigned known_hosts;	/* number of hosts that it knows, as reported */
 	int64_t last_message_ms; /* from the host itself; 0: never */
 	bool leaving;
@@ -66,7 +67,7 @@
 
 /* State that a host reports about itself in each message. */
 typedef struct gossip_state {
-	int64_t revision;
+	position_t position; /* of its replica */
 	bool leaving;
 	gossip_service_t service;
 } gossip_state_t;
@@ -139,14 +140,22 @@
 			 int64_t now_ms, str_t *names, size_t max);
 
 /*
- * Chooses a live host to pull records from that are newer than `revision`.
- * Hosts of the own domain come first, since traffic between domains is billed;
- * within a domain the host with the newest revision is chosen. The host with
- * the address `excluded_ip` is left out; NULL: none.
+ * Chooses a live host to pull records from that are newer than `own`, of any
+ * later era that a host at `own` accepts or only of the same era. Hosts of the
+ * own domain come first, since traffic between domains is billed; within a
+ * domain the host with the newest position is chosen. The host with the address
+ * `excluded_ip` is left out; NULL: none.
  *
  * RETURN VALUE: NULL when no host has newer records.
  */
-const member_t *gossip_pull_source(const gossip_t *gossip, int64_t revision,
-				   const char *excluded_ip, int64_t now_ms);
+typedef enum gossip_eras { GOSSIP_LATER_ERAS, GOSSIP_OWN_ERA } gossip_eras_t;
+const member_t *gossip_pull_source(const gossip_t *gossip, position_t own,
+				   gossip_eras_t eras, const char *excluded_ip,
+				   int64_t now_ms);
+
+/* RETURN VALUE: the latest era of the records of live hosts that a host at
+ * `own` accepts; that of `own` if none is later. */
+int64_t gossip_latest_era(const gossip_t *gossip, position_t own,
+			  int64_t now_ms);
 
 #endif
--- a/lib/coordination/gossip_message.c
+++ b/lib/coordination/gossip_message.c
@@ -4,9 +4,9 @@
 
 #include "base/msgcodec.h"
 
-#define MESSAGE_FIELDS 11
+#define MESSAGE_FIELDS 12
 #define MEMBER_FIELDS 5
-#define MESSAGE_VERSION 3
+#define MESSAGE_VERSION 4
 /* A host counts as known for this long after it was last heard of. The time is
  * long enough for all hosts to count the same ones. */
 #define KNOWN_HOST_MS 30000
@@ -95,7 +95,7 @@
 	const msgpack_object *fields = root->via.array.ptr;
 	member_t update;
 	member_t *member;
-	uint64_t version, revision, known_hosts, service;
+	uint64_t version, revision, known_hosts, service, era;
 
 	if (root->type != MSGPACK_OBJECT_ARRAY ||
 	    root->via.array.size != MESSAGE_FIELDS ||
@@ -107,7 +107,8 @@
 	    !read_number(&fields[9], &known_hosts) ||
 	    known_hosts > GOSSIP_MAX_MEMBERS ||
 	    !read_number(&fields[10], &service) ||
-	    service > GOSSIP_SERVICE_FAILING)
+	    service > GOSSIP_SERVICE_FAILING ||
+	    !read_number(&fields[11], &era) || era > INT64_MAX)
 		return err_set(err, ERR_INVALID, "read-gossip", "-",
 			       "malformed message");
 	update.last_heard_ms = now_ms;
@@ -115,7 +116,7 @@
 	if (!member)
 		return err_set(err, ERR_BAD_STATE, "read-gossip", update.name,
 			       "from this host or an earlier incarnation");
-	member->revision = (int64_t)revision;
+	member->position = (position_t){(int64_t)era, (int64_t)revision};
 	member->known_hosts = (unsigned)known_hosts;
 	member->last_message_ms = now_ms;
 	member->leaving = fields[6].via.boolean;
@@ -260,7 +261,7 @@
 	msgpack_packer_init(&packer, out, msgcodec_append);
 	msgpack_pack_array(&packer, MESSAGE_FIELDS);
 	msgpack_pack_uint64(&packer, MESSAGE_VERSION);
-	pack_member(&packer, &gossip->self, (uint64_t)state->revision);
+	pack_member(&packer, &gossip->self, (uint64_t)state->position.revision);
 	if (state->leaving)
 		msgpack_pack_true(&packer);
 	else
@@ -270,6 +271,7 @@
 	msgpack_pack_bin_with_body(&packer, others->tags.ptr, others->tags.len);
 	msgpack_pack_uint32(&packer, known_hosts);
 	msgpack_pack_uint32(&packer, state->service);
+	msgpack_pack_int64(&packer, state->position.era);
 }
 
 void gossip_write_self(const gossip_t *gossip, const gossip_state_t *state,
--- a/lib/coordination/peersync.c
+++ b/lib/coordination/peersync.c
@@ -32,15 +32,31 @@
 
 static void on_behind_timer(void *user);
 
+/* Whether records of a later era may be pulled: they are not while the service
+ * can be asked. A host without records pulls any. */
+static gossip_eras_t accepted_eras(const peersync_t *peersync, int64_t now_ms)
+{
+	const peersync_observer_t *observer = &peersync->observer;
+	position_t own = replica_position(peersync->replica);
+	int64_t latest;
+
+	if (!own.revision || !observer->later_era)
+		return GOSSIP_LATER_ERAS;
+	latest = gossip_latest_era(peersync->gossip, own, now_ms);
+	if (latest == own.era || !observer->later_era(observer->user, latest))
+		return GOSSIP_LATER_ERAS;
+	return GOSSIP_OWN_ERA;
+}
+
 /* Pulls from a peer that has been ahead for pull_delay_ms(), or sets a timer.
  */
 static void pull_if_behind(peersync_t *peersync)
 {
 	int64_t now_ms = peersync_now_ms(peersync);
-	int64_t revision = replica_revision(peersync->replica);
+	position_t own = replica_position(peersync->replica);
 	bool in_backoff = now_ms - peersync->backoff_start_ms < PULL_BACKOFF_MS;
 	const member_t *source = gossip_pull_source(
-		peersync->gossip, revision,
+		peersync->gossip, own, accepted_eras(peersync, now_ms),
 		in_backoff ? peersync->backoff_ip : NULL, now_ms);
 	int64_t left_ms;
 
@@ -53,7 +69,7 @@
 	if (peersync->outgoing_pull)
 		return;
 	left_ms = peersync->behind_since_ms + pull_delay_ms(peersync) - now_ms;
-	if (!revision || left_ms <= 0)
+	if (!own.revision || left_ms <= 0)
 		peersync_start_pull(peersync, source->ip);
 	else
 		loop_timer_set(peersync->loop, &peersync->behind_timer, left_ms,
@@ -99,7 +115,7 @@
 
 static gossip_state_t own_state(const peersync_t *peersync)
 {
-	return (gossip_state_t){.revision = replica_revision(peersync->replica),
+	return (gossip_state_t){.position = replica_position(peersync->replica),
 				.leaving = peersync->leaving,
 				.service = peersync->service};
 }
--- a/lib/coordination/peersync.h
+++ b/lib/coordination/peersync.h
@@ -41,6 +41,15 @@
 	 * configuration service. NULL: there is no service, and responses of
 	 * any size are accepted. */
 	void (*large_response)(void *user);
+	/*
+	 * A peer has records of a later era. A host that can read the service
+	 * asks it for its era, since a peer may be wrong.
+	 *
+	 * RETURN VALUE: true when the service is or was asked a short time ago;
+	 * false when it can't be reached, so that the records are pulled from
+	 * the peer. NULL: they are always pulled.
+	 */
+	bool (*later_era)(void *user, int64_t era);
 	/* A gossip round begins. NULL: no notification. */
 	void (*round_started)(void *user);
 	void *user;
--- a/lib/coordination/peersync_pull.c
+++ b/lib/coordination/peersync_pull.c
@@ -79,7 +79,7 @@
 {
 	buf_t response = BUF_INIT;
 	buf_t out = BUF_INIT;
-	int64_t after;
+	position_t after;
 	err_t err;
 
 	if (pullcodec_read_request(content, &after, &err)) {
@@ -157,7 +157,7 @@
 	buf_t request = BUF_INIT;
 	buf_t out = BUF_INIT;
 
-	pullcodec_write_request(replica_revision(pull->peersync->replica),
+	pullcodec_write_request(replica_position(pull->peersync->replica),
 				&request);
 	frame_append(&out, buf_view(&request));
 	tcp_send(&pull->tcp, buf_view(&out));
--- a/lib/coordination/pullcodec.c
+++ b/lib/coordination/pullcodec.c
@@ -2,30 +2,58 @@
 
 #include "base/msgcodec.h"
 
-#define RESPONSE_FIELDS 3 /* revision, is_delta, records */
+#define REQUEST_FIELDS 2  /* era, revision */
+#define RESPONSE_FIELDS 4 /* era, revision, is_delta, records */
 #define RECORD_FIELDS 3	  /* key, revision, value */
 
-void pullcodec_write_request(int64_t revision, buf_t *out)
+static bool is_count(const msgpack_object *object)
+{
+	return object->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+	       object->via.u64 <= INT64_MAX;
+}
+
+static void pack_position(msgpack_packer *packer, position_t position)
+{
+	msgpack_pack_int64(packer, position.era);
+	msgpack_pack_int64(packer, position.revision);
+}
+
+static position_t read_position(const msgpack_object *fields)
+{
+	return (position_t){(int64_t)fields[0].via.u64,
+			    (int64_t)fields[1].via.u64};
+}
+
+void pullcodec_write_request(position_t position, buf_t *out)
 {
 	msgpack_packer packer;
 
 	msgpack_packer_init(&packer, out, msgcodec_append);
-	msgpack_pack_int64(&packer, revision);
+	msgpack_pack_array(&packer, REQUEST_FIELDS);
+	pack_position(&packer, position);
+}
+
+static bool is_request(const msgpack_object *root)
+{
+	return root->type == MSGPACK_OBJECT_ARRAY &&
+	       root->via.array.size == REQUEST_FIELDS &&
+	       is_count(&root->via.array.ptr[0]) &&
+	       is_count(&root->via.array.ptr[1]);
 }
 
-err_code_t pullcodec_read_request(str_t message, int64_t *revision, err_t *err)
+err_code_t pullcodec_read_request(str_t message, position_t *position,
+				  err_t *err)
 {
 	msgpack_unpacked unpacked;
 	bool ok = msgcodec_unpack(message, &unpacked) &&
-		  unpacked.data.type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
-		  unpacked.data.via.u64 <= INT64_MAX;
+		  is_request(&unpacked.data);
 
 	if (ok)
-		*revision = (int64_t)unpacked.data.via.u64;
+		*position = read_position(unpacked.data.via.array.ptr);
 	msgpack_unpacked_destroy(&unpacked);
 	return ok ? ERR_OK :
 		    err_set(err, ERR_INVALID, "read-question", "-",
-			    "not a revision");
+			    "not a position");
 }
 
 /* Records are encoded into a buffer of their own, since their number precedes
@@ -50,7 +78,7 @@
 	list->count++;
 }
 
-void pullcodec_write_response(const replica_t *replica, int64_t after_revision,
+void pullcodec_write_response(const replica_t *replica, position_t after,
 			      buf_t *out)
 {
 	record_list_t list = {.records = BUF_INIT};
@@ -58,10 +86,10 @@
 	bool is_delta;
 
 	msgpack_packer_init(&list.packer, &list.records, msgcodec_append);
-	is_delta = replica_changes(replica, after_revision, pack_record, &list);
+	is_delta = replica_changes(replica, after, pack_record, &list);
 	msgpack_packer_init(&packer, out, msgcodec_append);
 	msgpack_pack_array(&packer, RESPONSE_FIELDS);
-	msgpack_pack_int64(&packer, replica_revision(replica));
+	pack_position(&packer, replica_position(replica));
 	if (is_delta)
 		msgpack_pack_true(&packer);
 	else
@@ -77,9 +105,7 @@
 
 	return item->type == MSGPACK_OBJECT_ARRAY &&
 	       item->via.array.size == RECORD_FIELDS &&
-	       fields[0].type == MSGPACK_OBJECT_STR &&
-	       fields[1].type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
-	       fields[1].via.u64 <= INT64_MAX &&
+	       fields[0].type == MSGPACK_OBJECT_STR && is_count(&fields[1]) &&
 	       (fields[2].type == MSGPACK_OBJECT_BIN ||
 		fields[2].type == MSGPACK_OBJECT_NIL);
 }
@@ -89,18 +115,27 @@
 	const msgpack_object *fields = root->via.array.ptr;
 
 	if (root->type != MSGPACK_OBJECT_ARRAY ||
-	    root->via.array.size != RESPONSE_FIELDS ||
-	    fields[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-	    fields[0].via.u64 > INT64_MAX ||
-	    fields[1].type != MSGPACK_OBJECT_BOOLEAN ||
-	    fields[2].type != MSGPACK_OBJECT_ARRAY)
+	    root->via.array.size != RESPONSE_FIELDS || !is_count(&fields[0]) ||
+	    !is_count(&fields[1]) || fields[2].type != MSGPACK_OBJECT_BOOLEAN ||
+	    fields[3].type != MSGPACK_OBJECT_ARRAY)
 		return false;
-	for (uint32_t i = 0; i < fields[2].via.array.size; i++)
-		if (!is_record(&fields[2].via.array.ptr[i]))
+	for (uint32_t i = 0; i < fields[3].via.array.size; i++)
+		if (!is_record(&fields[3].via.array.ptr[i]))
 			return false;
 	return true;
 }
 
+/* Changes are relative to a position of the same era. */
+static bool is_applicable(const replica_t *replica,
+			  const msgpack_object *fields)
+{
+	position_t own = replica_position(replica);
+	int64_t era = (int64_t)fields[0].via.u64;
+
+	return era <= own.era ||
+	       (position_accepts_era(own, era) && !fields[2].via.boolean);
+}
+
 static void apply_record(replica_t *replica, const msgpack_object *fields)
 {
 	str_t key = {fields[0].via.str.ptr, fields[0].via.str.size};
@@ -116,17 +151,19 @@
 }
 
 static void apply_response(replica_t *replica, const msgpack_object *fields,
-			   int64_t revision)
+			   position_t position)
 {
-	bool is_delta = fields[1].via.boolean;
+	bool is_delta = fields[2].via.boolean;
 
+	if (position.era != replica_position(replica).era)
+		replica_begin_era(replica, position.era);
 	if (!is_delta)
 		replica_begin_listing(replica);
-	for (uint32_t i = 0; i < fields[2].via.array.size; i++)
-		apply_record(replica, fields[2].via.array.ptr[i].via.array.ptr);
+	for (uint32_t i = 0; i < fields[3].via.array.size; i++)
+		apply_record(replica, fields[3].via.array.ptr[i].via.array.ptr);
 	if (!is_delta)
-		replica_end_listing(replica, revision);
-	replica_advance(replica, revision);
+		replica_end_listing(replica, position.revision);
+	replica_advance(replica, position.revision);
 }
 
 err_code_t pullcodec_apply_response(replica_t *replica, str_t message,
@@ -134,16 +171,18 @@
 {
 	msgpack_unpacked unpacked;
 	bool ok = msgcodec_unpack(message, &unpacked) &&
-		  is_response(&unpacked.data);
+		  is_response(&unpacked.data) &&
+		  is_applicable(replica, unpacked.data.via.array.ptr);
 
 	*revision = 0;
 	if (ok) {
 		const msgpack_object *fields = unpacked.data.via.array.ptr;
-		int64_t peer_revision = (int64_t)fields[0].via.u64;
+		position_t position = read_position(fields);
 
-		if (peer_revision > replica_revision(replica)) {
-			apply_response(replica, fields, peer_revision);
-			*revision = peer_revision;
+		if (position.revision &&
+		    position_is_newer(position, replica_position(replica))) {
+			apply_response(replica, fields, position);
+			*revision = position.revision;
 		}
 	}
 	msgpack_unpacked_destroy(&unpacked);
--- a/lib/coordination/sheetsync.c
+++ b/lib/coordination/sheetsync.c
@@ -139,7 +139,8 @@
 		return err_set(err, code, "pack-sheet", "",
 			       "a node is too "
 			       "large");
-	replica_changes(sync->replica, 0, add_key, &context.stale_keys);
+	replica_changes(sync->replica, (position_t){0}, add_key,
+			&context.stale_keys);
 	code = node_pack(sheet, put_node, &context, &context.root, err);
 	for (size_t i = 0; i < context.stale_keys.count && !code; i++)
 		replica_remove(sync->replica,
--- a/lib/state/replica.c
+++ b/lib/state/replica.c
@@ -1,27 +1,7 @@
-#include "state/replica.h"
+#include "state/replica_internal.h"
 
-#include <assert.h>
 #include <stdlib.h>
 
-typedef struct record {
-	char *key;
-	size_t key_len;
-	char *value; /* NULL: a tombstone */
-	size_t value_len;
-	int64_t revision;
-	unsigned listing; /* the last full listing that contained it */
-} record_t;
-
-struct replica {
-	replica_observer_t observer;
-	record_t *records;
-	size_t count, cap;
-	size_t tombstone_count;
-	int64_t revision;
-	int64_t max_dropped_revision; /* of the tombstones dropped */
-	unsigned listing;	      /* number of the last full listing */
-};
-
 replica_t *replica_create(const replica_observer_t *observer)
 {
 	replica_t *replica = calloc(1, sizeof(*replica));
@@ -37,10 +17,11 @@
 	for (size_t i = 0; i < replica->count; i++) {
 		free(replica->records[i].key);
 		free(replica->records[i].value);
+		free(replica->records[i].former);
 	}
 	replica->count = 0;
 	replica->tombstone_count = 0;
-	replica->revision = 0;
+	replica->position.revision = 0;
 	replica->max_dropped_revision = 0;
 }
 
@@ -53,15 +34,20 @@
 	free(replica);
 }
 
-static str_t record_key(const record_t *record)
+str_t replica_record_key(const record_t *record)
 {
 	return (str_t){record->key, record->key_len};
 }
 
+str_t replica_record_value(const record_t *record)
+{
+	return (str_t){record->value, record->value_len};
+}
+
 static record_t *find_record(const replica_t *replica, str_t key)
 {
 	for (size_t i = 0; i < replica->count; i++)
-		if (str_equals(record_key(&replica->records[i]), key))
+		if (str_equals(replica_record_key(&replica->records[i]), key))
 			return &replica->records[i];
 	return NULL;
 }
@@ -89,6 +75,7 @@
 	}
 	grown = &replica->records[replica->count++];
 	*grown = (record_t){.key = copy_bytes(key), .key_len = key.len};
+	replica->tombstone_count++; /* until it has a value */
 	return grown;
 }
 
@@ -103,38 +90,64 @@
 	for (size_t i = 0; i < replica->count; i++) {
 		record_t *record = &replica->records[i];
 
-		if (!record->value &&
+		if (!record->value && record->origin != RECORD_WITHHELD &&
 		    (!oldest || record->revision < oldest->revision))
 			oldest = record;
 	}
-	assert(oldest); /* tombstone_count is the number of records without a
-			   value */
+	if (!oldest)
+		return; /* all are held until replica_settle() */
 	if (oldest->revision > replica->max_dropped_revision)
 		replica->max_dropped_revision = oldest->revision;
 	free(oldest->key);
+	free(oldest->former);
 	*oldest = replica->records[--replica->count];
 	replica->tombstone_count--;
 }
 
+void replica_set_value(replica_t *replica, record_t *record, str_t value)
+{
+	if (!record->value)
+		replica->tombstone_count--;
+	free(record->value);
+	free(record->former);
+	record->former = NULL;
+	record->value = copy_bytes(value);
+	record->value_len = value.len;
+	record->origin = RECORD_CURRENT;
+	replica->observer.changed(replica->observer.user,
+				  replica_record_key(record), value);
+}
+
+/* Turns a record into a tombstone that remembers the last value. */
+static void clear_value(replica_t *replica, record_t *record)
+{
+	record->origin = RECORD_CURRENT;
+	if (!record->value)
+		return;
+	replica->tombstone_count++;
+	free(record->former);
+	record->former = record->value;
+	record->former_len = record->value_len;
+	record->value = NULL;
+	record->value_len = 0;
+}
+
 bool replica_put(replica_t *replica, str_t key, str_t value, int64_t revision)
 {
 	record_t *record = find_record(replica, key);
 
 	if (record && record->revision >= revision) {
-		if (record->value)
+		if (record->value || record->origin == RECORD_WITHHELD)
 			record->listing = replica->listing;
 		return false;
 	}
+	if (record && replica_hold(replica, record, value, revision))
+		return false;
 	if (!record)
 		record = add_record(replica, key);
-	else if (!record->value)
-		replica->tombstone_count--;
-	free(record->value);
-	record->value = copy_bytes(value);
-	record->value_len = value.len;
 	record->revision = revision;
 	record->listing = replica->listing;
-	replica->observer.changed(replica->observer.user, key, value);
+	replica_set_value(replica, record, value);
 	return true;
 }
 
@@ -147,11 +160,7 @@
 		return false;
 	if (!record)
 		record = add_record(replica, key);
-	if (known || !record->revision)
-		replica->tombstone_count++;
-	free(record->value);
-	record->value = NULL;
-	record->value_len = 0;
+	clear_value(replica, record);
 	record->revision = revision;
 	limit_tombstones(replica);
 	if (known)
@@ -173,7 +182,8 @@
 		const record_t *record = &replica->records[i];
 
 		if (record->value && record->listing != replica->listing &&
-		    record->revision <= revision)
+		    record->revision <= revision &&
+		    record->origin != RECORD_CARRIED)
 			return record;
 	}
 	return NULL;
@@ -184,7 +194,7 @@
 	const record_t *record;
 
 	while ((record = find_unlisted(replica, revision))) {
-		char *key = copy_bytes(record_key(record));
+		char *key = copy_bytes(replica_record_key(record));
 		size_t len = record->key_len;
 		/* A record at the listing's own revision would be listed, so
 		 * its removal is newer. */
@@ -196,32 +206,49 @@
 		free(key);
 	}
 	replica_advance(replica, revision);
+	replica_end_era_listing(replica);
+}
+
+position_t replica_position(const replica_t *replica)
+{
+	return replica->position;
 }
 
 int64_t replica_revision(const replica_t *replica)
 {
-	return replica->revision;
+	return replica->position.revision;
 }
 
 void replica_advance(replica_t *replica, int64_t revision)
 {
-	if (revision > replica->revision)
-		replica->revision = revision;
+	if (revision > replica->position.revision)
+		replica->position.revision = revision;
+}
+
+/* The value that the service has, which may differ from the one in force. */
+static str_t service_value(const record_t *record)
+{
+	if (record->origin == RECORD_WITHHELD)
+		return (str_t){record->former, record->former_len};
+	return replica_record_value(record);
 }
 
-bool replica_changes(const replica_t *replica, int64_t revision,
+bool replica_changes(const replica_t *replica, position_t position,
 		     replica_visit_t visit, void *user)
 {
-	bool complete =
-		revision > 0 && revision >= replica->max_dropped_revision;
+	bool complete = position.era == replica->position.era &&
+			position.revision > 0 &&
+			position.revision >= replica->max_dropped_revision;
 
 	for (size_t i = 0; i < replica->count; i++) {
 		const record_t *record = &replica->records[i];
+		str_t value = service_value(record);
 
-		if (complete ? record->revision > revision :
-			       record->value != NULL)
-			visit(user, record_key(record),
-			      (str_t){record->value, record->value_len},
+		if (record->origin == RECORD_CARRIED)
+			continue;
+		if (complete ? record->revision > position.revision :
+			       value.ptr != NULL)
+			visit(user, replica_record_key(record), value,
 			      record->revision);
 	}
 	return complete;
--- a/programs/host/host.c
+++ b/programs/host/host.c
@@ -17,6 +17,10 @@
 /* Part of the grace period kept for the exit; requests still in progress when
  * it begins are aborted. */
 #define EXIT_RESERVE_MS 700
+/* After a restore of the configuration service, the time for operators and
+ * endpoints to write again what it lost, and for the records of endpoints that
+ * are gone to expire. */
+#define SETTLE_MS 4000
 
 int64_t host_now_ms(const host_t *host)
 {
@@ -149,6 +153,43 @@
 	host->ops->on_record(host, key, value);
 }
 
+static bool is_older(void *user, str_t key, str_t held, str_t offered)
+{
+	host_t *host = user;
+
+	return host->ops->is_older(key, held, offered);
+}
+
+static void on_settle_timer(void *user)
+{
+	host_t *host = user;
+
+	replica_settle(host->replica);
+	plog_write(PLOG_RECORDS_SETTLED, "era=%lld records=%zu",
+		   (long long)replica_position(host->replica).era,
+		   replica_count(host->replica));
+}
+
+/* The timer starts anew with each era. */
+static void on_era_listed(void *user, const replica_held_t *held)
+{
+	host_t *host = user;
+
+	plog_write(PLOG_RECORDS_HELD,
+		   "era=%lld missing=%zu older=%zu removed=%zu",
+		   (long long)replica_position(host->replica).era,
+		   held->missing, held->older, held->removed);
+	loop_timer_set(host->loop, &host->settle_timer, SETTLE_MS,
+		       on_settle_timer, host);
+}
+
+static bool on_later_era(void *user, int64_t era)
+{
+	host_t *host = user;
+
+	return host->ops->on_later_era(host, era);
+}
+
 static void on_hosts_changed(void *user, unsigned domain_hosts,
 			     unsigned all_hosts)
 {
@@ -178,7 +219,8 @@
 {
 	host_t *host = user;
 
-	plog_write(PLOG_PEER_PULLED, "peer=%s revision=%lld", peer,
+	plog_write(PLOG_PEER_PULLED, "peer=%s era=%lld revision=%lld", peer,
+		   (long long)replica_position(host->replica).era,
 		   (long long)revision);
 	host->ops->on_pulled(host);
 }
@@ -285,10 +327,16 @@
 		.gossip_port = settings->first_port,
 		.pull_listen = settings->listen_peers.ptr,
 		.watch_grace_ms = host->ops->watch_grace_ms,
-		.observer = {on_hosts_changed, on_pulled,
-			     host->ops->on_large_response ? on_large_response :
-							    NULL,
-			     on_gossip_round, host}};
+		.observer = {.hosts_changed = on_hosts_changed,
+			     .pulled = on_pulled,
+			     .large_response = host->ops->on_large_response ?
+						       on_large_response :
+						       NULL,
+			     .later_era = host->ops->on_later_era ?
+						  on_later_era :
+						  NULL,
+			     .round_started = on_gossip_round,
+			     .user = host}};
 	err_code_t code = peersync_create(&options, &host->peersync, err);
 
 	if (code)
@@ -328,7 +376,11 @@
 err_code_t host_start(host_t *host, err_t *err)
 {
 	const hostsettings_t *settings = host->settings;
-	replica_observer_t records = {on_record, host};
+	replica_observer_t records = {
+		.changed = on_record,
+		.is_older = host->ops->is_older ? is_older : NULL,
+		.era_listed = on_era_listed,
+		.user = host};
 	router_options_t options;
 
 	host->listen_fd = -1;
@@ -366,6 +418,7 @@
 		return;
 	loop_timer_cancel(host->loop, &host->settings_timer);
 	loop_timer_cancel(host->loop, &host->stop_timer);
+	loop_timer_cancel(host->loop, &host->settle_timer);
 	loop_free(host->loop);
 }
 
--- a/programs/host/host.h
+++ b/programs/host/host.h
@@ -36,6 +36,12 @@
 	/* A record of the replica was added, changed or removed (value.ptr is
 	 * NULL). */
 	void (*on_record)(host_t *host, str_t key, str_t value);
+	/* Compares two values of a record, see replica_observer_t. NULL: the
+	 * configuration has no eras. */
+	bool (*is_older)(str_t key, str_t held, str_t offered);
+	/* A peer has records of a later era, see peersync_observer_t. NULL: the
+	 * configuration has no eras. */
+	bool (*on_later_era)(host_t *host, int64_t era);
 	/* The replica now holds records pulled from a peer. */
 	void (*on_pulled)(host_t *host);
 	/* A peer's response to a pull was discarded since it is too large to be
@@ -66,6 +72,7 @@
 	int64_t stop_started_ms; /* 0: not stopping */
 	loop_timer_t settings_timer;
 	loop_timer_t stop_timer;
+	loop_timer_t settle_timer;
 };
 
 /* Loads and checks the settings; writes faults to standard error. */
--- a/programs/hostd/hostd.c
+++ b/programs/hostd/hostd.c
@@ -15,6 +15,8 @@
 /* Delay before a reader pulls a change from a peer. Its own watch usually
  * reports the change within this time. */
 #define WATCH_GRACE_MS 700
+/* Interval between calls that only ask the service for its era. */
+#define ERA_CHECK_INTERVAL_MS 3000
 
 static const psettings_t *settings_of(const host_t *host)
 {
@@ -36,7 +38,8 @@
 	const hostd_t *hostd = user;
 
 	peersync_allow_large_responses(hostd->host.peersync, false);
-	plog_write(PLOG_STORE_REACHED, "revision=%lld records=%zu",
+	plog_write(PLOG_STORE_REACHED, "era=%lld revision=%lld records=%zu",
+		   (long long)replica_position(hostd->host.replica).era,
 		   (long long)replica_revision(hostd->host.replica),
 		   replica_count(hostd->host.replica));
 }
@@ -148,6 +151,30 @@
 	pstore_read_once(((hostd_t *)host)->store);
 }
 
+/* Asks the service for its era, unless it was asked for the same era a short
+ * time ago. */
+static void check_era(hostd_t *hostd, int64_t era)
+{
+	int64_t now_ms = host_now_ms(&hostd->host);
+
+	if (era == hostd->checked_era &&
+	    now_ms - hostd->era_checked_ms < ERA_CHECK_INTERVAL_MS)
+		return;
+	hostd->checked_era = era;
+	hostd->era_checked_ms = now_ms;
+	pstore_check_era(hostd->store);
+}
+
+static bool on_later_era(host_t *host, int64_t era)
+{
+	hostd_t *hostd = (hostd_t *)host;
+
+	if (!hostd->store || pstore_is_failing(hostd->store))
+		return false;
+	check_era(hostd, era);
+	return true;
+}
+
 /* Decides whether this host is a reader, and sets the service state that gossip
  * carries to other hosts. */
 static void on_gossip_round(host_t *host)
@@ -165,6 +192,8 @@
 			   is_reader,
 			   (long long)replica_revision(host->replica));
 	hostd->is_reader = is_reader;
+	if (pstore_is_of_other_era(hostd->store))
+		check_era(hostd, replica_position(host->replica).era);
 	pstore_set_reader(hostd->store, is_reader);
 	peersync_set_service(host->peersync, !is_reader ?
 						     GOSSIP_SERVICE_UNUSED :
@@ -199,6 +228,8 @@
 	.on_started = on_started,
 	.apply_settings = apply_settings,
 	.on_record = on_record,
+	.is_older = records_is_older,
+	.on_later_era = on_later_era,
 	.on_pulled = on_pulled,
 	.on_large_response = on_large_response,
 	.on_gossip_round = on_gossip_round,
--- a/programs/hostd/hostd.h
+++ b/programs/hostd/hostd.h
@@ -15,7 +15,9 @@
 typedef struct hostd {
 	host_t host; /* must be first: host_ops_t functions cast it */
 	pstore_t *store;
-	bool is_reader; /* see readers.h */
+	bool is_reader;	     /* see readers.h */
+	int64_t checked_era; /* for which the service was last asked */
+	int64_t era_checked_ms;
 	monitor_t *readiness;
 	monitor_t *metrics;
 } hostd_t;
--- a/programs/routerd/status.c
+++ b/programs/routerd/status.c
@@ -93,7 +93,7 @@
 				  member->ip, "live",
 				  gossip_is_live(gossip, member, now_ms),
 				  "leaving", member->leaving, "sheet_version",
-				  (json_int_t)member->revision));
+				  (json_int_t)member->position.revision));
 	}
 	return rows;
 }
--- a/tests/bench/bench_sheet.c
+++ b/tests/bench/bench_sheet.c
@@ -150,7 +150,7 @@
 {
 	record_totals_t totals = {0};
 
-	replica_changes(replica, after, count_record, &totals);
+	replica_changes(replica, (position_t){0, after}, count_record, &totals);
 	printf("records after version %lld: %zu, %zu bytes, largest %zu "
 	       "bytes\n",
 	       (long long)after, totals.records, totals.bytes, totals.largest);
@@ -160,7 +160,7 @@
  * them. */
 static void measure_peer(replica_t *from, const sheetsync_observer_t *observer)
 {
-	replica_observer_t records = {on_record, NULL};
+	replica_observer_t records = {.changed = on_record};
 	replica_t *replica = replica_create(&records);
 	sheetsync_t *sync =
 		sheetsync_create(replica, mclock_system(), observer);
@@ -169,7 +169,7 @@
 	err_t err;
 
 	start_timer();
-	pullcodec_write_response(from, 0, &response);
+	pullcodec_write_response(from, (position_t){0, 0}, &response);
 	if (pullcodec_apply_response(replica, buf_view(&response), &revision,
 				     &err))
 		exit(1);
@@ -186,7 +186,7 @@
 {
 	unsigned customers = argc > 1 ? (unsigned)strtoul(argv[1], NULL, 10) :
 					DEFAULT_CUSTOMERS;
-	replica_observer_t records = {on_record, NULL};
+	replica_observer_t records = {.changed = on_record};
 	sheetsync_observer_t observer = {on_sheet, NULL};
 	replica_t *replica = replica_create(&records);
 	sheetsync_t *sync =
--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -326,8 +326,8 @@
 
 	gossip_read(gossip, input, NOW_MS, &sender, &err);
 	gossip_targets(gossip, NOW_MS, targets);
-	gossip_write(gossip, &(gossip_state_t){.revision = 1}, NULL, NOW_MS,
-		     &out);
+	gossip_write(gossip, &(gossip_state_t){.position.revision = 1}, NULL,
+		     NOW_MS, &out);
 	require(out.len <= GOSSIP_MESSAGE_BYTES, "gossip fits a datagram");
 	gossip_free(gossip);
 	buf_release(&out);
@@ -433,15 +433,16 @@
 /* A peer's pull request or response, and the sheet that a response may hold. */
 static void run_pull(str_t input, uint64_t random_value)
 {
-	replica_observer_t records = {ignore_record, NULL};
+	replica_observer_t records = {.changed = ignore_record};
 	sheetsync_observer_t sheets = {ignore_sheet, NULL};
 	replica_t *replica = replica_create(&records);
 	sheetsync_t *sync = sheetsync_create(replica, mclock_system(), &sheets);
+	position_t position;
 	int64_t revision;
 	err_t err;
 
 	(void)random_value;
-	pullcodec_read_request(input, &revision, &err);
+	pullcodec_read_request(input, &position, &err);
 	if (pullcodec_apply_response(replica, input, &revision, &err))
 		require(!replica_count(replica),
 			"a refused response changes nothing");
--- a/tests/session/test_restored_store.sh
+++ b/tests/session/test_restored_store.sh
@@ -218,10 +218,7 @@
 # An era that can't be parsed or is absurd doesn't shut out later changes.
 for era in none 99999999999999999999999 9000000000000000000
 do
-	case $era in
-	none) change_store "/control/era" ;;
-	*) change_store "/control/era?value=$era" ;;
-	esac
+	change_store "/control/era?value=$era"
 	put_config $((version = ${version:-16} + 2)) "\"k3\",\"k$version\""
 	for host in "${hosts[@]}"
 	do
@@ -229,7 +226,7 @@
 			wait_until 5 responds_with_key $host "k$version" 200
 	done
 done
-change_store "/control/era?value=4"
+change_store "/control/era?value=own"
 put_config 30 '"k3","k30"'
 for host in "${hosts[@]}"
 do
@@ -237,8 +234,24 @@
 		wait_until 5 responds_with_key $host k30 200
 done
 
+# A store that answers every watch with 410 is not called without a pause, and
+# its changes are still followed.
+calls=$(store_number calls)
+change_store "/control/gone?on=1"
+sleep 3
+calls=$(($(store_number calls) - calls))
+pass_or_fail "calls in 3 s of watches without history ($calls)" \
+	test $calls -le 30
+put_config 32 '"k3","k32"'
+for host in "${hosts[@]}"
+do
+	pass_or_fail "$host: a change without history is active in 5 s" \
+		wait_until 5 responds_with_key $host k32 200
+done
+change_store "/control/gone?on=0"
+
 # A host that starts after a restore.
 start_host h4 4 d1
 pass_or_fail "a new host has the last configuration" \
-	wait_until 3 responds_with_key h4 k30 200
+	wait_until 3 responds_with_key h4 k32 200
 finish
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -12,10 +12,11 @@
           /control/silent?on=1         sends no responses; requests open in
                                        that time never get one
           /control/forget              compacts the history: watches get 410
+          /control/gone?on=1           answers every watch with 410
           /control/restore?revision=N  goes back to the records of revision N and
                                        cuts the watches; the era rises by one
-          /control/era?value=V         states V as the era instead, or none
-                                       without V
+          /control/era?value=V         states V as the era instead; "none" for no
+                                       era, "own" for the real one again
           /control/calls               number of calls since the start
           /control/revision            the current revision
   server: /control/mode?next=M         response modes of the next requests, of
@@ -156,9 +157,10 @@
         self.oldest_watchable = 0
         self.revision = 1
         self.era = 1
-        self.stated_era = None  # a text that replaces the era
+        self.stated_era = "own"
         self.calls = 0
         self.refuses = False
+        self.gone = False
         self.silent = False
         self.silence_count = 0
 
@@ -193,14 +195,17 @@
             self.lock.notify_all()
 
     def era_headers(self):
-        era = str(self.era) if self.stated_era is None else self.stated_era
-        return [("Store-Era", era)] if era else []
+        if self.stated_era == "none":
+            return []
+        own = self.stated_era == "own"
+        return [("Store-Era", str(self.era) if own else self.stated_era)]
 
     def watch(self, prefix, after, wait_s):
         end = time.monotonic() + wait_s
         with self.lock:
             while True:
-                if after < self.oldest_watchable or after > self.revision:
+                if (self.gone or after < self.oldest_watchable or
+                        after > self.revision):
                     return 410, {}
                 events = [e for e in self.history if e["revision"] > after
                           and e["key"].startswith(prefix)]
@@ -220,6 +225,11 @@
         if path == "/control/refuse":
             self.refuses = query["on"] == "1"
             return 200, {}
+        if path == "/control/gone":
+            with self.lock:
+                self.gone = query["on"] == "1"
+                self.lock.notify_all()
+            return 200, {}
         if path == "/control/silent":
             self.silent = query["on"] == "1"
             self.silence_count += self.silent
@@ -234,7 +244,7 @@
             self.restore(int(query["revision"]))
             return 200, {}
         if path == "/control/era":
-            self.stated_era = query.get("value", "")
+            self.stated_era = query["value"]
             return 200, {}
         if path == "/control/calls":
             return 200, self.calls
@@ -269,7 +279,11 @@
             query = dict(urllib.parse.parse_qsl(url.query,
                                                 keep_blank_values=True))
             silence_count = self.silence_count
+            era = self.era
             status, body = self.handle(url.path, query)
+            if era != self.era and url.path.startswith("/peridotpin/"):
+                connection.sock.close()
+                return
             if not url.path.startswith("/control/") and (
                     self.silent or self.silence_count != silence_count):
                 connection.read_request()  # returns when the caller closes
--- a/tests/unit/simfleet.c
+++ b/tests/unit/simfleet.c
@@ -67,7 +67,7 @@
 
 static gossip_state_t state_of(const sim_host_t *host)
 {
-	return (gossip_state_t){.revision = host->revision,
+	return (gossip_state_t){.position.revision = host->revision,
 				.service = host->service};
 }
 
@@ -93,8 +93,9 @@
 	sender_copy = *sender; /* a reply may reallocate the table */
 	if (gossip_needs_reply(host->gossip, &sender_copy, fleet->now_ms))
 		send_digest(fleet, to, &sender_copy);
-	if (fleet->reads_service && sender_copy.revision > host->revision)
-		host->revision = sender_copy.revision;
+	if (fleet->reads_service &&
+	    sender_copy.position.revision > host->revision)
+		host->revision = sender_copy.position.revision;
 }
 
 static unsigned host_of_ip(const char *ip)
--- a/tests/unit/test_gossip.c
+++ b/tests/unit/test_gossip.c
@@ -14,20 +14,26 @@
 	return gossip_create(&self, 42);
 }
 
-static err_code_t send_message(gossip_t *from, gossip_t *to, int64_t revision,
-			       int64_t now_ms)
+static err_code_t send_position(gossip_t *from, gossip_t *to,
+				position_t position, int64_t now_ms)
 {
 	const member_t *sender;
 	buf_t message = BUF_INIT;
 	err_code_t code;
 
-	gossip_write(from, &(gossip_state_t){.revision = revision}, NULL,
+	gossip_write(from, &(gossip_state_t){.position = position}, NULL,
 		     now_ms, &message);
 	code = gossip_read(to, buf_view(&message), now_ms, &sender, NULL);
 	buf_release(&message);
 	return code;
 }
 
+static err_code_t send_message(gossip_t *from, gossip_t *to, int64_t revision,
+			       int64_t now_ms)
+{
+	return send_position(from, to, (position_t){0, revision}, now_ms);
+}
+
 /* Guards against hosts that together exceed a limit that they share (FAILBACK,
  * BUDGET): a host known only through others counts, also while it may be
  * partitioned and still send requests. */
@@ -61,14 +67,54 @@
 	CU_ASSERT_EQUAL(send_message(old, b, 9, 0), ERR_OK);
 	CU_ASSERT_EQUAL(send_message(restarted, b, 5, 1), ERR_OK);
 	CU_ASSERT_EQUAL(send_message(old, b, 9, 2), ERR_BAD_STATE);
-	source = gossip_pull_source(b, 4, NULL, 2);
-	CU_ASSERT_TRUE(source && source->revision == 5);
-	CU_ASSERT_PTR_NULL(gossip_pull_source(b, 5, NULL, 2));
+	source = gossip_pull_source(b, (position_t){0, 4}, GOSSIP_LATER_ERAS,
+				    NULL, 2);
+	CU_ASSERT_TRUE(source && source->position.revision == 5);
+	CU_ASSERT_PTR_NULL(gossip_pull_source(b, (position_t){0, 5},
+					      GOSSIP_LATER_ERAS, NULL, 2));
 	gossip_free(old);
 	gossip_free(restarted);
 	gossip_free(b);
 }
 
+static const char *source_name(const gossip_t *gossip, position_t own,
+			       gossip_eras_t eras)
+{
+	const member_t *source = gossip_pull_source(gossip, own, eras, NULL, 9);
+
+	return source ? source->name : "-";
+}
+
+/* Guards against records of an earlier era that win by their revision, against
+ * a host that has no records of its era yet and is pulled from, and against an
+ * absurd era of one host (CONFIG). */
+static void test_eras(void)
+{
+	const position_t own = {2, 50};
+	gossip_t *before = create_gossip("before", "north", 1);
+	gossip_t *after = create_gossip("after", "north", 1);
+	gossip_t *begun = create_gossip("begun", "north", 1);
+	gossip_t *absurd = create_gossip("absurd", "north", 1);
+	gossip_t *to = create_gossip("to", "north", 1);
+
+	send_position(before, to, (position_t){1, 99}, 1);
+	send_position(begun, to, (position_t){4, 0}, 2);
+	send_position(absurd, to, (position_t){INT64_MAX, 7}, 3);
+	CU_ASSERT_STRING_EQUAL(source_name(to, own, GOSSIP_LATER_ERAS), "-");
+	CU_ASSERT_EQUAL(gossip_latest_era(to, own, 9), 4);
+	send_position(after, to, (position_t){3, 5}, 4);
+	CU_ASSERT_STRING_EQUAL(source_name(to, own, GOSSIP_LATER_ERAS),
+			       "after");
+	CU_ASSERT_STRING_EQUAL(source_name(to, own, GOSSIP_OWN_ERA), "-");
+	send_position(before, to, (position_t){2, 51}, 5);
+	CU_ASSERT_STRING_EQUAL(source_name(to, own, GOSSIP_OWN_ERA), "before");
+	gossip_free(before);
+	gossip_free(after);
+	gossip_free(begun);
+	gossip_free(absurd);
+	gossip_free(to);
+}
+
 /* Guards against messages whose size grows with the fleet. */
 static void test_bounded(void)
 {
@@ -86,8 +132,8 @@
 		gossip_free(other);
 	}
 	CU_ASSERT_EQUAL(gossip_host_count(gossip, 10), 351);
-	gossip_write(gossip, &(gossip_state_t){.revision = 1}, NULL, 10,
-		     &message);
+	gossip_write(gossip, &(gossip_state_t){.position.revision = 1}, NULL,
+		     10, &message);
 	CU_ASSERT_TRUE(message.len <= GOSSIP_MESSAGE_BYTES);
 	CU_ASSERT_EQUAL(gossip_targets(gossip, 10, targets), GOSSIP_FANOUT);
 	buf_release(&message);
@@ -326,6 +372,7 @@
 	CU_TestInfo tests[] = {
 		{"host counts", test_host_counts},
 		{"incarnation", test_incarnation},
+		{"eras", test_eras},
 		{"bounded", test_bounded},
 		{"malformed", test_malformed},
 		{"announced sizes", test_announced_sizes},
--- a/tests/unit/test_peersync.c
+++ b/tests/unit/test_peersync.c
@@ -131,7 +131,7 @@
 /* Builds the peer's response: one record with a value of `bytes` bytes. */
 static void write_response(fixture_t *fixture, size_t bytes)
 {
-	replica_observer_t observer = {on_changed, NULL};
+	replica_observer_t observer = {.changed = on_changed};
 	replica_t *replica = replica_create(&observer);
 	buf_t value = BUF_INIT, content = BUF_INIT;
 
@@ -141,7 +141,8 @@
 	replica_put(replica, STR_LIT("op/config"), buf_view(&value),
 		    PEER_REVISION);
 	replica_advance(replica, PEER_REVISION);
-	pullcodec_write_response(replica, OWN_REVISION, &content);
+	pullcodec_write_response(replica, (position_t){0, OWN_REVISION},
+				 &content);
 	frame_append(&fixture->response, buf_view(&content));
 	buf_release(&value);
 	buf_release(&content);
@@ -150,7 +151,7 @@
 
 static void set_up(fixture_t *fixture, size_t bytes, unsigned part_count)
 {
-	replica_observer_t observer = {on_changed, NULL};
+	replica_observer_t observer = {.changed = on_changed};
 	peersync_options_t options = {.gossip_port = GOSSIP_PORT};
 	/* Points to peer_ip, which is set below. */
 	gossip_self_t self = {"peer", "d1", fixture->peer_ip, 1};
@@ -194,7 +195,7 @@
  */
 static void run_pull(fixture_t *fixture)
 {
-	const gossip_state_t state = {.revision = PEER_REVISION};
+	const gossip_state_t state = {.position.revision = PEER_REVISION};
 	buf_t message = BUF_INIT;
 
 	gossip_write_self(fixture->peer, &state, 1, &message);
--- a/tests/unit/test_records.c
+++ b/tests/unit/test_records.c
@@ -276,6 +276,39 @@
 	buf_release(&report);
 }
 
+/* Guards against an older copy that replaces what is in force after a restore
+ * of the configuration service, and against holding a value that is newer. */
+static void test_older_values(void)
+{
+	static const struct {
+		const char *key, *held, *offered;
+		bool older;
+	} cases[] = {
+		{"op/config", "{\"version\":7}", "{\"version\":3}", true},
+		{"op/config", "{\"version\":7}", "{\"version\":7}", false},
+		{"op/config", "{\"version\":7}", "{\"version\":9}", false},
+		{"op/config", "{\"version\":7}", "{\"version\":\"9\"}", true},
+		{"op/config", "{\"version\":7}", "", true},
+		{"op/config", "[", "{\"version\":1}", false},
+		{"servers/a", "{\"born\":5,\"sequence\":9}",
+		 "{\"born\":5,\"sequence\":8}", true},
+		{"servers/a", "{\"born\":5,\"sequence\":9}",
+		 "{\"born\":6,\"sequence\":1}", false},
+		{"servers/a", "{\"born\":5,\"sequence\":1}",
+		 "{\"born\":4,\"sequence\":9}", true},
+		{"servers/a", "{\"born\":5,\"sequence\":9}", "{\"sequence\":1}",
+		 false},
+		{"servers/a", "{\"sequence\":9}", "{\"sequence\":1}", false},
+		{"op/evacuate/z", "{}", "{}", false},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		CU_ASSERT_EQUAL(records_is_older(str_from(cases[i].key),
+						 str_from(cases[i].held),
+						 str_from(cases[i].offered)),
+				cases[i].older);
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {{"config", test_config},
@@ -283,6 +316,7 @@
 			       {"split", test_split},
 			       {"bad configs", test_bad_configs},
 			       {"bad endpoints", test_bad_endpoints},
+			       {"older values", test_older_values},
 			       {"unreported cold", test_unreported_cold},
 			       {"settings", test_settings},
 			       {"bad settings", test_bad_settings},
--- a/tests/unit/test_sheetsync.c
+++ b/tests/unit/test_sheetsync.c
@@ -37,7 +37,7 @@
 
 static void start_peer(peer_t *peer)
 {
-	replica_observer_t records = {on_record, NULL};
+	replica_observer_t records = {.changed = on_record};
 	sheetsync_observer_t sheets = {on_sheet, peer};
 
 	*peer = (peer_t){.replica = replica_create(&records)};
@@ -90,7 +90,7 @@
 	int64_t revision;
 	err_t err;
 
-	pullcodec_write_response(from->replica, replica_revision(to->replica),
+	pullcodec_write_response(from->replica, replica_position(to->replica),
 				 &response);
 	CU_ASSERT_EQUAL(pullcodec_apply_response(to->replica,
 						 buf_view(&response), &revision,
@@ -143,13 +143,13 @@
 
 	set_up();
 	submit_version(&north, "version = 1");
-	pullcodec_write_response(north.replica, 0, &response);
+	pullcodec_write_response(north.replica, (position_t){0, 0}, &response);
 	full_len = response.len;
 	pull(&south, &north);
 	CU_ASSERT_TRUE(have_same_sheet());
 	submit_changed(&north, "version = 2", "weight = 5", "weight = 6");
 	buf_reset(&response);
-	pullcodec_write_response(north.replica, 1, &response);
+	pullcodec_write_response(north.replica, (position_t){0, 1}, &response);
 	CU_ASSERT_TRUE(response.len < full_len);
 	pull(&south, &north);
 	CU_ASSERT_TRUE(have_same_sheet());
