Never add a second answer to a part that the caller already has

What callers saw, as reported by other operators: the text of an error in the middle of a stream, or a stream that ends as if it were complete. Here: after a stream had broken off, the body of the next endpoint's 500, 302 or 201 was passed on as a part of the stream, and a 200 of another content type as its end; a large answer that broke off was followed by the whole answer of the next endpoint.

Cause: the response to a later send was judged like a first one, by its own status and the route's kind, not by what the caller had already got.

Change: a response goes on with a stream only if it is a 200 stream of the same content type, and its events have ids; any other fails the send, unread. A part that is no stream, or events without ids, can't be continued: no second send.

--- a/lib/request/dialect.h
+++ b/lib/request/dialect.h
@@ -68,13 +68,14 @@
 /* The parsed head of an endpoint's response. */
 typedef struct reply {
 	unsigned status;
-	str_t id;	  /* of the request it answers; ptr NULL: none */
-	bool stamped;	  /* has the header that only endpoints set; always
-			     true in wire formats without one */
-	bool not_run;	  /* the endpoint did not run the request */
-	bool misdirected; /* another endpoint has the address */
-	bool encoded;	  /* the body has a content coding */
-	bool is_events;	  /* the body is a stream of events */
+	str_t id;	    /* of the request it answers; ptr NULL: none */
+	bool stamped;	    /* has the header that only endpoints set; always
+			       true in wire formats without one */
+	bool not_run;	    /* the endpoint did not run the request */
+	bool misdirected;   /* another endpoint has the address */
+	bool encoded;	    /* the body has a content coding */
+	bool is_events;	    /* the body is a stream of events */
+	str_t content_type; /* ptr NULL: not stated */
 	int64_t cold_ms; /* the endpoint stays cold this long; -1: not stated */
 	str_t boot_id;	 /* changes with each start of the endpoint */
 	int64_t keep_alive_ms; /* idle time allowed on the connection; -1: not
--- a/lib/request/reply.c
+++ b/lib/request/reply.c
@@ -29,6 +29,26 @@
 	       reply->status == 200 && reply->is_events;
 }
 
+/* A long content type is compared up to its first bytes. */
+static str_t stream_type(const reply_t *reply)
+{
+	str_t type = reply->content_type;
+
+	if (type.len >= REQUEST_CONTENT_TYPE_BYTES)
+		type.len = REQUEST_CONTENT_TYPE_BYTES - 1;
+	return type;
+}
+
+/* True when the caller has a part of an earlier response, and this one does not
+ * go on with it: only a stream of events can be continued. */
+static bool is_no_continuation(const request_t *request, const reply_t *reply)
+{
+	return request->is_continuation &&
+	       (!request->event_count || !is_event_stream(request, reply) ||
+		!str_equals(stream_type(reply),
+			    str_from(request->stream_type)));
+}
+
 void request_on_reply_head(request_t *request, const http1_head_t *head,
 			   const reply_t *reply)
 {
@@ -39,6 +59,7 @@
 	request->last_progress_ms = now_ms;
 	request->reply = *reply;
 	request->reply_head = head;
+	request->is_continuation = request->state == REQUEST_ANSWERING;
 	if (reply->cold_ms > 0 &&
 	    now_ms + reply->cold_ms > endpoint->cold_until_ms)
 		endpoint->cold_until_ms = now_ms + reply->cold_ms;
@@ -148,10 +169,21 @@
 		crashes_on_sound(request);
 }
 
+/* An event without an id can't be placed after those of an earlier response. */
+static bool is_misplaced(const request_t *request, const event_t *event)
+{
+	return request->is_continuation && !event->id.ptr && event->data.ptr &&
+	       !request->stream_is_complete;
+}
+
 static void pass_event(request_t *request, const event_t *event)
 {
-	if (check_end_event(request, event))
+	if (request->stream_has_failed || check_end_event(request, event))
 		return;
+	if (is_misplaced(request, event)) {
+		request->stream_has_failed = true;
+		return;
+	}
 	if (event->id.ptr &&
 	    !event_id_is_after(event->id, str_from(request->last_event_id)))
 		return;
@@ -163,12 +195,20 @@
 	note_progress(request);
 	request->last_progress_ms = request_now_ms(request);
 	request->event_count++;
+	request->has_unnumbered_events |= !event->id.ptr && event->data.ptr;
 	if (event->id.ptr)
 		str_copy(request->last_event_id, sizeof(request->last_event_id),
 			 event->id);
 	buf_append_str(&request->answer, event->text);
 }
 
+static void begin_stream(request_t *request)
+{
+	str_copy(request->stream_type, sizeof(request->stream_type),
+		 stream_type(&request->reply));
+	answer_begin(request, request->reply_head);
+}
+
 static void pass_events(request_t *request, str_t data)
 {
 	event_t event;
@@ -180,7 +220,7 @@
 	if (!request->answer.len)
 		return;
 	if (request->state != REQUEST_ANSWERING)
-		answer_begin(request, request->reply_head);
+		begin_stream(request);
 	answer_part(request, buf_view(&request->answer));
 	if (caller_is_slow(request->caller))
 		channel_set_reading(request->channel, false);
@@ -195,6 +235,13 @@
 	request->buffered_bytes = buffered;
 }
 
+static void cancel_send(request_t *request, send_failure_t failure)
+{
+	channel_cancel(request->channel);
+	request->channel = NULL;
+	request_on_failure(request, failure);
+}
+
 /* Cancels the send when an incomplete event has become too long. */
 static void check_event(request_t *request)
 {
@@ -204,9 +251,7 @@
 		return;
 	plog_write(PLOG_ANSWER_TOO_LONG, "endpoint=%s event=%zu",
 		   request->endpoint->id, len);
-	channel_cancel(request->channel);
-	request->channel = NULL;
-	request_on_failure(request, SEND_LOST);
+	cancel_send(request, SEND_LOST);
 }
 
 static void receive_events(request_t *request, str_t data)
@@ -226,6 +271,10 @@
  * any other response. */
 void request_on_reply_body(request_t *request, str_t data)
 {
+	if (is_no_continuation(request, &request->reply)) {
+		cancel_send(request, SEND_FAILED);
+		return;
+	}
 	if (is_event_stream(request, &request->reply)) {
 		receive_events(request, data);
 		return;
@@ -295,13 +344,12 @@
 		request_on_failure(request, SEND_NOT_RUN);
 		return;
 	}
-	if (is_event_stream(request, reply)) {
-		end_stream(request, head);
+	if (is_no_continuation(request, reply)) {
+		request_on_failure(request, SEND_FAILED);
 		return;
 	}
-	if (request->state == REQUEST_ANSWERING && request->event_count) {
-		/* A stream was resumed, but the response isn't a stream. */
-		request_on_failure(request, SEND_FAILED);
+	if (is_event_stream(request, reply)) {
+		end_stream(request, head);
 		return;
 	}
 	if (reply->status >= 500 && request_may_send_again(request) &&
--- a/lib/request/request.h
+++ b/lib/request/request.h
@@ -15,6 +15,7 @@
  */
 #define REQUEST_MAX_TRIED 8
 #define REQUEST_EVENT_ID_BYTES 32
+#define REQUEST_CONTENT_TYPE_BYTES 64
 /* Shared parts of the prompt, and the request as a whole. */
 #define REQUEST_MAX_INPUTS (PROMPTPARTS_MAX_IDS + 1)
 #define REQUEST_ID_BYTES 33 /* of an id assigned by this host */
@@ -122,15 +123,20 @@
  router->held_response_bytes */
 	events_t events;       /* parser of an event stream */
 	char last_event_id[REQUEST_EVENT_ID_BYTES]; /* last one passed on */
-	bool chunked;		     /* chunked coding towards the caller */
-	bool closes_connection;	     /* after the response */
-	bool ended;		     /* released; freed at the next tick */
-	bool stream_is_complete;     /* its last event was received */
-	bool stream_has_failed;	     /* the endpoint sent an error event */
-	uint64_t event_count;	     /* events passed on, in all sends */
-	int64_t first_event_ms;	     /* when it was received; 0: none yet */
-	int64_t last_event_ms;	     /* the same for the latest event */
-	int64_t longest_pause_ms;    /* between two events */
+	/* Content type of the stream that is passed on. */
+	char stream_type[REQUEST_CONTENT_TYPE_BYTES];
+	bool is_continuation;	    /* the current response follows a part of an
+				       earlier one that the caller has */
+	bool has_unnumbered_events; /* passed on; they can't be resumed after */
+	bool chunked;		    /* chunked coding towards the caller */
+	bool closes_connection;	    /* after the response */
+	bool ended;		    /* released; freed at the next tick */
+	bool stream_is_complete;    /* its last event was received */
+	bool stream_has_failed;	    /* the endpoint sent an error event */
+	uint64_t event_count;	    /* events passed on, in all sends */
+	int64_t first_event_ms;	    /* when it was received; 0: none yet */
+	int64_t last_event_ms;	    /* the same for the latest event */
+	int64_t longest_pause_ms;   /* between two events */
 	loop_timer_t deadline_timer; /* ends the request */
 	loop_timer_t progress_timer; /* ends a send that makes no progress */
 	struct request *next, *prev; /* in router->waiting */
--- a/lib/request/send.c
+++ b/lib/request/send.c
@@ -204,6 +204,14 @@
 	       fleet_is_evacuated(router->fleet, str_from(endpoint->domain));
 }
 
+/* True when the caller has a part of the response after which another can't go
+ * on: a part that is no stream, or events without ids. */
+static bool has_final_part(const request_t *request)
+{
+	return request->state == REQUEST_ANSWERING &&
+	       (!request->event_count || request->has_unnumbered_events);
+}
+
 /* RETURN VALUE: time in ms that the current send may make no progress; 0 for no
  * limit. */
 static int64_t progress_limit_ms(const request_t *request)
@@ -213,7 +221,7 @@
 	int64_t ms;
 
 	if (!admit_may_retry(&request->admission) ||
-	    request->call.not_streamed ||
+	    request->call.not_streamed || has_final_part(request) ||
 	    request->possible_runs >= route->max_attempts)
 		return 0;
 	if (route->kind == CATALOG_IDEMPOTENT) {
@@ -296,6 +304,8 @@
 {
 	const catalog_route_t *route = request->admission.route;
 
+	if (has_final_part(request))
+		return false;
 	if (request_now_ms(request) >= request->deadline_ms ||
 	    request->failures >= SEND_MAX_FAILURES ||
 	    request->broken_sends >= SEND_MAX_BROKEN)
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -24,6 +24,11 @@
           /control/always?mode=M       response mode of all other requests
           /control/limit?value=V&...   states the limits V in all answers; none
                                        without V
+          /control/repeat?on=1         repeats a refusal, after it has run the
+                                       request, when its id comes again on the
+                                       same connection
+          /control/greet?on=1          sends a refusal without an id at the start
+                                       of each connection, then serves it
           /control/arrivals            time of arrival in ms and id of each request
                                        since the start, one a line
           /control/seen                lists the requests since the last list
@@ -56,8 +61,22 @@
     "end-length", "end-chunked", "cut-large",
     "drip-stream", "slow-stream", "empty-stream", "leaving", "leaving-error", "busy",
     "pause", "pause-part", "pause-odd", "pause-negative", "pause-absurd",
-    "large",
+    "large", "late-refusal", "late-id-refusal",
 )
+# Answers that are no continuation of a stream: status, head fields beside id
+# and stamp, framing.
+SECOND_ANSWERS = {
+    "error-length": (500, [], "length"),
+    "error-chunked": (500, [], "chunked"),
+    "error-close": (500, [], "close"),
+    "error-events": (500, [("Content-Type", "text/event-stream")], "length"),
+    "redirect": (302, [("Location", "http://other.example/")], "length"),
+    "created": (201, [("Content-Type", "text/event-stream")], "chunked"),
+    "other-type": (200, [("Content-Type", "application/json")], "chunked"),
+    "other-length": (200, [("Content-Type", "text/html")], "length"),
+    "other-close": (200, [("Content-Type", "text/html")], "close"),
+}
+SECOND_BODY = b"id: 3\ndata: a second answer\n\n"
 # Endless responses, sent until the caller closes the connection.
 ENDLESS = (
     "endless-head", "endless-interim", "endless-garbage", "endless-chunked",
@@ -105,6 +124,7 @@
     def __init__(self, sock):
         self.sock = sock
         self.data = b""
+        self.refused_ids = set()
 
     def read_until(self, mark):
         while mark not in self.data:
@@ -306,6 +326,8 @@
         self.count = 0
         self.arrivals = []
         self.limits = []
+        self.repeats = False
+        self.greets = False
         self.crash_part = None
         self.crash_body = None
         self.crash_start = b""  # sent before a crash
@@ -324,12 +346,12 @@
         query = dict(urllib.parse.parse_qsl(url.query))
         if url.path == "/control/mode":
             modes = query["next"].split(",")
-            assert all(mode in MODES + ENDLESS for mode in modes)
+            assert all(mode in MODES + ENDLESS + tuple(SECOND_ANSWERS) for mode in modes)
             with self.lock:
                 self.modes = modes
             connection.respond(200, [], b"")
         elif url.path == "/control/always":
-            assert query["mode"] in MODES + ENDLESS
+            assert query["mode"] in MODES + ENDLESS + tuple(SECOND_ANSWERS)
             self.default_mode = query["mode"]
             connection.respond(200, [], b"")
         elif url.path == "/control/crash":
@@ -343,6 +365,10 @@
         elif url.path == "/control/limit":
             self.limits = urllib.parse.parse_qs(url.query).get("value", [])
             connection.respond(200, [], b"")
+        elif url.path in ("/control/repeat", "/control/greet"):
+            setattr(self, url.path[len("/control/"):] + "s",
+                    query["on"] == "1")
+            connection.respond(200, [], b"")
         elif url.path == "/control/arrivals":
             with self.lock:
                 text = "".join("%d %s\n" % arrival
@@ -421,6 +447,43 @@
         while True:
             sock.sendall(endless)
 
+    def refuse(self, connection, request_id):
+        fields = [(self.header_names["not-run"], "1")]
+        if request_id:
+            fields.append((self.header_names["id"], request_id))
+            connection.refused_ids.add(request_id)
+        connection.respond(503, fields, b"")
+
+    def send_late_refusal(self, connection, request_id, common):
+        """Refuses a request and repeats the refusal before the answer to the
+        next one; without an id, in place of that answer."""
+        self.refuse(connection, request_id)
+        following = connection.read_request()
+        if following is None:
+            return False
+        self.record_request(following, "late")
+        self.refuse(connection, common and request_id)
+        if not common:
+            return False
+        own = following[2][self.header_names["id"].lower()]
+        connection.respond(200, [(self.header_names["id"], own)] + common[1:],
+                           b"after a late refusal")
+        return True
+
+    def send_second_answer(self, connection, mode, common):
+        status, fields, framing = SECOND_ANSWERS[mode]
+        if framing == "length":
+            connection.respond(status, common + fields, SECOND_BODY)
+            return True
+        if framing == "chunked":
+            fields = fields + [("Transfer-Encoding", "chunked")]
+        self.send_head(connection, status, common + fields)
+        body = SECOND_BODY
+        if framing == "chunked":
+            body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+        connection.sock.sendall(body)
+        return framing == "chunked"
+
     def send_drip(self, connection, common):
         """Sends a stream of single bytes without a complete event."""
         self.send_head(connection, 200, common + [
@@ -467,7 +530,18 @@
                    for value in self.limits]
         streams = "/stream/" in target or b'"stream":true' in body
         text = ("%s %s %d" % (self.name, target, len(body))).encode()
-        if mode == "shed":
+        if mode in SECOND_ANSWERS:
+            return self.send_second_answer(connection, mode, common)
+        if mode == "late-refusal":
+            return self.send_late_refusal(connection, common[0][1], common)
+        if mode == "late-id-refusal":
+            return self.send_late_refusal(connection, common[0][1], None)
+        if self.repeats and common[0][1] in connection.refused_ids:
+            self.refuse(connection, common[0][1])
+            return True
+        if mode == "shed" and self.repeats:
+            self.refuse(connection, common[0][1])
+        elif mode == "shed":
             connection.respond(503, common[:1] + [
                 (self.header_names["not-run"], "1")], b"")
         elif mode in RETRY_AFTER:
@@ -573,6 +647,8 @@
         return True
 
     def serve(self, connection):
+        if self.greets:
+            self.refuse(connection, None)
         while True:
             request = connection.read_request()
             if request is None:
