Take a refusal as a promise only if it can't be a copy of an earlier one

What callers saw, as reported by other operators: 'not run, try again' for requests that a server had run, after it had written an earlier refusal once more on a kept connection.

Cause: a connection remembered the ids of its last four answers only, and a refusal without an id counted on a new connection.

A refusal without the request's id is no promise. Bytes that arrive before the request is written fail the connection, and nothing is sent on it. A request without an id takes a new connection.

Sound before: a copy with another request's id, and one without an id on a kept connection.

--- a/lib/request/channel.c
+++ b/lib/request/channel.c
@@ -78,6 +78,11 @@
 	fail(user, SEND_NOT_CONNECTED);
 }
 
+static bool is_refusal(const reply_t *reply)
+{
+	return reply->not_run || reply->misdirected;
+}
+
 /* Parses the response head and sets `for_other_request` and `untrusted`; see
  * channel_t. */
 static void classify(channel_t *channel)
@@ -97,10 +102,12 @@
 		reply->status < 200 ||
 		(reply->id.ptr && !str_equals(reply->id, own_id));
 	/* A response without an id may belong to an earlier request on the
-	 * connection. */
+	 * connection, and a refusal promises nothing unless it names the
+	 * request. */
 	channel->untrusted =
 		!channel->for_other_request &&
-		((!reply->id.ptr && own_id.ptr && channel->answers) ||
+		((!reply->id.ptr && own_id.ptr &&
+		  (channel->answers.answers || is_refusal(reply))) ||
 		 (success && (!reply->stamped || reply->encoded)));
 	trusted = !channel->for_other_request && !channel->untrusted;
 	limits_apply(channel->router, channel->endpoint, reply, trusted,
@@ -110,11 +117,6 @@
 				      reply);
 }
 
-static bool is_refusal(const reply_t *reply)
-{
-	return reply->not_run || reply->misdirected;
-}
-
 static void on_body(http1_t *http, str_t data)
 {
 	channel_t *channel =
@@ -160,15 +162,13 @@
 	endpoint->idle_channels = channel;
 }
 
-/* True when the connection has answered the same id before: a late copy of that
- * response would be taken for the new one. */
-static bool has_answered(const channel_t *channel, const request_t *request)
+/* True when a late copy of an earlier response on the connection would be taken
+ * for that to the request: it has the same id, or the request has none. */
+static bool may_confuse(const channel_t *channel, const request_t *request)
 {
-	for (unsigned i = 0; i < channel->answers && i < CHANNEL_ANSWERED_IDS;
-	     i++)
-		if (channel->answered_ids[i] == request->id_hash)
-			return true;
-	return false;
+	return request->call.id.ptr ?
+		       answerlog_has(&channel->answers, request->id_hash) :
+		       channel->answers.answers > 0;
 }
 
 /* Ends the send after the request's complete response. `rest` more bytes were
@@ -179,14 +179,15 @@
 	bool reusable = !rest && !at_end && channel->http.head.keep_alive &&
 			(channel->reply.id.ptr || !request->call.id.ptr) &&
 			!tcp_unsent(&channel->tcp) &&
+			!answerlog_is_full(&channel->answers) &&
 			channel->endpoint->state != ENDPOINT_GONE &&
 			notices_check(channel->router, channel->endpoint) !=
 				NOTICE_LEAVING;
 
 	channel->request = NULL;
 	request->channel = NULL;
-	channel->answered_ids[channel->answers++ % CHANNEL_ANSWERED_IDS] =
-		request->id_hash;
+	answerlog_add(&channel->answers, request->id_hash,
+		      is_refusal(&channel->reply));
 	request_on_reply_end(request, &channel->http.head, &channel->reply);
 	if (reusable)
 		keep_idle(channel);
@@ -321,6 +322,12 @@
 		fail(channel, SEND_NOT_CONNECTED);
 		return false;
 	}
+	if (tcp_has_input(&channel->tcp)) {
+		plog_write(PLOG_ANSWER_FOREIGN, "endpoint=%s status=0",
+			   channel->endpoint->id);
+		fail(channel, SEND_NOT_CONNECTED);
+		return false;
+	}
 	loop_timer_cancel(channel->router->loop, &channel->connect_timer);
 	tcp_set_dead_peer_timeout(&channel->tcp, CHANNEL_UNACKED_TIMEOUT_MS);
 	request_on_sent(channel->request);
@@ -442,7 +449,7 @@
 				    router_now_ms(router)))) {
 		uint64_t before = channel->tcp.written;
 
-		if (!has_answered(channel, request) &&
+		if (!may_confuse(channel, request) &&
 		    (tcp_send(&channel->tcp, message) ||
 		     channel->tcp.written > before))
 			break;
--- a/lib/request/channel.h
+++ b/lib/request/channel.h
@@ -1,12 +1,10 @@
 #ifndef REQUEST_CHANNEL_H
 #define REQUEST_CHANNEL_H
 
+#include "request/answerlog.h"
 #include "request/request.h"
 #include "transport/tcp.h"
 
-/* Latest responses whose ids are remembered, see has_answered(). */
-#define CHANNEL_ANSWERED_IDS 4
-
 /*
  * channel - a connection to an endpoint, with one request at a time
  *
@@ -26,11 +24,9 @@
 	struct channel *next; /* in endpoint->idle_channels */
 	int64_t opened_ms;
 	int64_t idle_since_ms;
-	int64_t idle_limit_ms; /* longest idle time after which the
-				  connection is used again */
-	unsigned answers;      /* complete responses on this connection */
-	/* Ring of the hashes of the last responses' request ids. */
-	uint64_t answered_ids[CHANNEL_ANSWERED_IDS];
+	int64_t idle_limit_ms;	/* longest idle time after which the
+				   connection is used again */
+	answerlog_t answers;	/* on this connection */
 	unsigned stray_answers; /* interim responses and those to other
 				   requests, since the request was sent */
 	size_t discarded_bytes; /* of bodies that aren't passed on */
@@ -41,8 +37,6 @@
 	bool untrusted; /* the current response can't be attributed to the
 			   request, or is a 2xx without a stamp or with a
 			   content coding */
-	bool in_read;	/* the read loop is on the stack */
-	bool closed;	/* freed when the read loop ends */
 } channel_t;
 
 /*
