--- a/Makefile
+++ b/Makefile
@@ -137,13 +137,15 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 # Runs the parsers on mutated inputs under the address and undefined behaviour
-# sanitizers.
+# sanitizers, and under that for numbers that don't fit an integer.
+FUZZ_SAN := address,undefined,float-cast-overflow
+FUZZ_BUILD := build-$(subst $(comma),-,$(FUZZ_SAN))
 FUZZ_SEED ?= 1
 FUZZ_ROUNDS ?= 3000
 fuzz: deps
-	$(MAKE) SAN=address,undefined build-address-undefined/fuzz
+	$(MAKE) SAN=$(FUZZ_SAN) $(FUZZ_BUILD)/fuzz
 	UBSAN_OPTIONS=halt_on_error=1 \
-	build-address-undefined/fuzz tests/fuzz/corpus $(FUZZ_SEED) \
+	$(FUZZ_BUILD)/fuzz tests/fuzz/corpus $(FUZZ_SEED) \
 		$(FUZZ_ROUNDS)
 
 # Runs random faults. Use the seed that a breach prints to repeat its faults.
--- a/tests/session/test_malformed.sh
+++ b/tests/session/test_malformed.sh
@@ -71,6 +71,32 @@
 done
 sleep 1
 pass_or_fail "records: the host still runs" kill -0 "${pid[h1]}"
+# Another writer's entries: nested as deeply as the store allows, with numbers
+# out of range, and with an id that would add a header field.
+python3 - "$store_address" "$net.101" <<-'END'
+	import sys, urllib.parse, urllib.request
+	store, ip = sys.argv[1:]
+	nested = "[" * 400000
+	entry = ('{"service":"plain","zone":"d1","state":"ready","address":"%s",'
+	         '"slots":%s,"cold_remaining_ms":%s,"born":%s}')
+	values = [nested, '{"service":' + nested, '{"a":' * 60000]
+	values += [entry % (ip + ":" + port, 4, 0, 1)
+	           for port in ("70000", "0", "-1", "99999999999999999999", "x")]
+	values += [entry % (ip + ":8000", *numbers) for numbers in (
+	    ("1e300", 0, 1), (4, "1e300", 1), (4, "-1e300", 1), (4, 0, "1e300"),
+	    (4, 0, "9" * 400))]
+	for number, value in enumerate(values):
+	    for key in ("servers/odd-%d" % number, "servers/a\r\nX-Odd: %d" % number):
+	        query = urllib.parse.urlencode({"key": key, "value": value})
+	        urllib.request.urlopen("http://%s/control/put?%s" % (store, query))
+END
+sleep 1
+for i in $(seq 20)
+do
+	send_request h1 "odd-$i" /once/a
+done >"$work/odd"
+expect_equal "odd entries name no server to use" 20 \
+	"$(grep -c ': 200 stamp-s1 ' "$work/odd")"
 send_request h1 after-records /once/a >"$work/after"
 pass_or_fail "and serves by the last valid configuration" \
 	grep -q ': 200 ' "$work/after"
--- a/tests/unit/test_records.c
+++ b/tests/unit/test_records.c
@@ -139,6 +139,10 @@
 
 /* Guards against routing to a server whose entry is malformed; other programs
  * write these entries. */
+#define ENTRY(address, more)                                                           \
+	"{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\",\"address\":\"" address \
+	"\"" more "}"
+
 static void test_bad_endpoints(void)
 {
 	static const char *const texts[] = {
@@ -151,7 +155,24 @@
 		"{\"service\":7,\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
 		"\"state\":\"ready\"}",
 		"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
-		"\"state\":\"ready\",\"born\":\"x\"}"};
+		"\"state\":\"ready\",\"born\":\"x\"}",
+		ENTRY("1.2.3.4:0", ""),
+		ENTRY("1.2.3.4:65536", ""),
+		ENTRY("1.2.3.4:99999999999999999999", ""),
+		ENTRY("1.2.3.4:-1", ""),
+		ENTRY("1.2.3.400:80", ""),
+		ENTRY("1.2.3.4", ""),
+		ENTRY("1.2.3.4:80", ",\"cold_remaining_ms\":1e300"),
+		ENTRY("1.2.3.4:80", ",\"cold_remaining_ms\":-1"),
+		ENTRY("1.2.3.4:80", ",\"cold_remaining_ms\":\"9\""),
+		ENTRY("1.2.3.4:80", ",\"slots\":1e19"),
+		ENTRY("1.2.3.4:80", ",\"slots\":[4]"),
+		ENTRY("1.2.3.4:80", ",\"born\":1e30"),
+		ENTRY("1.2.3.4:80", ",\"born\":99999999999999999999"),
+		ENTRY("1.2.3.4:80", ",\"born\":-5")};
+	static const str_t ids[] = {STR_LIT(""), STR_LIT("a b"),
+				    STR_LIT("a\r\nX-Peridotpin-Tenant: t"),
+				    STR_LIT("\x80")};
 	records_endpoint_t endpoint;
 
 	for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++)
@@ -159,6 +180,12 @@
 						      str_from(texts[i]),
 						      &endpoint, NULL),
 				ERR_INVALID);
+	for (size_t i = 0; i < sizeof(ids) / sizeof(ids[0]); i++)
+		CU_ASSERT_EQUAL(
+			records_read_endpoint(ids[i],
+					      STR_LIT(ENTRY("1.2.3.4:80", "")),
+					      &endpoint, NULL),
+			ERR_INVALID);
 	CU_ASSERT_EQUAL(
 		records_read_endpoint(
 			STR_LIT("i-1"),
