--- a/lib/request/channel.c
+++ b/lib/request/channel.c
@@ -1,6 +1,5 @@
-#include "request/channel.h"
+#include "request/channel_internal.h"
 
-#include <limits.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
 
@@ -15,17 +14,10 @@
 /* Unacknowledged bytes or unanswered keep-alive probes break a connection after
  * this time. */
 #define CHANNEL_UNACKED_TIMEOUT_MS 1500
-/* Idle limit when the endpoint states none. */
-#define CHANNEL_DEFAULT_IDLE_MS 4000
-/* Fraction of the stated idle time that is used; the rest allows for the time
- * that a request takes to the endpoint. */
-#define CHANNEL_IDLE_FRACTION 0.6
 /* A request that may run only once takes an idle connection only if it was used
  * this recently: endpoints may close older ones without notice. */
 #define CHANNEL_FRESH_MS 1000
 #define CHANNEL_MAX_HEAD_BYTES 32768
-/* Connections to an endpoint that each host may have at least. */
-#define CHANNEL_MIN_CONNECTIONS 4
 /* Interim responses, and those to other requests, before a request's own. */
 #define CHANNEL_MAX_STRAY_ANSWERS 8
 /* Body bytes of refusals and of responses to other requests. */
@@ -38,8 +30,7 @@
 	return channel->tcp.fd < 0;
 }
 
-/* Closes the connection, which must have no request any more. */
-static void destroy(channel_t *channel)
+void channel_destroy(channel_t *channel)
 {
 	router_t *router = channel->router;
 
@@ -58,7 +49,7 @@
 	request_t *request = channel->request;
 
 	channel->request = NULL;
-	destroy(channel);
+	channel_destroy(channel);
 	if (!request)
 		return;
 	request->channel = NULL;
@@ -143,25 +134,6 @@
 	channel->untrusted = false;
 }
 
-static int64_t idle_limit(const channel_t *channel)
-{
-	int64_t stated = channel->reply.keep_alive_ms;
-
-	return stated >= 0 ? (int64_t)((double)stated * CHANNEL_IDLE_FRACTION) :
-			     CHANNEL_DEFAULT_IDLE_MS;
-}
-
-static void keep_idle(channel_t *channel)
-{
-	endpoint_t *endpoint = channel->endpoint;
-
-	channel->idle_limit_ms = idle_limit(channel);
-	channel->idle_since_ms = router_now_ms(channel->router);
-	reset_response(channel);
-	channel->next = endpoint->idle_channels;
-	endpoint->idle_channels = channel;
-}
-
 /* True when a late copy of an earlier response on the connection would be taken
  * for that to the request: it has the same id, or the request has none. */
 static bool may_confuse(const channel_t *channel, const request_t *request)
@@ -189,10 +161,12 @@
 	answerlog_add(&channel->answers, request->id_hash,
 		      is_refusal(&channel->reply));
 	request_on_reply_end(request, &channel->http.head, &channel->reply);
-	if (reusable)
-		keep_idle(channel);
-	else
-		destroy(channel);
+	if (!reusable) {
+		channel_destroy(channel);
+		return;
+	}
+	channel_keep_idle(channel);
+	reset_response(channel);
 }
 
 /* Fails the send after too many stray responses or discarded bytes. The head of
@@ -272,16 +246,6 @@
 	fail_broken(channel, SEND_BREAK_CLOSED);
 }
 
-static void unlink_idle(channel_t *channel)
-{
-	channel_t **at = &channel->endpoint->idle_channels;
-
-	while (*at && *at != channel)
-		at = &(*at)->next;
-	if (*at)
-		*at = channel->next;
-}
-
 static void read_input(channel_t *channel)
 {
 	char *buffer = channel->router->read_buffer;
@@ -290,8 +254,8 @@
 	if (!channel->request) {
 		/* The endpoint has closed the idle connection, or sent bytes
 		 * that belong to no request. */
-		unlink_idle(channel);
-		destroy(channel);
+		channel_unlink_idle(channel);
+		channel_destroy(channel);
 		return;
 	}
 	switch (tcp_read(&channel->tcp, buffer, ROUTER_READ_BYTES, &len)) {
@@ -348,35 +312,6 @@
 		read_input(channel);
 }
 
-static channel_t *take_idle(endpoint_t *endpoint, int64_t max_idle_ms,
-			    int64_t now_ms)
-{
-	while (endpoint->idle_channels) {
-		channel_t *channel = endpoint->idle_channels;
-		int64_t idle_ms = now_ms - channel->idle_since_ms;
-
-		if (idle_ms > max_idle_ms)
-			return NULL; /* the rest of the list is older */
-		endpoint->idle_channels = channel->next;
-		if (idle_ms <= channel->idle_limit_ms &&
-		    !tcp_has_input(&channel->tcp))
-			return channel;
-		destroy(channel);
-	}
-	return NULL;
-}
-
-unsigned channel_limit(const router_t *router, const catalog_service_t *service)
-{
-	unsigned limit = service ? service->max_connections : 0;
-
-	if (service && service->limited_to_slots)
-		return UINT_MAX; /* the limit on requests applies */
-	limit /= router->all_hosts ? router->all_hosts : 1;
-	return limit > CHANNEL_MIN_CONNECTIONS ? limit :
-						 CHANNEL_MIN_CONNECTIONS;
-}
-
 static channel_t *open_channel(request_t *request, endpoint_t *endpoint,
 			       err_t *err)
 {
@@ -445,15 +380,15 @@
 				      CHANNEL_FRESH_MS;
 	channel_t *channel;
 
-	while ((channel = take_idle(endpoint, max_idle_ms,
-				    router_now_ms(router)))) {
+	while ((channel = channel_take_idle(endpoint, max_idle_ms,
+					    router_now_ms(router)))) {
 		uint64_t before = channel->tcp.written;
 
 		if (!may_confuse(channel, request) &&
 		    (tcp_send(&channel->tcp, message) ||
 		     channel->tcp.written > before))
 			break;
-		destroy(channel); /* not a byte was sent */
+		channel_destroy(channel); /* not a byte was sent */
 	}
 	if (!channel) {
 		channel = open_channel(request, endpoint, err);
@@ -473,38 +408,10 @@
 void channel_cancel(channel_t *channel)
 {
 	channel->request = NULL;
-	destroy(channel);
+	channel_destroy(channel);
 }
 
 void channel_set_reading(channel_t *channel, bool reading)
 {
 	tcp_set_reading(&channel->tcp, reading);
 }
-
-void channel_retire_idle(router_t *router, endpoint_t *endpoint)
-{
-	int64_t now_ms = router_now_ms(router);
-	channel_t **at = &endpoint->idle_channels;
-
-	while (*at) {
-		channel_t *channel = *at;
-
-		if (now_ms - channel->idle_since_ms < channel->idle_limit_ms) {
-			at = &channel->next;
-			continue;
-		}
-		*at = channel->next;
-		destroy(channel);
-	}
-}
-
-void channel_drop_idle(router_t *router, endpoint_t *endpoint)
-{
-	(void)router;
-	while (endpoint->idle_channels) {
-		channel_t *channel = endpoint->idle_channels;
-
-		endpoint->idle_channels = channel->next;
-		destroy(channel);
-	}
-}
