Accept a host that restarted after its clock was set back

After a restart with the clock set back by an hour, all messages of the host were refused for an hour, so peers counted it as lost and sent it no news.

--- a/lib/coordination/gossip.c
+++ b/lib/coordination/gossip.c
@@ -70,6 +70,28 @@
 	return &gossip->members[gossip->count++];
 }
 
+bool gossip_is_live(const gossip_t *gossip, const member_t *member,
+		    int64_t now_ms)
+{
+	int64_t timeout_ms = GOSSIP_LIVE_MS;
+
+	if (gossip->count > GOSSIP_LARGE_FLEET_HOSTS)
+		timeout_ms +=
+			(int64_t)(gossip->count - GOSSIP_LARGE_FLEET_HOSTS) *
+			GOSSIP_LIVE_EXTRA_MS_PER_HOST;
+	return now_ms - member->last_heard_ms < timeout_ms;
+}
+
+/* True when the entry is of an earlier start of the host than the known one. An
+ * incarnation is a time of day, so a host whose clock was set back has a lower
+ * one after a restart; it is accepted once the known one is no longer live. */
+static bool is_earlier(const gossip_t *gossip, const member_t *update,
+		       const member_t *known)
+{
+	return update->incarnation < known->incarnation &&
+	       gossip_is_live(gossip, known, update->last_heard_ms);
+}
+
 member_t *gossip_merge(gossip_t *gossip, const member_t *update, int64_t now_ms)
 {
 	member_t *member;
@@ -77,9 +99,9 @@
 	if (!update->name[0] || !strcmp(update->name, gossip->self.name))
 		return NULL;
 	member = gossip_find(gossip, update->name);
-	if (member && update->incarnation < member->incarnation)
+	if (member && is_earlier(gossip, update, member))
 		return NULL;
-	if (!member || update->incarnation > member->incarnation) {
+	if (!member || update->incarnation != member->incarnation) {
 		if (!member)
 			member = add_member(gossip);
 		*member = *update;
@@ -94,18 +116,6 @@
 	return member;
 }
 
-bool gossip_is_live(const gossip_t *gossip, const member_t *member,
-		    int64_t now_ms)
-{
-	int64_t timeout_ms = GOSSIP_LIVE_MS;
-
-	if (gossip->count > GOSSIP_LARGE_FLEET_HOSTS)
-		timeout_ms +=
-			(int64_t)(gossip->count - GOSSIP_LARGE_FLEET_HOSTS) *
-			GOSSIP_LIVE_EXTRA_MS_PER_HOST;
-	return now_ms - member->last_heard_ms < timeout_ms;
-}
-
 static bool is_chosen(const member_t *const *targets, size_t count,
 		      const member_t *member)
 {
--- a/lib/coordination/gossip.h
+++ b/lib/coordination/gossip.h
@@ -54,7 +54,7 @@
 	char name[GOSSIP_NAME_BYTES];
 	char domain[GOSSIP_NAME_BYTES];
 	char ip[GOSSIP_IP_BYTES];
-	uint64_t incarnation;	/* increases with each start of the host */
+	uint64_t incarnation;	/* wall time of the host's start, in ms */
 	uint32_t tag;		/* hash of name and incarnation */
 	int64_t first_heard_ms; /* of this incarnation */
 	int64_t last_heard_ms;	/* of it, directly or via other hosts */
--- a/lib/coordination/gossip_internal.h
+++ b/lib/coordination/gossip_internal.h
@@ -34,7 +34,7 @@
  * Merges an entry that was received for a host into the table.
  *
  * RETURN VALUE: NULL when the entry is for this host or for an earlier
- * incarnation than the known one.
+ * incarnation than the known one, which is live.
  */
 member_t *gossip_merge(gossip_t *gossip, const member_t *update,
 		       int64_t now_ms);
--- a/tests/unit/test_gossip.c
+++ b/tests/unit/test_gossip.c
@@ -77,6 +77,26 @@
 	gossip_free(b);
 }
 
+/* Guards against ignoring a host for as long as its clock was set back before
+ * it restarted: its incarnation is lower than that of its earlier start. */
+static void test_clock_set_back(void)
+{
+	gossip_t *before = create_gossip("a", "north", 900);
+	gossip_t *restarted = create_gossip("a", "north", 100);
+	gossip_t *b = create_gossip("b", "north", 1);
+
+	CU_ASSERT_EQUAL(send_message(before, b, 9, 0), ERR_OK);
+	CU_ASSERT_EQUAL(send_message(restarted, b, 5, GOSSIP_LIVE_MS - 1),
+			ERR_BAD_STATE);
+	CU_ASSERT_EQUAL(send_message(restarted, b, 5, GOSSIP_LIVE_MS), ERR_OK);
+	CU_ASSERT_EQUAL(gossip_member_count(b), 1);
+	CU_ASSERT_EQUAL(gossip_member(b, 0)->incarnation, 100);
+	CU_ASSERT_EQUAL(gossip_member(b, 0)->position.revision, 5);
+	gossip_free(before);
+	gossip_free(restarted);
+	gossip_free(b);
+}
+
 static const char *source_name(const gossip_t *gossip, position_t own,
 			       gossip_eras_t eras)
 {
@@ -372,6 +392,7 @@
 	CU_TestInfo tests[] = {
 		{"host counts", test_host_counts},
 		{"incarnation", test_incarnation},
+		{"clock set back", test_clock_set_back},
 		{"eras", test_eras},
 		{"bounded", test_bounded},
 		{"malformed", test_malformed},
