Accept any era where none is known, and keep no former values without eras

A host whose service began to state an era above 1000 after an upgrade would have refused it for ever.

--- a/lib/state/position.h
+++ b/lib/state/position.h
@@ -27,12 +27,11 @@
 	return a.era != b.era ? a.era > b.era : a.revision > b.revision;
 }
 
-/* RETURN VALUE: whether a host at `own` may accept the era. A host without
- * records accepts any. */
+/* RETURN VALUE: whether a host at `own` may accept the era. A host that knows
+ * no era yet accepts any. */
 static inline bool position_accepts_era(position_t own, int64_t era)
 {
-	return (!own.era && !own.revision) ||
-	       era - own.era <= POSITION_MAX_ERA_STEP;
+	return !own.era || era - own.era <= POSITION_MAX_ERA_STEP;
 }
 
 #endif
--- a/lib/state/replica.c
+++ b/lib/state/replica.c
@@ -118,7 +118,8 @@
 				  replica_record_key(record), value);
 }
 
-/* Turns a record into a tombstone that remembers the last value. */
+/* Turns a record into a tombstone, which remembers the last value for the next
+ * era. */
 static void clear_value(replica_t *replica, record_t *record)
 {
 	record->origin = RECORD_CURRENT;
@@ -126,8 +127,13 @@
 		return;
 	replica->tombstone_count++;
 	free(record->former);
-	record->former = record->value;
-	record->former_len = record->value_len;
+	record->former = NULL;
+	if (replica->observer.era_listed) {
+		record->former = record->value;
+		record->former_len = record->value_len;
+	} else {
+		free(record->value);
+	}
 	record->value = NULL;
 	record->value_len = 0;
 }
--- a/lib/state/replica_internal.h
+++ b/lib/state/replica_internal.h
@@ -23,7 +23,8 @@
 	size_t key_len;
 	char *value; /* NULL: a tombstone */
 	size_t value_len;
-	char *former; /* of a tombstone: the last value, NULL if unknown */
+	char *former; /* of a tombstone: the last value; NULL if unknown, or if
+			 no eras are used */
 	size_t former_len;
 	int64_t revision; /* in the current era; 0: none */
 	unsigned listing; /* the last full listing that contained it */
--- a/programs/host/host.c
+++ b/programs/host/host.c
@@ -379,7 +379,7 @@
 	replica_observer_t records = {
 		.changed = on_record,
 		.is_older = host->ops->is_older ? is_older : NULL,
-		.era_listed = on_era_listed,
+		.era_listed = host->ops->is_older ? on_era_listed : NULL,
 		.user = host};
 	router_options_t options;
 
