--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-# Targets: all, check, fuzz, soak, soak-limits, bench, bench-load, demo, format, format-check,
-# lint, clean, deps, programs, deploy.
+# Targets: all, check, fuzz, soak, soak-limits, soak-restores, bench, bench-load, demo,
+# format, format-check, lint, clean, deps, programs, deploy.
 # SAN=address,undefined or SAN=thread builds with the sanitizers into a directory
 # of its own.
 
@@ -43,7 +43,7 @@
 SOURCES := $(wildcard lib/*/*.[ch] platform/*.[ch] programs/*.[ch] programs/*/*.[ch] \
 	tests/*/*.[ch] lib/*/*.cpp)
 
-.PHONY: all check soak soak-limits bench bench-load demo format format-check lint clean \
+.PHONY: all check soak soak-limits soak-restores bench bench-load demo format format-check lint clean \
 	deps programs deploy fuzz
 
 all: programs $(STANDINS) $(UNITS) $(BENCHES)
@@ -161,6 +161,11 @@
 	$(MAKE) $(BUILD)/peridot-hostd
 	python3 tests/soak/limits.py $(BUILD) $(SEED) $(DURATION)
 
+# The same with a store that is restored from older copies.
+soak-restores: deps
+	$(MAKE) $(BUILD)/peridot-hostd
+	python3 tests/soak/restores.py $(BUILD) $(SEED) $(DURATION)
+
 demo: deps
 	$(MAKE) all
 	scripts/demo.sh $(BUILD)
