Look for early bytes of an endpoint before the request is written, not after

The check came after the request had been written, so a fast answer was taken for such bytes: the caller got 503 for a request that had run. Found by test_restored_store beside load (E4103 and E5102 'not connected' 1 ms after the connect), once in 6 runs.

The check is now in tcp_connect_result(), before the first write, and nothing is written after it. test_tcp, early input, checks both orders.

--- a/lib/request/channel.c
+++ b/lib/request/channel.c
@@ -286,7 +286,7 @@
 		fail(channel, SEND_NOT_CONNECTED);
 		return false;
 	}
-	if (tcp_has_input(&channel->tcp)) {
+	if (channel->tcp.early_input) {
 		plog_write(PLOG_ANSWER_FOREIGN, "endpoint=%s status=0",
 			   channel->endpoint->id);
 		fail(channel, SEND_NOT_CONNECTED);
--- a/lib/transport/tcp.c
+++ b/lib/transport/tcp.c
@@ -117,7 +117,11 @@
 		code = errno;
 	if (!code && tcp->connecting) {
 		tcp->connecting = false;
-		tcp_flush(tcp);
+		/* Checked before the first write, which the peer may answer at
+		 * once. */
+		tcp->early_input = tcp_has_input(tcp);
+		if (!tcp->early_input)
+			tcp_flush(tcp);
 	}
 	return code;
 }
--- a/lib/transport/tcp.h
+++ b/lib/transport/tcp.h
@@ -22,6 +22,7 @@
 	int fd;
 	uint32_t events;
 	bool connecting;
+	bool early_input; /* the peer sent something before this side did */
 	bool reading;
 	buf_t out;	  /* pending output, after the first out_sent bytes */
 	size_t out_sent;  /* bytes of `out` that are already written */
--- a/tests/unit/test_tcp.c
+++ b/tests/unit/test_tcp.c
@@ -1,9 +1,11 @@
 #include "unit.h"
 
+#include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "transport/address.h"
 #include "transport/tcp.h"
 
 #define SEND_BYTES 65536
@@ -52,9 +54,73 @@
 	loop_free(loop);
 }
 
+static int listen_on(struct sockaddr_in *address)
+{
+	socklen_t len = sizeof(*address);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	*address =
+		(struct sockaddr_in){.sin_family = AF_INET,
+				     .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	CU_ASSERT_EQUAL(bind(fd, (struct sockaddr *)address, len), 0);
+	CU_ASSERT_EQUAL(listen(fd, 1), 0);
+	getsockname(fd, (struct sockaddr *)address, &len);
+	return fd;
+}
+
+/* Connects, and sends a request that waits for the connection. With `greeting`
+ * the peer speaks first.
+ *
+ * RETURN VALUE: the peer's end of the connection. */
+static int connect_to(int listen_fd, const struct sockaddr_in *address,
+		      loop_t *loop, tcp_t *tcp, const char *greeting)
+{
+	char text[ADDRESS_BYTES];
+	err_t err;
+	int peer;
+
+	address_format(address, text);
+	CU_ASSERT_EQUAL(tcp_connect(tcp, loop, text, on_io, NULL, &err),
+			ERR_OK);
+	tcp_send(tcp, STR_LIT("request"));
+	peer = accept(listen_fd, NULL, NULL);
+	CU_ASSERT_TRUE(send(peer, greeting, strlen(greeting), 0) >= 0);
+	CU_ASSERT_EQUAL(tcp_connect_result(tcp), 0);
+	return peer;
+}
+
+/* Guards against writing a request to a peer that speaks first, and against
+ * taking a fast answer for such bytes: the request was once answered as not run
+ * although it had run. */
+static void test_early_input(void)
+{
+	char buffer[16];
+	struct sockaddr_in address;
+	loop_t *loop = loop_create(mclock_system());
+	int listen_fd = listen_on(&address);
+	tcp_t tcp;
+	int peer = connect_to(listen_fd, &address, loop, &tcp, "early");
+
+	CU_ASSERT_TRUE(tcp.early_input);
+	CU_ASSERT_EQUAL(tcp.written, 0);
+	CU_ASSERT_TRUE(recv(peer, buffer, sizeof(buffer), MSG_DONTWAIT) < 0);
+	tcp_close(&tcp);
+	close(peer);
+	peer = connect_to(listen_fd, &address, loop, &tcp, "");
+	CU_ASSERT_EQUAL(recv(peer, buffer, sizeof(buffer), 0), 7);
+	CU_ASSERT_EQUAL(send(peer, "answer", 6, 0), 6);
+	CU_ASSERT_TRUE(tcp_has_input(&tcp));
+	CU_ASSERT_FALSE(tcp.early_input);
+	tcp_close(&tcp);
+	close(peer);
+	close(listen_fd);
+	loop_free(loop);
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {{"slow reader", test_slow_reader},
+			       {"early input", test_early_input},
 			       CU_TEST_INFO_NULL};
 
 	return unit_run("tcp", tests);
