Write the followed sheet of session tests in one step, and test a missing id

A sheet that is read while it is being written, without its endpoints, is accepted as version 2, and the whole one is then a conflict of equal versions (E3003).

test_repeated_refusals: removing the guard for requests without an id failed no test; it now fails one (503 for a request that ran).

--- a/tests/session/fleet.sh
+++ b/tests/session/fleet.sh
@@ -168,7 +168,8 @@
 		max_in_flight = 2
 		classes = ["chat", "courier_return"]
 		END
-	} >"$1"
+	} >"$1.new"
+	mv "$1.new" "$1"
 }
 
 seed_list()
--- a/tests/session/test_repeated_refusals.sh
+++ b/tests/session/test_repeated_refusals.sh
@@ -54,6 +54,13 @@
 pass_or_fail "nor is one with the id of a request that comes again" \
 	grep -q 'refused-5: 200 ' "$work/refused"
 control "$s1" "/control/repeat?on=0"
+sleep 1.2
+set_modes "$s1" late-id-refusal
+send_request h1 refused-6 /once/a >"$work/refused"
+sleep 0.6
+expect_equal "nor is one without an id for a request without an id" 200 \
+	"$(curl -s -m 5 -o "$work/body" -w '%{http_code}' -H 'Host: h.example' \
+		-H "Authorization: Bearer $key" "http://${address[h1]}/once/a")"
 
 echo "== a server speaks before it was asked"
 control "$s1" "/control/greet?on=1"
