Test second answers without event ids, and that final parts are not sent again

Removing the guards for misplaced events, unnumbered events and final parts failed no test. The stand-in now sends events without ids, first and second, and the test checks that only one server gets what can't be continued.

--- a/tests/session/test_second_answers.sh
+++ b/tests/session/test_second_answers.sh
@@ -30,7 +30,7 @@
 
 echo "== a stream is broken off, and the other server's answer is no stream"
 for mode in error-length error-chunked error-close error-events redirect \
-	created other-type other-length other-close garbage foreign unstamped
+	created other-type other-length other-close no-ids garbage foreign unstamped
 do
 	sleep 2 # until the circuit breaker admits requests
 	set_modes "$s1" half-stream
@@ -45,11 +45,22 @@
 		grep -qv 'curl 0' "$work/second"
 done
 
+echo "== a stream without event ids is broken off"
+sleep 2
+set_modes "$s1" half-unnumbered
+send_request h1 unnumbered /stream/a >"$work/second"
+expect_equal "its events reach the caller once" 2 \
+	"$(grep -o 'data: ' "$work/second" | wc -l)"
+pass_or_fail "it is sent to the one server only" \
+	eval 'run_id "$s1" unnumbered && ! run_id "$s2" unnumbered'
+
 echo "== a large answer is broken off, and the other server's is complete"
-sleep 1.2
+sleep 3
 set_modes "$s1" cut-large
 set_modes "$s2" ok
 send_request h1 large-1 /again/a >"$work/second"
+pass_or_fail "it is sent to the one server only" \
+	eval 'run_id "$s1" large-1 && ! run_id "$s2" large-1'
 pass_or_fail "no bytes of a second answer follow" \
 	sh -c "! tail -c 200 '$work/second' | grep -q 's2 /again'"
 pass_or_fail "the answer does not end as if it were complete" \
@@ -70,7 +81,7 @@
 write_sheet "$work/sheet.toml"
 sheet_file=$work/sheet.toml
 start_host north 1
-for mode in error-length error-close redirect created other-type other-close
+for mode in error-length error-close redirect created other-type other-close no-ids
 do
 	# The engine that answers first is not known, so both have either part.
 	for first in engine-1 engine-2
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -61,7 +61,7 @@
     "end-length", "end-chunked", "cut-large",
     "drip-stream", "slow-stream", "empty-stream", "leaving", "leaving-error", "busy",
     "pause", "pause-part", "pause-odd", "pause-negative", "pause-absurd",
-    "large", "late-refusal", "late-id-refusal",
+    "large", "late-refusal", "late-id-refusal", "half-unnumbered",
 )
 # Answers that are no continuation of a stream: status, head fields beside id
 # and stamp, framing.
@@ -74,8 +74,10 @@
     "created": (201, [("Content-Type", "text/event-stream")], "chunked"),
     "other-type": (200, [("Content-Type", "application/json")], "chunked"),
     "other-length": (200, [("Content-Type", "text/html")], "length"),
+    "no-ids": (200, [("Content-Type", "text/event-stream")], "chunked"),
     "other-close": (200, [("Content-Type", "text/html")], "close"),
 }
+UNNUMBERED = b"data: no id\n\n"
 SECOND_BODY = b"id: 3\ndata: a second answer\n\n"
 # Endless responses, sent until the caller closes the connection.
 ENDLESS = (
@@ -472,16 +474,18 @@
 
     def send_second_answer(self, connection, mode, common):
         status, fields, framing = SECOND_ANSWERS[mode]
+        text = SECOND_BODY
+        if mode == "no-ids":
+            text = text.split(b"\n", 1)[1]
         if framing == "length":
-            connection.respond(status, common + fields, SECOND_BODY)
+            connection.respond(status, common + fields, text)
             return True
         if framing == "chunked":
             fields = fields + [("Transfer-Encoding", "chunked")]
         self.send_head(connection, status, common + fields)
-        body = SECOND_BODY
         if framing == "chunked":
-            body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
-        connection.sock.sendall(body)
+            text = b"%x\r\n%s\r\n0\r\n\r\n" % (len(text), text)
+        connection.sock.sendall(text)
         return framing == "chunked"
 
     def send_drip(self, connection, common):
@@ -623,6 +627,15 @@
             connection.sock.sendall(
                 b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort")
             return False
+        elif mode == "half-unnumbered":
+            self.send_head(connection, 200, common + [
+                ("Content-Type", "text/event-stream"),
+                ("Transfer-Encoding", "chunked")])
+            connection.sock.sendall(b"%x\r\n%s\r\n" % (
+                2 * len(UNNUMBERED), 2 * UNNUMBERED))
+            time.sleep(LATE_S)
+            connection.reset()
+            return False
         elif mode == "empty-stream":
             self.send_head(connection, 200, common)
             return False
