--- a/review/standins.py
+++ b/review/standins.py
@@ -294,8 +294,9 @@
 KEY = "k2ctnfzs989anu6wsjnb"
 
 
-def config(version):
-    """A configuration with one route of each plain kind to service app."""
+def config(version, keys=(KEY,)):
+    """A configuration with one route of each plain kind to service app, and one
+    tenant with the keys."""
     def route(name, kind, attempts):
         return {"name": name, "hostname": HOSTNAME, "prefix": "/%s/" % name,
                 "route_type": kind, "service": "app", "timeout_ms": 8000,
@@ -309,7 +310,7 @@
                           "cold_per_s": 0.0}],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
                        "header_timeout_ms": 5000, "idle_timeout_ms": 15000},
-            "tenants": [{"name": "hule930", "api_keys": [KEY],
+            "tenants": [{"name": "hule930", "api_keys": list(keys),
                          "priority": 0}]}
 
 
@@ -417,11 +418,12 @@
                 file.write(data)
 
 
-def request(attempt, path, method="GET", body=None, deadline_ms=8000):
+def request(attempt, path, method="GET", body=None, deadline_ms=8000,
+            key=KEY):
     """The bytes of a client's request."""
     text = "%s %s HTTP/1.1\r\nHost: %s\r\nX-Peridotpin-Attempt-Id: %s\r\n" \
            "X-Peridotpin-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n" \
-           % (method, path, HOSTNAME, attempt, deadline_ms, KEY)
+           % (method, path, HOSTNAME, attempt, deadline_ms, key)
     if body is not None:
         text += "Content-Length: %d\r\n" % len(body)
     return text.encode() + b"\r\n" + (body or b"")
@@ -440,14 +442,14 @@
             head[1].get("x-peridotpin-attempt-id", ""), body)
 
 
-async def ask(address, attempt, path):
+async def ask(address, attempt, path, key=KEY):
     """One request on a channel of its own; returns read_answer()'s result."""
     try:
         reader, writer = await asyncio.open_connection(*address)
     except OSError:
         return None
     try:
-        writer.write(request(attempt, path))
+        writer.write(request(attempt, path, key=key))
         return await asyncio.wait_for(read_answer(reader), 9)
     except (OSError, asyncio.TimeoutError):
         return None
