Log what a peer's answer held, and how many keys are in force

Change: E2102 says delta and records, E3103 customers and keys. The line of E3103 is written by router_set_catalog(), which both programs call. No logic is changed.

--- a/lib/coordination/peersync.h
+++ b/lib/coordination/peersync.h
@@ -2,6 +2,7 @@
 #define COORDINATION_PEERSYNC_H
 
 #include "coordination/gossip.h"
+#include "coordination/pullcodec.h"
 #include "state/replica.h"
 #include "transport/loop.h"
 
@@ -35,7 +36,8 @@
 			      unsigned all_hosts);
 	/* Records were pulled from a peer before the own watch delivered them.
 	 */
-	void (*pulled)(void *user, const char *peer, int64_t revision);
+	void (*pulled)(void *user, const char *peer,
+		       const pullcodec_applied_t *applied);
 	/* A peer's response was dropped because it is larger than
 	 * PEERSYNC_LARGE_RESPONSE_BYTES: the observer should read the
 	 * configuration service. NULL: there is no service, and responses of
--- a/lib/coordination/peersync_pull.c
+++ b/lib/coordination/peersync_pull.c
@@ -60,19 +60,19 @@
 static void on_response(pull_t *pull, str_t content)
 {
 	peersync_t *peersync = pull->peersync;
-	int64_t revision;
+	pullcodec_applied_t applied;
 	err_t err;
 
-	if (pullcodec_apply_response(peersync->replica, content, &revision,
+	if (pullcodec_apply_response(peersync->replica, content, &applied,
 				     &err)) {
 		peersync_report_invalid(pull->peer, err.step);
 		return;
 	}
 	peersync->behind_since_ms = 0;
 	peersync->allow_large_responses = false;
-	if (revision)
+	if (applied.revision)
 		peersync->observer.pulled(peersync->observer.user, pull->peer,
-					  revision);
+					  &applied);
 }
 
 static void on_request(pull_t *pull, str_t content)
--- a/lib/coordination/pullcodec.c
+++ b/lib/coordination/pullcodec.c
@@ -167,14 +167,14 @@
 }
 
 err_code_t pullcodec_apply_response(replica_t *replica, str_t message,
-				    int64_t *revision, err_t *err)
+				    pullcodec_applied_t *applied, err_t *err)
 {
 	msgpack_unpacked unpacked;
 	bool ok = msgcodec_unpack(message, &unpacked) &&
 		  is_response(&unpacked.data) &&
 		  is_applicable(replica, unpacked.data.via.array.ptr);
 
-	*revision = 0;
+	*applied = (pullcodec_applied_t){0};
 	if (ok) {
 		const msgpack_object *fields = unpacked.data.via.array.ptr;
 		position_t position = read_position(fields);
@@ -182,7 +182,10 @@
 		if (position.revision &&
 		    position_is_newer(position, replica_position(replica))) {
 			apply_response(replica, fields, position);
-			*revision = position.revision;
+			*applied = (pullcodec_applied_t){
+				.revision = position.revision,
+				.is_delta = fields[2].via.boolean,
+				.records = fields[3].via.array.size};
 		}
 	}
 	msgpack_unpacked_destroy(&unpacked);
--- a/lib/coordination/pullcodec.h
+++ b/lib/coordination/pullcodec.h
@@ -24,14 +24,20 @@
 void pullcodec_write_response(const replica_t *replica, position_t after,
 			      buf_t *out);
 
+/* What a response changed. */
+typedef struct pullcodec_applied {
+	int64_t revision; /* the new one; 0: not newer than the replica */
+	bool is_delta;	  /* only changes, not all records */
+	size_t records;	  /* number in the response, removals included */
+} pullcodec_applied_t;
+
 /*
- * Applies a response to the replica. `revision` is set to the new revision, or
- * to 0 when the response is not newer than the replica.
+ * Applies a response to the replica and sets `applied`.
  *
  * ERRORS: ERR_INVALID, also for changes of another era than the replica's and
  * for an era that it can't accept; the replica is unchanged then.
  */
 err_code_t pullcodec_apply_response(replica_t *replica, str_t message,
-				    int64_t *revision, err_t *err);
+				    pullcodec_applied_t *applied, err_t *err);
 
 #endif
--- a/lib/request/router.c
+++ b/lib/request/router.c
@@ -145,6 +145,11 @@
 		return false;
 	catalog_unref(router->catalog);
 	router->catalog = catalog_ref(catalog);
+	plog_write(PLOG_CATALOG_ACTIVE,
+		   "version=%lld routes=%zu customers=%zu keys=%zu",
+		   (long long)catalog_version(catalog),
+		   catalog_route_count(catalog),
+		   catalog_customer_count(catalog), catalog_key_count(catalog));
 	return true;
 }
 
--- a/lib/state/catalog.c
+++ b/lib/state/catalog.c
@@ -272,6 +272,16 @@
 	return catalog->routes_count;
 }
 
+size_t catalog_customer_count(const catalog_t *catalog)
+{
+	return catalog->customers_count;
+}
+
+size_t catalog_key_count(const catalog_t *catalog)
+{
+	return catalog->keys_count;
+}
+
 unsigned catalog_priority_levels(const catalog_t *catalog)
 {
 	return catalog->priority_levels;
--- a/lib/state/catalog.h
+++ b/lib/state/catalog.h
@@ -107,6 +107,9 @@
 
 int64_t catalog_version(const catalog_t *catalog);
 size_t catalog_route_count(const catalog_t *catalog);
+size_t catalog_customer_count(const catalog_t *catalog);
+/* Number of API keys of all customers. */
+size_t catalog_key_count(const catalog_t *catalog);
 /* One more than the largest priority of a route. */
 unsigned catalog_priority_levels(const catalog_t *catalog);
 const catalog_limits_t *catalog_get_limits(const catalog_t *catalog);
--- a/programs/host/host.c
+++ b/programs/host/host.c
@@ -215,13 +215,16 @@
 		host->ops->on_gossip_round(host);
 }
 
-static void on_pulled(void *user, const char *peer, int64_t revision)
+static void on_pulled(void *user, const char *peer,
+		      const pullcodec_applied_t *applied)
 {
 	host_t *host = user;
 
-	plog_write(PLOG_PEER_PULLED, "peer=%s era=%lld revision=%lld", peer,
+	plog_write(PLOG_PEER_PULLED,
+		   "peer=%s era=%lld revision=%lld delta=%d records=%zu", peer,
 		   (long long)replica_position(host->replica).era,
-		   (long long)revision);
+		   (long long)applied->revision, applied->is_delta,
+		   applied->records);
 	host->ops->on_pulled(host);
 }
 
--- a/programs/routerd/routerd.c
+++ b/programs/routerd/routerd.c
@@ -86,10 +86,7 @@
 	coldunits_save_previous(fleet);
 	nativeroutes_apply(fleet, new, host_now_ms(host));
 	host->router->region = fleet_region(fleet, host->settings->domain);
-	if (router_set_catalog(host->router, catalog))
-		plog_write(PLOG_CATALOG_ACTIVE, "version=%lld routes=%zu",
-			   (long long)catalog_version(catalog),
-			   catalog_route_count(catalog));
+	router_set_catalog(host->router, catalog);
 	catalog_unref(catalog);
 }
 
--- a/tests/bench/bench_sheet.c
+++ b/tests/bench/bench_sheet.c
@@ -165,12 +165,12 @@
 	sheetsync_t *sync =
 		sheetsync_create(replica, mclock_system(), observer);
 	buf_t response = BUF_INIT;
-	int64_t revision;
+	pullcodec_applied_t applied;
 	err_t err;
 
 	start_timer();
 	pullcodec_write_response(from, (position_t){0, 0}, &response);
-	if (pullcodec_apply_response(replica, buf_view(&response), &revision,
+	if (pullcodec_apply_response(replica, buf_view(&response), &applied,
 				     &err))
 		exit(1);
 	sheetsync_refresh(sync, "bench");
--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -437,13 +437,13 @@
 	sheetsync_observer_t sheets = {ignore_sheet, NULL};
 	replica_t *replica = replica_create(&records);
 	sheetsync_t *sync = sheetsync_create(replica, mclock_system(), &sheets);
+	pullcodec_applied_t applied;
 	position_t position;
-	int64_t revision;
 	err_t err;
 
 	(void)random_value;
 	pullcodec_read_request(input, &position, &err);
-	if (pullcodec_apply_response(replica, input, &revision, &err))
+	if (pullcodec_apply_response(replica, input, &applied, &err))
 		require(!replica_count(replica),
 			"a refused response changes nothing");
 	sheetsync_refresh(sync, "fuzz");
--- a/tests/unit/test_peersync.c
+++ b/tests/unit/test_peersync.c
@@ -60,10 +60,11 @@
 	(void)all_hosts;
 }
 
-static void on_pulled(void *user, const char *peer, int64_t revision)
+static void on_pulled(void *user, const char *peer,
+		      const pullcodec_applied_t *applied)
 {
 	(void)peer;
-	(void)revision;
+	(void)applied;
 	loop_stop(((fixture_t *)user)->loop);
 }
 
--- a/tests/unit/test_replica.c
+++ b/tests/unit/test_replica.c
@@ -131,7 +131,7 @@
 	replica_t *to = create_replica();
 	buf_t message = BUF_INIT;
 	position_t position;
-	int64_t revision;
+	pullcodec_applied_t applied;
 
 	replica_put(from, STR_LIT("a"), STR_LIT("x\0y"), 1);
 	replica_put(from, STR_LIT("b"), STR_LIT(""), 2);
@@ -140,19 +140,21 @@
 	buf_reset(&changes);
 	pullcodec_write_response(from, (position_t){0, 0}, &message);
 	CU_ASSERT_EQUAL(pullcodec_apply_response(to, buf_view(&message),
-						 &revision, NULL),
+						 &applied, NULL),
 			ERR_OK);
-	CU_ASSERT_EQUAL(revision, 5);
+	CU_ASSERT_EQUAL(applied.revision, 5);
+	CU_ASSERT_FALSE(applied.is_delta);
+	CU_ASSERT_EQUAL(applied.records, 2);
 	CU_ASSERT_EQUAL(replica_count(to), 2);
 	CU_ASSERT_EQUAL(pullcodec_apply_response(to, buf_view(&message),
-						 &revision, NULL),
+						 &applied, NULL),
 			ERR_OK);
-	CU_ASSERT_EQUAL(revision, 0);
+	CU_ASSERT_EQUAL(applied.revision, 0);
 	/* A truncated message changes nothing. */
 	for (size_t len = 0; len < message.len; len++)
 		CU_ASSERT_EQUAL(
 			pullcodec_apply_response(to, (str_t){message.ptr, len},
-						 &revision, NULL),
+						 &applied, NULL),
 			ERR_INVALID);
 	CU_ASSERT_EQUAL(replica_count(to), 2);
 	buf_reset(&message);
@@ -335,11 +337,13 @@
 			    position_t after, int64_t *revision)
 {
 	buf_t message = BUF_INIT;
+	pullcodec_applied_t applied;
 	err_code_t code;
 
 	pullcodec_write_response(from, after, &message);
 	buf_reset(&changes);
-	code = pullcodec_apply_response(to, buf_view(&message), revision, NULL);
+	code = pullcodec_apply_response(to, buf_view(&message), &applied, NULL);
+	*revision = applied.revision;
 	buf_release(&message);
 	return code;
 }
--- a/tests/unit/test_sheetsync.c
+++ b/tests/unit/test_sheetsync.c
@@ -87,13 +87,13 @@
 static void pull(peer_t *to, const peer_t *from)
 {
 	buf_t response = BUF_INIT;
-	int64_t revision;
+	pullcodec_applied_t applied;
 	err_t err;
 
 	pullcodec_write_response(from->replica, replica_position(to->replica),
 				 &response);
 	CU_ASSERT_EQUAL(pullcodec_apply_response(to->replica,
-						 buf_view(&response), &revision,
+						 buf_view(&response), &applied,
 						 &err),
 			ERR_OK);
 	sheetsync_refresh(to->sync, "peer");
