Answer pulls from before a listing with all records, not with changes

What callers saw: requests went to a server for as long as it lived after its record had been removed (DRAIN), from a host that nothing disturbed.

Cause: a host that has just listed the configuration service knows which records there are, but not which were removed before. It answered a pull as if it knew every change since the other host's position; that host took the empty answer for complete, and moved past the removal. Neither a later pull nor a watch brings it then.

Change: a replica keeps its history start, the revision after which it knows removals too. Each listing raises it, as dropping a tombstone did before; the first sheet that a host publishes does as well. A pull from before it is answered with all records, whose end removes what they lack.

Why this works: an answer is now sent as changes only if the sender knows all of them; the receiver already treats any other answer as a listing.

--- a/lib/state/replica.c
+++ b/lib/state/replica.c
@@ -22,7 +22,7 @@
 	replica->count = 0;
 	replica->tombstone_count = 0;
 	replica->position.revision = 0;
-	replica->max_dropped_revision = 0;
+	replica->history_start = 0;
 }
 
 void replica_free(replica_t *replica)
@@ -34,6 +34,12 @@
 	free(replica);
 }
 
+void replica_limit_history(replica_t *replica, int64_t revision)
+{
+	if (revision > replica->history_start)
+		replica->history_start = revision;
+}
+
 str_t replica_record_key(const record_t *record)
 {
 	return (str_t){record->key, record->key_len};
@@ -96,8 +102,7 @@
 	}
 	if (!oldest)
 		return; /* all are held until replica_settle() */
-	if (oldest->revision > replica->max_dropped_revision)
-		replica->max_dropped_revision = oldest->revision;
+	replica_limit_history(replica, oldest->revision);
 	free(oldest->key);
 	free(oldest->former);
 	*oldest = replica->records[--replica->count];
@@ -212,6 +217,7 @@
 		free(key);
 	}
 	replica_advance(replica, revision);
+	replica_limit_history(replica, revision);
 	replica_end_era_listing(replica);
 }
 
@@ -227,6 +233,8 @@
 
 void replica_advance(replica_t *replica, int64_t revision)
 {
+	if (!replica->position.revision)
+		replica_limit_history(replica, revision);
 	if (revision > replica->position.revision)
 		replica->position.revision = revision;
 }
@@ -244,7 +252,7 @@
 {
 	bool complete = position.era == replica->position.era &&
 			position.revision > 0 &&
-			position.revision >= replica->max_dropped_revision;
+			position.revision >= replica->history_start;
 
 	for (size_t i = 0; i < replica->count; i++) {
 		const record_t *record = &replica->records[i];
--- a/lib/state/replica.h
+++ b/lib/state/replica.h
@@ -14,6 +14,12 @@
  * removed key leaves a tombstone, so that the removal reaches other hosts and
  * an older copy doesn't restore the record.
  *
+ * Two revisions bound what a replica knows of an era. Up to its position it
+ * knows which records there are. After its history start it also knows which
+ * were removed: a listing doesn't tell what was removed before it, and old
+ * tombstones are dropped. A host whose own position is before the history start
+ * needs all records; the changes since then might lack a removal.
+ *
  * A new era (see position.h) begins when the service was restored from an older
  * copy. It then lacks changes that are known here, until their writers have
  * written them again. So the first full listing of an era doesn't simply
@@ -81,14 +87,17 @@
 /* RETURN VALUE: the position up to which all changes are known. */
 position_t replica_position(const replica_t *replica);
 int64_t replica_revision(const replica_t *replica);
+
+/* Moves the position to a later revision, up to which all changes since the
+ * last position have been applied. */
 void replica_advance(replica_t *replica, int64_t revision);
 
 /*
  * Visits the changes after `position`, tombstones (value.ptr NULL) included.
  *
- * RETURN VALUE: false when the position is of another era or when tombstones
- * newer than it may have been dropped; then all records that the service has
- * were visited instead, as a full listing.
+ * RETURN VALUE: false when the position is of another era or before the history
+ * start; then all records that the service has were visited instead, as a full
+ * listing.
  */
 typedef void (*replica_visit_t)(void *user, str_t key, str_t value,
 				int64_t revision);
--- a/lib/state/replica_era.c
+++ b/lib/state/replica_era.c
@@ -5,7 +5,7 @@
 void replica_begin_era(replica_t *replica, int64_t era)
 {
 	replica->position = (position_t){.era = era};
-	replica->max_dropped_revision = 0;
+	replica->history_start = 0;
 	replica->era_listed = false;
 	for (size_t i = 0; i < replica->count; i++) {
 		replica->records[i].revision = 0;
--- a/lib/state/replica_internal.h
+++ b/lib/state/replica_internal.h
@@ -37,11 +37,14 @@
 	size_t count, cap;
 	size_t tombstone_count;
 	position_t position;
-	int64_t max_dropped_revision; /* of the tombstones dropped */
-	unsigned listing;	      /* number of the last full listing */
-	bool era_listed;	      /* a listing of this era is complete */
+	int64_t history_start; /* see replica.h */
+	unsigned listing;      /* number of the last full listing */
+	bool era_listed;       /* a listing of this era is complete */
 };
 
+/* Notes that removals up to `revision` may be unknown. */
+void replica_limit_history(replica_t *replica, int64_t revision);
+
 str_t replica_record_key(const record_t *record);
 str_t replica_record_value(const record_t *record);
 
