Read a configuration's lists whole, or refuse the configuration

What callers saw: the API keys of a customer from the 65th on got 401 on every host, for as long as the configuration held (CONFIG, DENIED).

Cause: lists of keys, allowed regions and services of a split were read into arrays of 64; what didn't fit was dropped without a log line, and so were items of another type.

Change: the lists have no bound but memory. A list that is not one, or has an item that can't be read, refuses the configuration; the one in force stays. Settings with more zones or seeds than fit are refused too; they were cut in the same way.

--- a/tests/unit/test_records.c
+++ b/tests/unit/test_records.c
@@ -1,5 +1,7 @@
 #include "unit.h"
 
+#include <stdio.h>
+
 #include "platform/headers.h"
 #include "platform/records.h"
 #include "platform/settings.h"
@@ -113,7 +115,99 @@
 	catalog_unref(catalog);
 }
 
+/* Appends `count` items with their numbers. */
+static void append_items(buf_t *text, const char *before, const char *after,
+			 size_t count, const char *separator)
+{
+	for (size_t i = 0; i < count; i++)
+		buf_printf(text, "%s%s%zu%s", i ? separator : "", before, i,
+			   after);
+}
+
+/* A configuration whose lists have `count` items each: the second customer's
+ * keys k0, k1, ..., the regions r0, r1, ..., and services s0, s1, ..., of which
+ * only the last one gets requests. */
+static catalog_t *read_long_lists(size_t count)
+{
+	buf_t text = BUF_INIT;
+	catalog_t *catalog;
+
+	buf_printf(&text, "{\"version\":1,\"services\":[],\"routes\":["
+			  "{\"hostname\":\"h\",\"prefix\":\"/\","
+			  "\"route_type\":\"idempotent\",\"traffic_split\":[");
+	append_items(&text, "{\"weight\":0,\"service\":\"s", "\"}", count - 1,
+		     ",");
+	buf_printf(&text, "%s{\"weight\":1,\"service\":\"last\"}],",
+		   count > 1 ? "," : "");
+	buf_printf(&text, "\"allowed_regions\":[");
+	append_items(&text, "\"r", "\"", count, ",");
+	buf_printf(&text,
+		   "]}],\"tenants\":[{\"name\":\"a\",\"api_keys\":[\"a\"]},"
+		   "{\"name\":\"b\",\"api_keys\":[");
+	append_items(&text, "\"k", "\"", count, ",");
+	buf_printf(&text, "],\"allowed_regions\":[");
+	append_items(&text, "\"r", "\"", count, ",");
+	buf_printf(&text, "]}]}");
+	catalog = records_read_config(buf_view(&text), NULL);
+	buf_release(&text);
+	return catalog;
+}
+
+static bool accepts_key(const catalog_t *catalog, size_t number)
+{
+	char key[16];
+	call_t call = {.host = STR_LIT("h"), .path = STR_LIT("/x")};
+	admission_t admission;
+
+	snprintf(key, sizeof(key), "k%zu", number);
+	call.key = str_from(key);
+	return admit_check(catalog, &call, 0, &admission) == ADMIT_OK &&
+	       str_equals(admission.customer->name, STR_LIT("b"));
+}
+
+/* Whether the route has the last of `count` services and regions. */
+static bool uses_last_items(const catalog_t *catalog, size_t count)
+{
+	const catalog_route_t *route =
+		catalog_find_route(catalog, STR_LIT("h"), STR_LIT("/x"));
+	char region[16];
+
+	snprintf(region, sizeof(region), "r%zu", count - 1);
+	return route && route->split_count == count &&
+	       str_equals(catalog_pick_service(route, 0), STR_LIT("last")) &&
+	       catalog_allows_region(&route->regions, str_from(region));
+}
+
+/* Guards against a list of an acknowledged configuration that is cut, so that
+ * valid keys get 401 (CONFIG, DENIED), and allowed regions and services are not
+ * used. 64 was the bound. */
+static void test_long_lists(void)
+{
+	static const size_t counts[] = {1, 63, 64, 65, 640, 20000};
+
+	for (size_t i = 0; i < sizeof(counts) / sizeof(counts[0]); i++) {
+		size_t count = counts[i], accepted = 0;
+		catalog_t *catalog = read_long_lists(count);
+
+		CU_ASSERT_PTR_NOT_NULL_FATAL(catalog);
+		for (size_t k = 0; k < count; k++)
+			accepted += accepts_key(catalog, k);
+		CU_ASSERT_EQUAL(accepted, count);
+		CU_ASSERT_FALSE(accepts_key(catalog, count));
+		CU_ASSERT_EQUAL(catalog_key_count(catalog), count + 1);
+		CU_ASSERT_TRUE(uses_last_items(catalog, count));
+		catalog_unref(catalog);
+	}
+}
+
 /* Guards against using a configuration that is malformed or incomplete. */
+#define CUSTOMER(members)                                             \
+	"{\"version\":9,\"routes\":[],\"services\":[],\"tenants\":[{" \
+	"\"name\":\"t\"," members "}]}"
+#define ROUTE(members)                                                    \
+	"{\"version\":9,\"services\":[],\"routes\":[{\"hostname\":\"h\"," \
+	"\"prefix\":\"/\",\"route_type\":\"idempotent\"," members "}]}"
+
 static void test_bad_configs(void)
 {
 	static const char unknown_type_route[] =
@@ -129,7 +223,15 @@
 		"{\"version\":9,\"routes\":7,\"services\":[]}",
 		"{\"version\":9,\"routes\":[],\"services\":{}}",
 		"{\"version\":9,\"routes\":[],\"services\":[],\"tenants\":3}",
-		"{\"version\":9,\"services\":[]}"};
+		"{\"version\":9,\"services\":[]}",
+		/* Nor may a part of a list count as the whole: it would drop a
+		 * key, allow every region, or move a route's requests. */
+		CUSTOMER("\"api_keys\":[\"k\",7]"),
+		CUSTOMER("\"api_keys\":\"k\""),
+		CUSTOMER("\"api_keys\":[],\"allowed_regions\":[null]"),
+		ROUTE("\"allowed_regions\":{\"east\":true}"),
+		ROUTE("\"traffic_split\":[{\"service\":\"s\"},{\"weight\":1}]"),
+		ROUTE("\"traffic_split\":{\"service\":\"s\"}")};
 	err_t err;
 
 	for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++)
@@ -303,6 +405,50 @@
 	buf_release(&report);
 }
 
+/* Settings with so many zones and seeds. */
+static psettings_t *parse_lists(size_t zones, size_t seeds, buf_t *report)
+{
+	buf_t text = BUF_INIT;
+	psettings_t *settings;
+
+	buf_printf(&text,
+		   "node_name=n\nip=127.0.0.1\nzone=z0\nregion=r\n"
+		   "listen.front=127.0.0.1:1\nlisten.readiness=127.0.0.1:2\n"
+		   "internal_port_range=1,2\nplatform.address=127.0.0.1:3\n");
+	append_items(&text, "zones.z", "=r\n", zones, "");
+	buf_printf(&text, "seed_nodes=");
+	append_items(&text, "127.0.0.1:", "", seeds, ",");
+	settings = psettings_parse(buf_view(&text), report);
+	buf_release(&text);
+	return settings;
+}
+
+/* Guards against a list of the settings that is cut without a word: a zone left
+ * out has no region, and may be served outside the allowed ones (HOME). */
+static void test_long_settings(void)
+{
+	buf_t report = BUF_INIT;
+	psettings_t *settings = parse_lists(HOSTSETTINGS_MAX_DOMAINS,
+					    HOSTSETTINGS_MAX_SEEDS, &report);
+
+	CU_ASSERT_TRUE(settings &&
+		       settings->base.domain_count == HOSTSETTINGS_MAX_DOMAINS);
+	CU_ASSERT_TRUE(settings &&
+		       settings->base.seed_count == HOSTSETTINGS_MAX_SEEDS);
+	CU_ASSERT_EQUAL(report.len, 0);
+	psettings_free(settings);
+	CU_ASSERT_PTR_NULL(
+		parse_lists(HOSTSETTINGS_MAX_DOMAINS + 1, 1, &report));
+	CU_ASSERT_PTR_NULL(parse_lists(1, HOSTSETTINGS_MAX_SEEDS + 1, &report));
+	CU_ASSERT_PTR_NULL(parse_lists(10 * HOSTSETTINGS_MAX_DOMAINS,
+				       10 * HOSTSETTINGS_MAX_SEEDS, &report));
+	CU_ASSERT_TRUE(str_starts_with(
+		buf_view(&report), STR_LIT("zones.z64 is beyond the first 64\n"
+					   "seed_nodes: 127.0.0.1:8 is beyond "
+					   "the first 8\n")));
+	buf_release(&report);
+}
+
 /* Guards against an older copy that replaces what is in force after a restore
  * of the configuration service, and against holding a value that is newer. */
 static void test_older_values(void)
@@ -341,12 +487,14 @@
 	CU_TestInfo tests[] = {{"config", test_config},
 			       {"routes and keys", test_routes_and_keys},
 			       {"split", test_split},
+			       {"long lists", test_long_lists},
 			       {"bad configs", test_bad_configs},
 			       {"bad endpoints", test_bad_endpoints},
 			       {"older values", test_older_values},
 			       {"unreported cold", test_unreported_cold},
 			       {"settings", test_settings},
 			       {"bad settings", test_bad_settings},
+			       {"long settings", test_long_settings},
 			       CU_TEST_INFO_NULL};
 
 	return unit_run("records", tests);
