Keep a pull from corrupting a listing that is read in pages

What callers saw: hosts forgot an evacuation that was in force (EVAC), or kept one, or a server, that the operators had taken back or that was gone.

Cause: a position says that all changes up to it are known. A listing of the configuration service in several pages ended as complete although a pull of all records had begun and ended in between: pages before the pull counted as not listed, so that their records were removed, and records that only the peer had counted as listed, so that they stayed for ever.

Evidence: test_lost_removal, the restarted host: E2102 revision=7 between the two pages, then E3101 revision=8 with the record that was removed at 8; the other host confirmed it.

A record that the replica lacks, at a revision that its position has passed, is ignored.

--- a/lib/coordination/pullcodec.c
+++ b/lib/coordination/pullcodec.c
@@ -154,15 +154,16 @@
 			   position_t position)
 {
 	bool is_delta = fields[2].via.boolean;
+	unsigned listing = 0;
 
 	if (position.era != replica_position(replica).era)
 		replica_begin_era(replica, position.era);
 	if (!is_delta)
-		replica_begin_listing(replica);
+		listing = replica_begin_listing(replica);
 	for (uint32_t i = 0; i < fields[3].via.array.size; i++)
 		apply_record(replica, fields[3].via.array.ptr[i].via.array.ptr);
 	if (!is_delta)
-		replica_end_listing(replica, position.revision);
+		replica_end_listing(replica, listing, position.revision);
 	replica_advance(replica, position.revision);
 }
 
--- a/lib/state/replica.c
+++ b/lib/state/replica.c
@@ -154,6 +154,8 @@
 	}
 	if (record && replica_hold(replica, record, value, revision))
 		return false;
+	if (!record && revision <= replica->position.revision)
+		return false;
 	if (!record)
 		record = add_record(replica, key);
 	record->revision = revision;
@@ -180,9 +182,14 @@
 	return known;
 }
 
-void replica_begin_listing(replica_t *replica)
+unsigned replica_begin_listing(replica_t *replica)
+{
+	return ++replica->listing;
+}
+
+bool replica_is_listing(const replica_t *replica, unsigned listing)
 {
-	replica->listing++;
+	return listing == replica->listing;
 }
 
 /* Finds a record that the last listing didn't contain. The caller removes these
@@ -200,10 +207,12 @@
 	return NULL;
 }
 
-void replica_end_listing(replica_t *replica, int64_t revision)
+bool replica_end_listing(replica_t *replica, unsigned listing, int64_t revision)
 {
 	const record_t *record;
 
+	if (!replica_is_listing(replica, listing))
+		return false;
 	while ((record = find_unlisted(replica, revision))) {
 		char *key = copy_bytes(replica_record_key(record));
 		size_t len = record->key_len;
@@ -219,6 +228,7 @@
 	replica_advance(replica, revision);
 	replica_limit_history(replica, revision);
 	replica_end_era_listing(replica);
+	return true;
 }
 
 position_t replica_position(const replica_t *replica)
--- a/lib/state/replica.h
+++ b/lib/state/replica.h
@@ -63,18 +63,31 @@
 replica_t *replica_create(const replica_observer_t *observer);
 void replica_free(replica_t *replica);
 
-/* RETURN VALUE: true when the change took effect. */
+/* A record that the replica lacks, and whose revision its position has passed,
+ * was removed: it is ignored. RETURN VALUE: true when the change took effect.
+ */
 bool replica_put(replica_t *replica, str_t key, str_t value, int64_t revision);
 bool replica_remove(replica_t *replica, str_t key, int64_t revision);
 
 /*
- * All keys of a full listing are put between replica_begin_listing() and
- * replica_end_listing(). The latter removes all other keys, unless they are
- * newer than `revision`, the revision at which the listing began, or are held
- * from an earlier era.
+ * All keys of a full listing are put between replica_begin_listing(), which
+ * returns the listing's number, and replica_end_listing(). The latter removes
+ * all other keys, unless they are newer than `revision`, the revision at which
+ * the listing began, or are held from an earlier era.
+ *
+ * Only the listing that began last can be ended: one that is read in several
+ * pages doesn't know what another one has put and removed in between. Its puts
+ * hold; the changes since the position of the other one tell the rest.
+ *
+ * RETURN VALUE of replica_end_listing(): false when another listing has begun;
+ * then the listing has no effect but its puts.
  */
-void replica_begin_listing(replica_t *replica);
-void replica_end_listing(replica_t *replica, int64_t revision);
+unsigned replica_begin_listing(replica_t *replica);
+bool replica_end_listing(replica_t *replica, unsigned listing,
+			 int64_t revision);
+
+/* RETURN VALUE: whether no other listing has begun since. */
+bool replica_is_listing(const replica_t *replica, unsigned listing);
 
 /* Begins an era. The revision is 0 until the first listing is complete. */
 void replica_begin_era(replica_t *replica, int64_t era);
--- a/tests/session/test_lost_removal.sh
+++ b/tests/session/test_lost_removal.sh
@@ -1,8 +1,9 @@
 #!/bin/bash
 # A host that can't reach the store, and a peer that is killed before records are
 # removed and starts again afterwards. Guards against removals that the host never
-# learns of, since the peer answers with changes although it knows nothing of what
-# was removed before its start (DRAIN, EVAC).
+# learns of: the peer answers with changes although it knows nothing of what was
+# removed before its start, or takes the record back from the host while it reads
+# the store (DRAIN, EVAC).
 build=$1
 . "$(dirname "$0")/lib.sh"
 . "$(dirname "$0")/hosts.sh"
@@ -38,12 +39,13 @@
 	pulls=$(grep -c 'E2102 ' "$work/h2.out")
 	seeds=$net.248:8082 start_host h1 1 d1
 	expect_until "h2 pulls from the peer after its start" \
-		test_pulls_above "$pulls"
+		lines_above "$pulls" 'E2102 ' h2
 }
 
-test_pulls_above()
+# lines_above COUNT PATTERN HOST: a condition: more lines of the host's log match.
+lines_above()
 {
-	test "$(grep -c 'E2102 ' "$work/h2.out")" -gt "$1"
+	test "$(grep -c "$2" "$work/$3.out")" -gt "$1"
 }
 
 start_store
@@ -77,4 +79,18 @@
 pass_or_fail "an order that was taken back before the start is not in force in 3 s" \
 	wait_until 3 grep -q 'domain=d1 out=0' "$work/h2.out"
 expect_until "s2 is used again" has_used h2 stamp-s2
+
+# The peer reads the store in two pages, and pulls the records of h2 in between:
+# the store's listing must not confirm what only h2 has.
+put_record op/evacuate/d1 '{}'
+expect_until "the order is in force again on h2" \
+	lines_above 1 'domain=d1 out=1' h2
+stop_program h1 KILL
+change_store "/control/delete?key=op/evacuate/d1"
+: >"$work/h1.out"
+start_host h1 1 d1
+expect_until "the peer uses s1" has_used h1 stamp-s1
+expect_until "h2 uses s2" has_used h2 stamp-s2
+pass_or_fail "both know in 3 s that the order was taken back" \
+	wait_until 3 lines_above 1 'domain=d1 out=0' h2
 finish
--- a/tests/unit/test_replica.c
+++ b/tests/unit/test_replica.c
@@ -56,14 +56,15 @@
 static void test_listing(void)
 {
 	replica_t *replica = create_replica();
+	unsigned listing;
 
 	replica_put(replica, STR_LIT("a"), STR_LIT("1"), 1);
 	replica_put(replica, STR_LIT("b"), STR_LIT("1"), 2);
 	replica_put(replica, STR_LIT("c"), STR_LIT("1"), 9);
 	buf_reset(&changes);
-	replica_begin_listing(replica);
+	listing = replica_begin_listing(replica);
 	replica_put(replica, STR_LIT("b"), STR_LIT("1"), 2);
-	replica_end_listing(replica, 8);
+	CU_ASSERT_TRUE(replica_end_listing(replica, listing, 8));
 	CU_ASSERT_TRUE(match_and_reset_changes("a=- "));
 	CU_ASSERT_EQUAL(replica_revision(replica), 8);
 	CU_ASSERT_EQUAL(replica_count(replica), 2);
@@ -136,9 +137,10 @@
 static void list_records(replica_t *replica, const char *const *values,
 			 int64_t revision)
 {
-	replica_begin_listing(replica);
+	unsigned listing = replica_begin_listing(replica);
+
 	put_all(replica, values, 1);
-	replica_end_listing(replica, revision);
+	CU_ASSERT_TRUE(replica_end_listing(replica, listing, revision));
 }
 
 /* Copies to `to` what `from` knows since the position of `to`, as by a pull. */
@@ -209,6 +211,51 @@
 	buf_reset(&changes);
 }
 
+/* Guards against a removed record that comes back with a response that was
+ * under way when the host learnt of the removal (DRAIN, EVAC). */
+static void test_late_record(void)
+{
+	static const char *const values[] = {"a=1", NULL};
+	replica_t *replica = create_replica();
+
+	list_records(replica, values, 9);
+	buf_reset(&changes);
+	CU_ASSERT_FALSE(replica_put(replica, STR_LIT("b"), STR_LIT("1"), 8));
+	CU_ASSERT_FALSE(replica_put(replica, STR_LIT("b"), STR_LIT("1"), 9));
+	CU_ASSERT_TRUE(match_and_reset_changes(""));
+	CU_ASSERT_TRUE(replica_put(replica, STR_LIT("b"), STR_LIT("1"), 10));
+	CU_ASSERT_TRUE(match_and_reset_changes("b=1 "));
+	replica_free(replica);
+}
+
+/* Guards against a pull in the middle of a listing, by which the listing loses
+ * the pages before it: a record that was listed is removed on all hosts, or one
+ * that is gone stays for ever (EVAC, DRAIN). */
+static void test_pull_within_a_listing(void)
+{
+	static const char *const first_page[] = {"a=1", "b=1", "c=1", NULL};
+	static const char *const known[] = {"a=1", "b=1", "d=1", NULL};
+	replica_t *replica = create_replica();
+	replica_t *peer = create_replica();
+	unsigned listing = replica_begin_listing(replica);
+
+	list_records(peer, known, 4);
+	put_all(replica, first_page, 3); /* "c" is at 5 */
+	pull_records(replica, peer);
+	buf_reset(&changes);
+	CU_ASSERT_FALSE(replica_is_listing(replica, listing));
+	CU_ASSERT_FALSE(replica_end_listing(replica, listing, 6));
+	CU_ASSERT_TRUE(match_and_reset_changes(""));
+	/* The position is that of the peer, so a watch tells the rest: here,
+	 * that "d" is gone, which the listing didn't have any more. */
+	CU_ASSERT_EQUAL(replica_revision(replica), 4);
+	replica_remove(replica, STR_LIT("d"), 6);
+	CU_ASSERT_TRUE(match_and_reset_changes("d=- "));
+	CU_ASSERT_EQUAL(replica_count(replica), 3);
+	replica_free(replica);
+	replica_free(peer);
+}
+
 /* Guards against a pull that loses or changes records in transit. */
 static void test_pull(void)
 {
@@ -371,15 +418,16 @@
 	static const char *const copy[] = {"a=3", "d=5", NULL};
 	static const char *const later_copy[] = {"a=5", "b=5", NULL};
 	replica_t *replica = create_before_restore();
+	unsigned listing;
 
 	list_era(replica, 2, copy, 2);
 	replica_begin_era(replica, 3);
 	replica_settle(replica);
 	CU_ASSERT_TRUE(match_and_reset_changes(""));
 	list_era(replica, 4, copy, 2);
-	replica_begin_listing(replica);
+	listing = replica_begin_listing(replica);
 	put_all(replica, later_copy, 3);
-	replica_end_listing(replica, 4);
+	CU_ASSERT_TRUE(replica_end_listing(replica, listing, 4));
 	CU_ASSERT_TRUE(match_and_reset_changes(""));
 	replica_settle(replica);
 	CU_ASSERT_TRUE(match_and_reset_changes("c=- "));
@@ -464,6 +512,8 @@
 		{"dropped tombstones", test_dropped_tombstones},
 		{"removal before a listing", test_removal_before_a_listing},
 		{"removal between listings", test_removal_between_listings},
+		{"late record", test_late_record},
+		{"pull within a listing", test_pull_within_a_listing},
 		{"pull", test_pull},
 		{"lower revisions of a new era",
 		 test_lower_revisions_of_a_new_era},
