Refuse late requests that outlast a stop, and answer all at its end

What callers saw, as another operator reported: in a planned stop, requests that came late in the grace period, also those that may run once only, were passed on and then cut without an answer (LOST).

Cause: the stop looked at the time since SIGTERM only, not at the time that a request needs, and its end closed all connections. With a grace period below 3.3 s connections were accepted to its end.

Evidence: test_stop_late on the code before: 8 checks fail, among them a stream that is sent 2.8 s after SIGTERM with 1.5 s left, a call that may run once and gets no byte, and an upload that is cut.

Change: later than the accept period, a request that was not sent is refused with 503 and Retry-After if it may outlast the host: a stream whose deadline, another request whose target is beyond the end. At the end what was not sent or read gets 503, what may have run 502, and callers have 0.3 s to read it. The accept period is at most half of the grace period.

Why this works: nothing is begun that isn't expected to be done, and no connection with a request closes without an answer.

Tests: test_stop_late (3 of 3 runs); test_stop, test_stop_accept, test_drain, test_hosts, test_leaving pass.

--- a/lib/request/caller.c
+++ b/lib/request/caller.c
@@ -32,8 +32,8 @@
 #define CALLER_FIRST_REQUEST_MS 250
 /* Body buffers above this size are freed between requests. */
 #define CALLER_KEEP_BODY_BYTES 4096
-/* Retry-After when the memory for bodies is used up, plus a random part of up
- * to the same time. */
+/* Retry-After of a request that could not be read to its end, plus a random
+ * part of up to the same time. */
 #define CALLER_RETRY_MS 500
 
 static void on_timer(void *user);
@@ -115,11 +115,10 @@
 		set_timer(caller, limits_of(caller).idle_timeout_ms);
 }
 
-/* Answers a request that is malformed, too large or late, or whose body exceeds
- * the memory for bodies. Logs and counts it as invalid input and closes the
- * connection. `retry_after_ms` may be -1 for none. */
-static void reject_with_retry(caller_t *caller, unsigned status,
-			      const char *reason, int64_t retry_after_ms)
+/* Answers a request that was not read to its end, and closes the connection.
+ * `retry_after_ms` may be -1 for none. */
+static void answer_unread(caller_t *caller, unsigned status, const char *reason,
+			  int64_t retry_after_ms)
 {
 	buf_t out = BUF_INIT;
 	own_reply_t reply = {.status = status,
@@ -129,6 +128,18 @@
 			     .retry_after_ms = retry_after_ms,
 			     .close = true};
 	const dialect_t *dialect = caller->router->dialect;
+
+	dialect->ops->write_own_reply(dialect, NULL, &reply, &out);
+	tcp_send(&caller->tcp, buf_view(&out));
+	buf_release(&out);
+	begin_close(caller);
+}
+
+/* Answers a request that is malformed, too large or late, or whose body exceeds
+ * the memory for bodies. Logs and counts it as invalid input. */
+static void reject_with_retry(caller_t *caller, unsigned status,
+			      const char *reason, int64_t retry_after_ms)
+{
 	char peer[ADDRESS_BYTES];
 
 	tcp_peer(&caller->tcp, peer);
@@ -136,10 +147,7 @@
 	plog_write(PLOG_REQUEST_INVALID,
 		   "peer=%s step=read status=%u reason=\"%s\"", peer, status,
 		   reason);
-	dialect->ops->write_own_reply(dialect, NULL, &reply, &out);
-	tcp_send(&caller->tcp, buf_view(&out));
-	buf_release(&out);
-	begin_close(caller);
+	answer_unread(caller, status, reason, retry_after_ms);
 }
 
 static void reject(caller_t *caller, unsigned status, const char *reason)
@@ -147,14 +155,19 @@
 	reject_with_retry(caller, status, reason, -1);
 }
 
+/* RETURN VALUE: a Retry-After with jitter, for a request that another host, or
+ * this one a little later, can take. */
+static int64_t retry_ms(caller_t *caller)
+{
+	return CALLER_RETRY_MS +
+	       (int64_t)(router_random(caller->router) % CALLER_RETRY_MS);
+}
+
 /* Answers 503 with a Retry-After when no memory is left for the body. */
 static void reject_body(caller_t *caller)
 {
-	int64_t spread_ms =
-		(int64_t)(router_random(caller->router) % CALLER_RETRY_MS);
-
 	reject_with_retry(caller, 503, "no room for the body",
-			  CALLER_RETRY_MS + spread_ms);
+			  retry_ms(caller));
 }
 
 static void on_timer(void *user)
@@ -433,6 +446,26 @@
 	}
 }
 
+static void end_request(caller_t *caller)
+{
+	static const char reason[] = "the host stops";
+
+	if (caller->request)
+		request_fail(caller->request, reason);
+	else if (!caller->closing && http1_has_begun(&caller->http))
+		answer_unread(caller, 503, reason, retry_ms(caller));
+}
+
+void caller_end_requests(router_t *router)
+{
+	caller_t *next;
+
+	for (caller_t *caller = router->callers; caller; caller = next) {
+		next = caller->next;
+		end_request(caller);
+	}
+}
+
 void caller_close_all(router_t *router)
 {
 	while (router->callers)
--- a/lib/request/caller.h
+++ b/lib/request/caller.h
@@ -55,6 +55,13 @@
 /* Closes the connections that have no request in progress and none to be read,
  * in an orderly way. */
 void caller_close_idle(router_t *router);
+
+/*
+ * Ends all requests of a host that stops: those that were not sent, or not read
+ * to their end, with 503, those that may have run with 502. A response that has
+ * begun is cut.
+ */
+void caller_end_requests(router_t *router);
 void caller_close_all(router_t *router);
 
 #endif
--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -355,12 +355,42 @@
 	return true;
 }
 
+/*
+ * True when the request may still run when the stopping host ends. A stream may
+ * take until its deadline, any other request about the route's target.
+ */
+static bool may_outlast_host(const request_t *request)
+{
+	const router_t *router = request->router;
+	const catalog_route_t *route = request->admission.route;
+	int64_t now_ms = request_now_ms(request);
+	int64_t left_ms = request->deadline_ms - now_ms;
+
+	if (!router->stopping || now_ms < router->late_ms)
+		return false;
+	if (route->kind != CATALOG_STREAM &&
+	    left_ms > (int64_t)route->target_ms)
+		left_ms = route->target_ms;
+	return now_ms + left_ms > router->end_ms;
+}
+
+/* RETURN VALUE: true when the request came too late in a stop; it was answered.
+ * One that was sent before keeps its chance. */
+static bool refuse_late(request_t *request)
+{
+	if (request->sends || !may_outlast_host(request))
+		return false;
+	answer_not_run(request, 503, "the host stops before it may be done",
+		       retry_after(request));
+	return true;
+}
+
 void request_dispatch(request_t *request)
 {
 	choose_result_t result = CHOOSE_LATER;
 	choice_t choice = {.endpoint = NULL};
 
-	if (!admit(request) || refuse_blocked(request))
+	if (!admit(request) || refuse_blocked(request) || refuse_late(request))
 		return;
 	if (!has_more_urgent_waiting(request))
 		result = choose_endpoint(request, &choice);
--- a/lib/request/request.h
+++ b/lib/request/request.h
@@ -181,6 +181,12 @@
  * dispatches the request again. */
 void request_withdraw(request_t *request);
 
+/*
+ * Ends a request whose response is not complete: aborts a response that has
+ * begun, else answers 503 when it has not run, or 502 or 504.
+ */
+void request_fail(request_t *request, const char *reason);
+
 /* Ends the request. Called once its response has been sent to the caller. */
 void request_finish(request_t *request, outcome_t outcome, const char *reason);
 
--- a/lib/request/request_internal.h
+++ b/lib/request/request_internal.h
@@ -28,12 +28,6 @@
  * the endpoint may run it until it sees the connection close. */
 void request_note_cancelled(request_t *request);
 
-/*
- * Ends a request that no endpoint has answered: aborts a response that has
- * begun, else answers 503 when it has not run, or 502 or 504.
- */
-void request_fail(request_t *request, const char *reason);
-
 /* Ends a span of the request and sets it to NULL; a NULL span is allowed. */
 void request_end_span(const request_t *request, trace_span_t **span,
 		      outcome_t outcome, const char *reason);
--- a/lib/request/router.c
+++ b/lib/request/router.c
@@ -224,7 +224,9 @@
 	       fleet_count(router->fleet);
 }
 
-void router_stop(router_t *router)
+void router_stop(router_t *router, int64_t late_ms, int64_t end_ms)
 {
 	router->stopping = true;
+	router->late_ms = late_ms;
+	router->end_ms = end_ms;
 }
--- a/lib/request/router.h
+++ b/lib/request/router.h
@@ -100,6 +100,9 @@
 	unsigned all_hosts;
 	bool stopping;
 	bool leaving; /* refuses new requests */
+	/* Of a router that is stopping, see router_stop(). */
+	int64_t late_ms;
+	int64_t end_ms;
 	int64_t started_ms;
 	/* Buffered request bodies, kept until their responses are complete. */
 	size_t request_body_bytes;
@@ -172,7 +175,11 @@
 
 bool router_is_ready(const router_t *router);
 
-/* Marks the router as stopping: each response then closes its connection. */
-void router_stop(router_t *router);
+/*
+ * Marks the router as stopping: each response then closes its connection. From
+ * `late_ms` on, requests that may not be complete at `end_ms`, when the host
+ * ends those in progress, are refused.
+ */
+void router_stop(router_t *router, int64_t late_ms, int64_t end_ms);
 
 #endif
--- a/programs/host/host.c
+++ b/programs/host/host.c
@@ -15,8 +15,13 @@
 #define SETTINGS_CHECK_MS 1000
 #define STOP_CHECK_MS 100
 /* Part of the grace period kept for the exit; requests still in progress when
- * it begins are aborted. */
+ * it begins are ended. */
 #define EXIT_RESERVE_MS 700
+/* Part of it in which callers read their last responses. */
+#define LAST_ANSWERS_MS 300
+/* The accept period is at most this part of the grace period, so that what is
+ * accepted can be completed. */
+#define MAX_ACCEPT_DIVISOR 2
 /* After a restore of the configuration service, the time for operators and
  * endpoints to write again what it lost, and for the records of endpoints that
  * are gone to expire. */
@@ -250,24 +255,36 @@
 	host->listen_fd = -1;
 }
 
+/* RETURN VALUE: time for which a stopping host accepts connections. */
+static int64_t accept_period_ms(const host_t *host)
+{
+	int64_t max_ms = host->settings->grace_ms / MAX_ACCEPT_DIVISOR;
+
+	return host->settings->accept_ms < max_ms ? host->settings->accept_ms :
+						    max_ms;
+}
+
 /* Stops the loop when no caller is connected or the grace period is nearly
- * over. */
+ * over; before the latter, ends the requests in progress. */
 static void on_stop_timer(void *user)
 {
 	host_t *host = user;
 	int64_t elapsed_ms = host_now_ms(host) - host->stop_started_ms;
+	int64_t end_ms = host->settings->grace_ms - EXIT_RESERVE_MS;
 
-	if (elapsed_ms >= host->settings->grace_ms - EXIT_RESERVE_MS) {
-		loop_stop(host->loop);
-		return;
-	}
-	if (elapsed_ms >= host->settings->accept_ms) {
+	router_stop(host->router,
+		    host->stop_started_ms + accept_period_ms(host),
+		    host->stop_started_ms + end_ms);
+	if (elapsed_ms >= accept_period_ms(host) || elapsed_ms >= end_ms) {
 		close_listener(host);
 		caller_close_idle(host->router);
-		if (!host->router->caller_count) {
-			loop_stop(host->loop);
-			return;
-		}
+	}
+	if (elapsed_ms >= end_ms)
+		caller_end_requests(host->router);
+	if ((host->listen_fd < 0 && !host->router->caller_count) ||
+	    elapsed_ms >= end_ms + LAST_ANSWERS_MS) {
+		loop_stop(host->loop);
+		return;
 	}
 	loop_timer_set(host->loop, &host->stop_timer, STOP_CHECK_MS,
 		       on_stop_timer, host);
@@ -280,7 +297,6 @@
 	host->stop_started_ms = host_now_ms(host);
 	plog_write(PLOG_STOPPING, "callers=%zu requests=%zu",
 		   host->router->caller_count, host->router->request_count);
-	router_stop(host->router);
 	peersync_leave(host->peersync);
 	host->ops->on_stopping(host);
 	on_stop_timer(host);
--- a/tests/session/hosts.sh
+++ b/tests/session/hosts.sh
@@ -79,7 +79,7 @@
 }
 
 # launch_host NAME N DOMAIN: starts a host process at address N with the seed
-# hosts $seeds, and doesn't wait for it.
+# hosts $seeds and the grace period $grace_s, and doesn't wait for it.
 launch_host()
 {
 	local ip=$net.$2
@@ -95,7 +95,7 @@
 listen.control_plane=$ip:8082
 internal_port_range=7340,7355
 seed_nodes=${seeds:-$net.1:8082,$net.2:8082}
-bounds.grace_s=5
+bounds.grace_s=${grace_s:-5}
 bounds.retry_budget_ratio=1
 bounds.retry_budget_slack=100
 bounds.budget_window_s=10
