Test that an answer cut within its head is never passed on as whole

Report of another operator: a server stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body.

Evidence: it does not happen here. test_http1 ends responses of six framings after each of their bytes: none counts as complete before its framing says so. test_trouble and test_trouble_native send a head that ends by a reset or an orderly close, on calls and streams: 502 each time, and the request has reached the server. No fault was found, so no logic changes.

--- a/tests/session/test_trouble.sh
+++ b/tests/session/test_trouble.sh
@@ -158,6 +158,25 @@
 	sleep 0.3
 done
 
+echo "== nor is one that ends within its head, orderly or not"
+for mode in cut-head end-head
+do
+	for path in /once/a /again/a /single/stream/a
+	do
+		sleep 2 # until the server's circuit breaker admits requests
+		control "$s1" "/control/mode?next=$mode,$mode"
+		control "$s1" /control/seen >"$work/seen"
+		send_request h1 "$mode" $path >"$work/$mode"
+		pass_or_fail "$mode $path gets 502" \
+			grep -q ': 502 ' "$work/$mode"
+		control "$s1" /control/seen >"$work/seen"
+		pass_or_fail "$mode $path reaches the server" \
+			grep -q " $path .* $mode\$" "$work/seen"
+	done
+done
+control "$s1" "/control/mode?next=ok"
+sleep 2
+
 echo "== a stream without a length that ends before its first event"
 control "$s1" "/control/mode?next=empty-stream"
 send_request h1 empty-1 /single/stream/a >"$work/empty"
--- a/tests/session/test_trouble_native.sh
+++ b/tests/session/test_trouble_native.sh
@@ -135,7 +135,8 @@
 pass_or_fail "nor does a duplicate with the id of the next request" \
 	sh -c "! grep -q 'a late copy' '$work/body'"
 
-for mode in cut-length cut-chunked cut-close end-length end-chunked
+for mode in cut-length cut-chunked cut-close end-length end-chunked cut-head \
+	end-head
 do
 	control service-1 "mode?next=$mode"
 	expect_equal "$mode is no success" "502 unknown" \
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -58,7 +58,7 @@
     "ok", "shed", "misdirected", "reset", "silent", "error", "truncate",
     "foreign", "unstamped", "extra", "garbage", "close-after", "half-stream",
     "late-copy", "late-id-copy", "late-same-copy", "cut-length", "cut-chunked", "cut-close",
-    "end-length", "end-chunked", "cut-large",
+    "end-length", "end-chunked", "cut-large", "cut-head", "end-head",
     "drip-stream", "slow-stream", "empty-stream", "leaving", "leaving-error", "busy",
     "pause", "pause-part", "pause-odd", "pause-negative", "pause-absurd",
     "large", "late-refusal", "late-id-refusal", "half-unnumbered",
@@ -505,6 +505,11 @@
                 ("Content-Length", str(LARGE_BYTES))])
             part = b"x" * (LARGE_BYTES // 8)
             connection.sock.sendall(part)
+        elif mode.endswith("-head"):
+            # The framing would follow.
+            connection.sock.sendall("".join(
+                ["HTTP/1.1 200 X\r\n"] +
+                ["%s: %s\r\n" % field for field in common]).encode())
         elif mode.endswith("-length"):
             self.send_head(connection, 200,
                            common + [("Content-Length", "100")])
--- a/tests/unit/test_http1.c
+++ b/tests/unit/test_http1.c
@@ -161,6 +161,52 @@
 	http1_release(&http);
 }
 
+/* A response whose connection ends after `len` bytes.
+ *
+ * RETURN VALUE: whether it counts as complete. */
+static bool is_complete_after(str_t text, size_t len)
+{
+	http1_t http;
+	size_t consumed;
+	bool complete;
+
+	http1_init(&http, &ops, HTTP_RESPONSE, HEAD_BYTES);
+	complete = http1_feed(&http, (str_t){text.ptr, len}, &consumed) ==
+			   HTTP1_MESSAGE ||
+		   http1_finish(&http) == HTTP1_MESSAGE;
+	http1_release(&http);
+	return complete;
+}
+
+/* Guards against a response that is cut within its head, or before the end that
+ * its framing states, and passed on as a complete one with a short body. */
+static void test_cut_anywhere(void)
+{
+	static const struct {
+		str_t text;
+		size_t complete_from; /* fewest bytes of a complete response */
+	} cases[] = {
+		{STR_LIT("HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 12\r\n"
+			 "\r\nhello, world"),
+		 57},
+		{STR_LIT("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nA: b\r\n\r\n"),
+		 44},
+		{STR_LIT("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+			 "\r\n5\r\nhello\r\n0\r\nT: u\r\n\r\n"),
+		 68},
+		{STR_LIT("HTTP/1.1 204 No Content\r\nA: b\r\n\r\n"), 33},
+		{STR_LIT("HTTP/1.0 200 OK\r\nConnection: close\r\n\r\nbody"),
+		 38},
+		{STR_LIT("HTTP/1.1 200 OK\nA: b\n\nbody"), 22},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		for (size_t len = 0; len <= cases[i].text.len; len++)
+			CU_ASSERT_EQUAL(is_complete_after(cases[i].text, len),
+					len >= cases[i].complete_from);
+	buf_release(&body);
+}
+
 /* Guards against forwarding hop-by-hop headers. */
 static void test_hop_fields(void)
 {
@@ -186,6 +232,7 @@
 			       {"ambiguous framing", test_ambiguous_framing},
 			       {"long head", test_long_head},
 			       {"connection closed", test_connection_closed},
+			       {"cut anywhere", test_cut_anywhere},
 			       {"hop fields", test_hop_fields},
 			       CU_TEST_INFO_NULL};
 
