Answer requests that were read behind another one in a planned stop

What callers saw: a request that the host had read behind another one on the same connection got no answer when SIGTERM came in between (LOST).

Cause: each answer of a stopping host closed its connection, and the bytes behind it were dropped.

Tests: test_pipelining, two checks failed before.

--- a/lib/request/answer.c
+++ b/lib/request/answer.c
@@ -215,7 +215,8 @@
 	log_end(request, 200, OUTCOME_COMPLETED, "answered");
 	if (request->chunked)
 		caller_send(request->caller, STR_LIT("0\r\n\r\n"));
-	finish(request, request->closes_connection || request->router->stopping,
+	finish(request,
+	       request->closes_connection || caller_must_close(request->caller),
 	       OUTCOME_COMPLETED, "answered");
 }
 
--- a/lib/request/caller.c
+++ b/lib/request/caller.c
@@ -414,7 +414,8 @@
 
 bool caller_must_close(const caller_t *caller)
 {
-	return caller->router->stopping || !caller->http.head.keep_alive;
+	return !caller->http.head.keep_alive ||
+	       (caller->router->stopping && !caller->pipelined.len);
 }
 
 void caller_answered(caller_t *caller, bool close)
--- a/lib/request/caller.h
+++ b/lib/request/caller.h
@@ -42,7 +42,8 @@
 /* True when too much output is buffered: reading of the response must pause. */
 bool caller_is_slow(const caller_t *caller);
 
-/* True when the connection closes after the current response. */
+/* True when the connection closes after the current response. A host that stops
+ * answers the requests behind it first, as far as they were received. */
 bool caller_must_close(const caller_t *caller);
 
 /* Ends a complete response: closes the connection or reads the next request. */
--- a/tests/session/test_pipelining.sh
+++ b/tests/session/test_pipelining.sh
@@ -2,7 +2,8 @@
 # Requests that a caller sends one behind the other on a connection. Guards against
 # answers that change places, or a request that is parsed from the middle of another
 # one, when bytes arrive together with the end of the running request after a freeze
-# (MIXED, UNASKED).
+# (MIXED, UNASKED), and against a planned stop that drops a request which was read
+# behind another one (LOST).
 build=$1
 . "$(dirname "$0")/lib.sh"
 . "$(dirname "$0")/hosts.sh"
@@ -91,4 +92,12 @@
 done
 check_pipeline "requests in halves" 4 1 '2<' '2>' '3<' '3>' 4
 
+check_pipeline "a planned stop after two requests were read" 2 1 2 TERM
+wait "${pid[h1]}"
+expect_equal "the stop ends with status 0" 0 $?
+unset "pid[h1]"
+start_host h1 1 d1
+check_pipeline "a planned stop within the second request" 3 1 2 '3<' TERM '3>'
+wait "${pid[h1]}"
+unset "pid[h1]"
 finish
