--- a/lib/request/caller.c
+++ b/lib/request/caller.c
@@ -294,8 +294,8 @@
 	if (is_closed(caller) || caller->closing)
 		return;
 	buf_append_str(&caller->pipelined, data);
-	if (caller->pipelined.len > CALLER_PIPELINED_BYTES)
-		tcp_set_reading(&caller->tcp, false);
+	tcp_set_reading(&caller->tcp,
+			caller->pipelined.len <= CALLER_PIPELINED_BYTES);
 }
 
 static void parse_pipelined(caller_t *caller)
--- a/tests/session/test_pipelining.sh
+++ b/tests/session/test_pipelining.sh
@@ -10,8 +10,8 @@
 
 # pipeline ADDRESS PID PART...: sends the parts of the byte sequence of
 # requests a1, a2, ..., one after the other: "1" stands for the whole request a1,
-# "2<" and "2>" for the first and the second half of a2, "STOP", "CONT" and "TERM"
-# for signals to the host. Prints id, status and body of each answer, then "end".
+# "2-5" for a2 to a5 at once, "2<" and "2>" for the first and the second half of a2,
+# "STOP", "CONT" and "TERM" for signals to the host. Prints id, status and body of each answer, then "end".
 pipeline()
 {
 	python3 - "$@" <<-'END'
@@ -28,7 +28,9 @@
 	    if part.isupper():
 	        os.kill(int(sys.argv[2]), getattr(signal, "SIG" + part))
 	    else:
-	        data = request(int(part.rstrip("<>")))
+	        first, _, last = part.rstrip("<>").partition("-")
+	        data = b"".join(request(number) for number in
+	                        range(int(first), int(last or first) + 1))
 	        half = len(data) // 2
 	        sock.sendall(data[half:] if ">" in part else
 	                     data[:half] if "<" in part else data)
@@ -90,6 +92,8 @@
 	check_pipeline "the rest of a request that arrives in a freeze, $round" \
 		3 1 '2<' STOP '2>' 3 CONT
 done
+# More bytes than the host keeps before it stops reading.
+check_pipeline "800 requests behind one that runs" 801 1 2-801
 check_pipeline "requests in halves" 4 1 '2<' '2>' '3<' '3>' 4
 
 check_pipeline "a planned stop after two requests were read" 2 1 2 TERM
