--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -374,8 +374,10 @@
 	return now_ms + left_ms > router->end_ms;
 }
 
-/* RETURN VALUE: true when the request came too late in a stop; it was answered.
- * One that was sent before keeps its chance. */
+/* Refuses a request that came too late in a stop, unless an endpoint may run it
+ * already.
+ *
+ * RETURN VALUE: true when it was answered. */
 static bool refuse_late(request_t *request)
 {
 	if (request->sends || !may_outlast_host(request))
