Move the wire format of the engine's stand-in into one module

Change: chat.c writes the status of a stream, its last and its error event, and makes the boot id. Bytes are as before.

--- a/tests/standins/chat.c
+++ b/tests/standins/chat.c
@@ -3,6 +3,7 @@
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <time.h>
 
 /* Prompts that begin with the same bytes share a cached prefix. */
 #define CHAT_PREFIX_BYTES 256
@@ -28,6 +29,32 @@
 		   k + 1 == chat->output_tokens ? "\"stop\"" : "null");
 }
 
+void chat_append_stream_status(buf_t *out)
+{
+	buf_printf(out, "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+			"Content-Type: text/event-stream\r\n");
+}
+
+void chat_append_last_event(buf_t *out, long k)
+{
+	buf_printf(out, "id: %ld\ndata: [DONE]\n\n", k);
+}
+
+void chat_append_error_event(buf_t *out, const char *type)
+{
+	buf_printf(out, "event: error\ndata: {\"error\":{\"type\":\"%s\"}}\n\n",
+		   type);
+}
+
+uint64_t chat_new_boot(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	return standin_hash(STANDIN_HASH_START,
+			    (str_t){(const char *)&now, sizeof(now)});
+}
+
 void chat_append_response(buf_t *out, const chat_t *chat)
 {
 	buf_printf(out, "{\"id\":");
--- a/tests/standins/chat.h
+++ b/tests/standins/chat.h
@@ -38,6 +38,17 @@
 /* Appends the server-sent event of token k. */
 void chat_append_event(buf_t *out, const chat_t *chat, long k);
 
+/* Appends the status line of a stream, and its header fields but those of the
+ * engine. */
+void chat_append_stream_status(buf_t *out);
+
+/* Appends the last event of a complete stream of k tokens. */
+void chat_append_last_event(buf_t *out, long k);
+void chat_append_error_event(buf_t *out, const char *type);
+
+/* RETURN VALUE: an id for a start of the engine. */
+uint64_t chat_new_boot(void);
+
 /* Appends the body of a response that is not streamed. */
 void chat_append_response(buf_t *out, const chat_t *chat);
 
--- a/tests/standins/fake-engine.c
+++ b/tests/standins/fake-engine.c
@@ -3,7 +3,6 @@
 
 #include <stdio.h>
 #include <stdlib.h>
-#include <time.h>
 
 #define MAX_STREAMS 1024
 #define TICK_US 5000
@@ -268,20 +267,9 @@
 static void append_end(buf_t *out, stream_state_t state, long k)
 {
 	if (state == DONE)
-		buf_printf(out, "id: %ld\ndata: [DONE]\n\n", k);
+		chat_append_last_event(out, k);
 	else if (state != BROKEN)
-		buf_printf(out,
-			   "event: error\ndata: {\"error\":{\"type\":\"%s\"}}"
-			   "\n\n",
-			   end_error_type(state));
-}
-
-static void append_stream_head(buf_t *out, const char *id)
-{
-	buf_printf(out, "HTTP/1.1 200 OK\r\nConnection: close\r\n"
-			"Content-Type: text/event-stream\r\n");
-	append_headers(out, id);
-	buf_printf(out, "\r\n");
+		chat_append_error_event(out, end_error_type(state));
 }
 
 /* Sends the events; the headers go out with the first one. */
@@ -309,8 +297,11 @@
 		if (!head_sent && !open && state > DONE) {
 			send_end_error(conn, s->chat.id, state);
 		} else {
-			if (!head_sent)
-				append_stream_head(&out, s->chat.id);
+			if (!head_sent) {
+				chat_append_stream_status(&out);
+				append_headers(&out, s->chat.id);
+				buf_printf(&out, "\r\n");
+			}
 			head_sent = true;
 			if (!open)
 				append_end(&out, state, sent);
@@ -444,11 +435,7 @@
 /* Begins a new boot: another boot id, a cold start and an empty cache. */
 static void begin_boot(void)
 {
-	struct timespec now;
-
-	clock_gettime(CLOCK_REALTIME, &now);
-	boot = standin_hash(STANDIN_HASH_START,
-			    (str_t){(const char *)&now, sizeof(now)});
+	boot = chat_new_boot();
 	cold_until_us = standin_now_us() + switches.cold_ms.value * 1000;
 	cache_clear();
 }
