Test that a long body is read on after a freeze, and share a fixture

Cause: the guard that a connection is read again once its kept bytes are parsed had no test; and three session tests began with the same seven lines.

Change: test_pipelining sends a body of 120,000 bytes in halves around a freeze. hosts.sh has start_single_host for test_pipelining, test_stop_late and test_stop_accept.

--- a/tests/session/hosts.sh
+++ b/tests/session/hosts.sh
@@ -73,7 +73,7 @@
 \"max_attempts\":1,\"public\":false}],\
 \"services\":[{\"name\":\"plain\",\"health_path\":\"/healthz\",\
 \"max_connections\":${max_connections:-100},\"cold_start_s\":0.0,\"cold_per_s\":0.0}],\
-\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":10000,\
+\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":${max_body_bytes:-10000},\
 \"header_timeout_ms\":1000,\"idle_timeout_ms\":3000},\
 \"tenants\":[{\"name\":\"desk\",\"api_keys\":[$2],\"priority\":0}]}"
 }
@@ -121,6 +121,19 @@
 		"http://$1:8081/peridotpin/readyz")" = 200
 }
 
+# start_single_host: starts a store, the server s1 and the host h1, and checks that a
+# request is served.
+start_single_host()
+{
+	start_store
+	start_server s1 101
+	put_config 3 '"k1"'
+	put_server s1 101 plain d1 ready
+	start_host h1 1 d1
+	send_request h1 before /once/a >"$work/before"
+	pass_or_fail "a request is served" grep -q ': 200 ' "$work/before"
+}
+
 # send_request HOST ID PATH [CURL_ARGUMENT...]: sends a request with the attempt
 # id ID and the API key $key; prints ID, status, server stamp, body and curl's
 # exit code on one line.
--- a/tests/session/test_pipelining.sh
+++ b/tests/session/test_pipelining.sh
@@ -10,7 +10,8 @@
 
 # pipeline ADDRESS PID PART...: sends the parts of the byte sequence of
 # requests a1, a2, ..., one after the other: "1" stands for the whole request a1,
-# "2-5" for a2 to a5 at once, "2<" and "2>" for the first and the second half of a2,
+# "2-5" for a2 to a5 at once, "2-up" for a2 with a body of 120,000 bytes, "2<" and
+# "2>" for the first and the second half of a2,
 # "STOP", "CONT" and "TERM" for signals to the host. Prints id, status and body of each answer, then "end".
 pipeline()
 {
@@ -20,6 +21,9 @@
 	sock = socket.create_connection((host, int(port)), 5)
 	sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 	sock.settimeout(5)
+	def upload(number):
+	    head = request(number).replace(b"GET", b"POST")[:-2]
+	    return head + b"Content-Length: 120000\r\n\r\n" + b"x" * 120000
 	def request(number):
 	    return (b"GET /once/%d HTTP/1.1\r\nHost: h.example\r\n"
 	            b"Authorization: Bearer k1\r\n"
@@ -29,7 +33,7 @@
 	        os.kill(int(sys.argv[2]), getattr(signal, "SIG" + part))
 	    else:
 	        first, _, last = part.rstrip("<>").partition("-")
-	        data = b"".join(request(number) for number in
+	        data = upload(int(first)) if last == "up" else b"".join(request(number) for number in
 	                        range(int(first), int(last or first) + 1))
 	        half = len(data) // 2
 	        sock.sendall(data[half:] if ">" in part else
@@ -76,13 +80,8 @@
 }
 
 max_connections=2000
-start_store
-start_server s1 101
-put_config 3 '"k1"'
-put_server s1 101 plain d1 ready
-start_host h1 1 d1
-send_request h1 before /once/a >"$work/before"
-pass_or_fail "a request is served" grep -q ': 200 ' "$work/before"
+max_body_bytes=200000
+start_single_host
 
 check_pipeline "three requests" 3 1 2 3
 for round in 1 2 3
@@ -92,6 +91,12 @@
 	check_pipeline "the rest of a request that arrives in a freeze, $round" \
 		3 1 '2<' STOP '2>' 3 CONT
 done
+# A body of which more is kept than the host reads ahead, once it is parsed.
+control "$net.101:8000" "/control/mode?next=busy"
+pipeline "${address[h1]}" "${pid[h1]}" 1 '2-up<' STOP '2-up>' CONT >"$work/answers"
+expect_equal "a long body that arrives in a freeze" \
+	"$(echo "a1 200 s1 /once/1 0"; echo "a2 200 s1 /once/2 120000"; echo end)" \
+	"$(cat "$work/answers")"
 # More bytes than the host keeps before it stops reading.
 check_pipeline "800 requests behind one that runs" 801 1 2-801
 check_pipeline "requests in halves" 4 1 '2<' '2>' '3<' '3>' 4
--- a/tests/session/test_stop_accept.sh
+++ b/tests/session/test_stop_accept.sh
@@ -33,13 +33,7 @@
 }
 
 max_connections=2000
-start_store
-start_server s1 101
-put_config 3 '"k1"'
-put_server s1 101 plain d1 ready
-start_host h1 1 d1
-send_request h1 before /once/a >"$work/before"
-pass_or_fail "a request is served" grep -q ': 200 ' "$work/before"
+start_single_host
 
 # The host is suspended (SIGSTOP) while its accept period after SIGTERM ends;
 # the connections and their requests wait in the kernel.
--- a/tests/session/test_stop_late.sh
+++ b/tests/session/test_stop_late.sh
@@ -56,16 +56,12 @@
 $(quiet_route stream streaming 9000)"
 
 max_connections=2000
-start_store
-start_server s1 101
+start_single_host
 start_server s2 102
-put_config 3 '"k1"'
-put_server s1 101 plain d1 ready
 put_server s2 102 quiet d1 ready
 control "$net.102:8000" "/control/always?mode=silent"
-start_host h1 1 d1
-send_request h1 before /once/a >"$work/before"
-pass_or_fail "a request is served" grep -q ': 200 ' "$work/before"
+expect_until "the host knows both servers" \
+	grep -q 'E4101 .*endpoint=s2' "$work/h1.out"
 
 # The grace period is 5 s; requests that still run after 4.3 s are ended.
 kill -TERM "${pid[h1]}"
