--- a/tests/session/test_bodies.sh
+++ b/tests/session/test_bodies.sh
@@ -9,12 +9,7 @@
 
 start_store
 start_server s1 101
-put_config 3 '"k1"'
-# Raise max_body_bytes to 4 MiB.
-sed 's/:10000,/:4194304,/' <<<"$(declare -f put_config)" \
-	>"$work/put_config.sh"
-. "$work/put_config.sh"
-put_config 4 '"k1"'
+max_body_bytes=$((4 * 1024 * 1024)) put_config 4 '"k1"'
 put_server s1 101 plain d1 ready
 start_host h1 1 d1
 
