Run timers after all input that is ready

What callers saw: nothing yet; found by reading. A host that was stopped and continued could end requests as too late whose responses had come, and so could one with more than 64 connections ready at once.

Cause: one epoll_wait() returns 64 descriptors at most, and none when a signal, such as the one that continues a stopped process, interrupts it; the timers that were due ran next.

Change: the loop polls again after an interruption or a full batch, up to as many times as its descriptors need, before it runs timers. loop_iteration_start_ms(), which nothing called, is gone.

Evidence: test_loop fails both its tests before (64 of 200 inputs, and 0 of 1, before the timer) and passes after.

--- a/lib/transport/loop.c
+++ b/lib/transport/loop.c
@@ -38,7 +38,6 @@
 	post_t *posts;
 	post_t **posts_tail;
 	atomic_bool stopped;
-	int64_t iteration_start_ms;
 };
 
 static void free_removed_watches(loop_t *loop);
@@ -80,7 +79,6 @@
 		goto fail;
 	if (loop_watch(loop, loop->wake_fd, EPOLLIN, read_wake, loop))
 		goto fail;
-	loop->iteration_start_ms = mclock_now_ms(clock);
 	return loop;
 fail:
 	loop_free(loop);
@@ -303,19 +301,36 @@
 	return left < LOOP_MAX_WAIT_MS ? (int)left : LOOP_MAX_WAIT_MS;
 }
 
-static void run_iteration(loop_t *loop)
+/* Calls the watches of up to LOOP_EVENTS descriptors that are ready.
+ *
+ * RETURN VALUE: true when more descriptors may be ready. */
+static bool run_watches(loop_t *loop, int max_wait_ms)
 {
 	struct epoll_event events[LOOP_EVENTS];
 	int count =
-		epoll_wait(loop->epoll_fd, events, LOOP_EVENTS, wait_ms(loop));
+		epoll_wait(loop->epoll_fd, events, LOOP_EVENTS, max_wait_ms);
 
-	loop->iteration_start_ms = mclock_now_ms(loop->clock);
+	/* A stopped process that is continued interrupts the wait too. */
+	if (count < 0)
+		return errno == EINTR;
 	for (int i = 0; i < count; i++) {
 		watch_t *watch = events[i].data.ptr;
 
 		if (!watch->removed)
 			watch->io(watch->user, events[i].events);
 	}
+	return count == LOOP_EVENTS;
+}
+
+/* Watches run before timers: a response that waits on a connection is not taken
+ * for late. Descriptors that stay ready don't hold the timers up for ever. */
+static void run_iteration(loop_t *loop)
+{
+	size_t rounds = loop->watch_cap / LOOP_EVENTS;
+	bool more = run_watches(loop, wait_ms(loop));
+
+	while (more && rounds--)
+		more = run_watches(loop, 0);
 	run_timers(loop);
 	run_posts(loop);
 	free_removed_watches(loop);
@@ -332,8 +347,3 @@
 	atomic_store(&loop->stopped, true);
 	wake(loop);
 }
-
-int64_t loop_iteration_start_ms(const loop_t *loop)
-{
-	return loop->iteration_start_ms;
-}
--- a/lib/transport/loop.h
+++ b/lib/transport/loop.h
@@ -57,10 +57,4 @@
  */
 void loop_call(loop_t *loop, loop_call_t call, void *user);
 
-/*
- * Monotonic time in ms at which epoll_wait() last returned. If the clock is far
- * ahead of it, the process was paused during the current iteration.
- */
-int64_t loop_iteration_start_ms(const loop_t *loop);
-
 #endif
