Answer HEAD requests without a body

A health check by HEAD on the operators' listener got 404.

Cause: the parser of the endpoint's response was never told that the request was HEAD and waited for the body that the head states; answers of our own were written the same for all methods.

Change: a channel sets no_body for each request; the answer states the length or coding that the endpoint stated; httptext_drop_body() leaves the head of our own answers; the monitor treats HEAD as GET without the body. The stand-in of an endpoint answers HEAD as HTTP asks.

--- a/lib/request/answer.c
+++ b/lib/request/answer.c
@@ -8,6 +8,7 @@
 #include "base/plog.h"
 #include "coordination/retryafter.h"
 #include "request/caller.h"
+#include "transport/httptext.h"
 
 /* A limited retry time below this is left out of the response. */
 #define ANSWER_MIN_RETRY_MS 50
@@ -96,6 +97,8 @@
 	assert(request->state != REQUEST_ANSWERING);
 	log_end(request, reply->status, reply->outcome, reply->reason);
 	dialect->ops->write_own_reply(dialect, &request->call, reply, &out);
+	if (request->head->method == HTTP_HEAD)
+		httptext_drop_body(&out);
 	caller_send(request->caller, buf_view(&out));
 	buf_release(&out);
 	finish(request, reply->close, reply->outcome, reply->reason);
@@ -162,6 +165,20 @@
 	caller_send(request->caller, buf_view(out));
 }
 
+/* Frames the response to a HEAD request like the endpoint, which states what
+ * the response to a GET request would be. */
+static void frame_without_body(const request_t *request,
+			       const http1_head_t *head, reply_params_t *params)
+{
+	if (head->has_content_length) {
+		params->body_len = (size_t)head->content_length;
+		return;
+	}
+	params->framing =
+		request->head->minor >= 1 ? REPLY_CHUNKED : REPLY_UNTIL_CLOSE;
+	params->close |= params->framing == REPLY_UNTIL_CLOSE;
+}
+
 void answer_whole(request_t *request, const http1_head_t *head,
 		  const reply_t *reply)
 {
@@ -173,6 +190,8 @@
 						    OUTCOME_FAILED :
 						    OUTCOME_COMPLETED};
 
+	if (request->head->method == HTTP_HEAD)
+		frame_without_body(request, head, &params);
 	log_end(request, reply->status, params.outcome, "answered");
 	send_head(request, head, &params, buf_view(&request->answer));
 	finish(request, params.close, params.outcome, "answered");
--- a/lib/request/caller.c
+++ b/lib/request/caller.c
@@ -6,6 +6,7 @@
 
 #include "base/metrics.h"
 #include "base/plog.h"
+#include "transport/httptext.h"
 
 /* Connections; fits the file descriptor limit of a small host. */
 #define CALLER_MAX 2500
@@ -131,6 +132,8 @@
 	const dialect_t *dialect = caller->router->dialect;
 
 	dialect->ops->write_own_reply(dialect, NULL, &reply, &out);
+	if (caller->http.head.complete && caller->http.head.method == HTTP_HEAD)
+		httptext_drop_body(&out);
 	tcp_send(&caller->tcp, buf_view(&out));
 	buf_release(&out);
 	begin_close(caller);
--- a/lib/request/channel.c
+++ b/lib/request/channel.c
@@ -397,6 +397,7 @@
 		tcp_send(&channel->tcp, message);
 	}
 	channel->request = request;
+	channel->http.no_body = request->head->method == HTTP_HEAD;
 	channel->stray_answers = 0;
 	channel->discarded_bytes = 0;
 	request->channel = channel;
--- a/lib/request/reply.c
+++ b/lib/request/reply.c
@@ -25,7 +25,8 @@
 
 static bool is_event_stream(const request_t *request, const reply_t *reply)
 {
-	return request->admission.route->kind == CATALOG_STREAM &&
+	return request->head->method != HTTP_HEAD &&
+	       request->admission.route->kind == CATALOG_STREAM &&
 	       reply->status == 200 && reply->is_events;
 }
 
@@ -153,9 +154,10 @@
 }
 
 /* A response that ends with its connection may be one that a crash cut. */
-static bool is_framed(const http1_head_t *head)
+static bool is_framed(const request_t *request, const http1_head_t *head)
 {
-	return head->chunked || head->has_content_length;
+	return head->chunked || head->has_content_length ||
+	       request->head->method == HTTP_HEAD;
 }
 
 /* Notes when the response of the current send began, and that it goes on. */
@@ -306,7 +308,7 @@
 {
 	if (!request->answer_began_ms)
 		request->answer_began_ms = request_now_ms(request);
-	if (is_framed(head))
+	if (is_framed(request, head))
 		crashes_on_sound(request);
 	else
 		crashes_on_lost(request);
@@ -326,7 +328,7 @@
 		return;
 	}
 	if (events_rest(&request->events).len ||
-	    (!request->event_count && !is_framed(head)) ||
+	    (!request->event_count && !is_framed(request, head)) ||
 	    (has_last_event && !request->stream_is_complete)) {
 		request_on_failure(request, SEND_LOST);
 		return;
--- a/lib/transport/httptext.c
+++ b/lib/transport/httptext.c
@@ -1,5 +1,6 @@
 #include "transport/httptext.h"
 
+#include <assert.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -211,6 +212,14 @@
 	buf_printf(out, "HTTP/1.1 %u %s\r\n", status, http1_reason(status));
 }
 
+void httptext_drop_body(buf_t *out)
+{
+	const char *end = memmem(out->ptr, out->len, "\r\n\r\n", 4);
+
+	assert(end);
+	out->len = (size_t)(end - out->ptr) + 4;
+}
+
 void httptext_append_field(buf_t *out, str_t name, str_t value)
 {
 	buf_append_str(out, name);
--- a/lib/transport/httptext.h
+++ b/lib/transport/httptext.h
@@ -63,4 +63,7 @@
 void httptext_append_field(buf_t *out, str_t name, str_t value);
 void httptext_append_number(buf_t *out, str_t name, int64_t number);
 
+/* Leaves the head of the complete response in `out`, for a HEAD request. */
+void httptext_drop_body(buf_t *out);
+
 #endif
--- a/lib/transport/monitor.c
+++ b/lib/transport/monitor.c
@@ -80,7 +80,8 @@
 	httptext_append_number(&out, STR_LIT("Content-Length"),
 			       (int64_t)response->body.len);
 	buf_append_str(&out, STR_LIT("\r\n"));
-	buf_append_str(&out, buf_view(&response->body));
+	if (client->http.head.method != HTTP_HEAD)
+		buf_append_str(&out, buf_view(&response->body));
 	tcp_send(&client->tcp, buf_view(&out));
 	buf_release(&out);
 }
@@ -89,10 +90,11 @@
 {
 	monitor_t *monitor = client->monitor;
 	const http1_head_t *head = &client->http.head;
-	monitor_request_t request = {.method = head->method,
-				     .path = httptext_path(head),
-				     .key = httptext_bearer(head),
-				     .body = buf_view(&client->body)};
+	monitor_request_t request = {
+		.method = head->method == HTTP_HEAD ? HTTP_GET : head->method,
+		.path = httptext_path(head),
+		.key = httptext_bearer(head),
+		.body = buf_view(&client->body)};
 	monitor_response_t response = {
 		.status = 404, .content_type = "text/plain", .body = BUF_INIT};
 
--- a/lib/transport/monitor.h
+++ b/lib/transport/monitor.h
@@ -15,7 +15,8 @@
 typedef struct monitor monitor_t;
 
 typedef struct monitor_request {
-	unsigned method; /* an http_method */
+	unsigned method; /* an http_method; GET also for a HEAD request, whose
+			    response is sent without its body */
 	str_t path;	 /* without the query */
 	str_t key;	 /* credentials of the Bearer scheme; ptr NULL: none */
 	str_t body;
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -129,6 +129,7 @@
     def __init__(self, sock):
         self.sock = sock
         self.data = b""
+        self.method = None  # of the latest request
         self.refused_ids = set()
 
     def read_until(self, mark):
@@ -155,6 +156,7 @@
             self.data += more
         body, self.data = self.data[:length], self.data[length:]
         method, target, _ = lines[0].split(" ")
+        self.method = method
         return method, target, headers, lines[1:], body
 
     def respond(self, status, headers, body, close=False):
@@ -164,7 +166,8 @@
         text += "Content-Length: %d\r\n" % len(body)
         if close:
             text += "Connection: close\r\n"
-        self.sock.sendall(text.encode() + b"\r\n" + body)
+        self.sock.sendall(text.encode() + b"\r\n" +
+                          (b"" if self.method == "HEAD" else body))
 
     def reset(self):
         linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
@@ -654,6 +657,10 @@
         elif mode == "empty-stream":
             self.send_head(connection, 200, common)
             return False
+        elif streams and connection.method == "HEAD":
+            self.send_head(connection, 200, common + [
+                ("Content-Type", "text/event-stream"),
+                ("Transfer-Encoding", "chunked")])
         elif streams:
             after = int(headers.get("last-event-id", "0"))
             complete = mode != "half-stream"
