Ignore an offer to change the protocol in a request

What callers saw: a request with Upgrade and a body got 400, unless the whole body came in the same read as its head.

Cause: http_parser stops at the head of such a request and leaves the rest to another protocol; http1_feed() took that for malformed.

Change: the parser's flag is cleared once the head is read, so that the body is read and the offer is ignored, as HTTP/1.1 allows. Upgrade isn't passed on, as before.

The program has a test of responses to HEAD too.

--- a/lib/transport/http1.c
+++ b/lib/transport/http1.c
@@ -122,6 +122,10 @@
 	head->method = parser->method;
 	head->status = parser->status_code;
 	head->minor = parser->http_minor;
+	/* A request to change the protocol may be ignored (RFC 9110, section
+	 * 7.8); the parser would stop reading the body. */
+	if (parser->type == HTTP_REQUEST)
+		parser->upgrade = 0;
 	return http->no_body;
 }
 
--- a/tests/unit/test_http1.c
+++ b/tests/unit/test_http1.c
@@ -77,6 +77,47 @@
 	http1_release(&http);
 }
 
+/* Guards against refusing a request that offers another protocol, and against
+ * taking its body for the next request: HTTP/1.1 lets the offer be ignored. */
+static void test_upgrade_with_body(void)
+{
+	str_t text = STR_LIT("POST /a HTTP/1.1\r\nHost: h\r\nUpgrade: h2c\r\n"
+			     "Connection: Upgrade, HTTP2-Settings\r\n"
+			     "Content-Length: 5\r\n\r\nabcde");
+	http1_t http;
+	size_t used;
+
+	http1_init(&http, &ops, HTTP_REQUEST, HEAD_BYTES);
+	CU_ASSERT_EQUAL(feed_bytewise(&http, text, &used), HTTP1_MESSAGE);
+	CU_ASSERT_EQUAL(used, text.len);
+	CU_ASSERT_TRUE(str_equals(buf_view(&body), STR_LIT("abcde")));
+	http1_next(&http);
+	CU_ASSERT_EQUAL(feed_bytewise(&http, text, &used), HTTP1_MESSAGE);
+	CU_ASSERT_TRUE(str_equals(buf_view(&body), STR_LIT("abcde")));
+	http1_release(&http);
+}
+
+/* Guards against waiting for the body that a response to HEAD only states. */
+static void test_response_to_head(void)
+{
+	static const char *const heads[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Name: v\r\n\r\n"};
+	http1_t http;
+	size_t used;
+
+	http1_init(&http, &ops, HTTP_RESPONSE, HEAD_BYTES);
+	http.no_body = true;
+	for (size_t i = 0; i < sizeof(heads) / sizeof(heads[0]); i++) {
+		CU_ASSERT_EQUAL(feed_bytewise(&http, str_from(heads[i]), &used),
+				HTTP1_MESSAGE);
+		CU_ASSERT_EQUAL(used, strlen(heads[i]));
+		http1_next(&http);
+	}
+	http1_release(&http);
+}
+
 typedef struct bad_case {
 	const char *name;
 	const char *text;
@@ -210,7 +251,7 @@
 /* Guards against forwarding hop-by-hop headers. */
 static void test_hop_fields(void)
 {
-	str_t text = STR_LIT("GET / HTTP/1.1\r\nConnection: close, X-Mine\r\n"
+	str_t text = STR_LIT("GET / HTTP/1.1\r\nConnection: close ,, x-mine\r\n"
 			     "X-Mine: 1\r\nX-Other: 2\r\nTE: trailers\r\n\r\n");
 	http1_t http;
 	size_t consumed;
@@ -233,6 +274,8 @@
 			       {"long head", test_long_head},
 			       {"connection closed", test_connection_closed},
 			       {"cut anywhere", test_cut_anywhere},
+			       {"upgrade with body", test_upgrade_with_body},
+			       {"response to head", test_response_to_head},
 			       {"hop fields", test_hop_fields},
 			       CU_TEST_INFO_NULL};
 
