Bound a head by its bytes, not by its fields

What callers saw: a request with 65 header fields or more got 431, and an answer with as many counted as lost, however large max_header_bytes was.

Cause: the parser kept fields in a table of 64.

--- a/Makefile
+++ b/Makefile
@@ -88,7 +88,7 @@
 	unitshare warmth) \
 	$(patsubst %,lib/state/%.c,catalog fleet fleet_lanes hostsettings \
 	noticetable replica replica_era) \
-	$(patsubst %,lib/transport/%.c,address frame http1 httptext loop monitor tcp \
+	$(patsubst %,lib/transport/%.c,address frame hopfields http1 httptext loop monitor tcp \
 	udp)
 HOSTD_LIBS := http_parser jansson b64 msgpackc xxhash
 $(BUILD)/peridot-hostd: $(HOSTD_C:%.c=$(BUILD)/%.o)
--- a/lib/transport/http1.c
+++ b/lib/transport/http1.c
@@ -3,8 +3,14 @@
 #include <stdlib.h>
 #include <strings.h>
 
+#include "transport/hopfields.h"
+
 /* A head buffer above this capacity is freed between messages. */
 #define HTTP1_MAX_IDLE_HEAD_BYTES 2048
+/* The same for its fields, and the number that a head begins with. */
+#define HTTP1_IDLE_FIELDS 32
+/* A field takes at least a colon and the end of the line beside its text. */
+#define HTTP1_SEPARATOR_BYTES 3
 /* Return value of on_headers_complete() that makes http_parser fail; it gives
  * 0 to 2 other meanings. */
 #define HTTP1_REJECT_HEAD 3
@@ -17,7 +23,9 @@
 
 static int append_text(http1_t *http, const char *at, size_t len)
 {
-	if (http->head.text.len + len > http->max_head_bytes)
+	if (http->head.text.len + len +
+		    http->head.field_count * HTTP1_SEPARATOR_BYTES >
+	    http->max_head_bytes)
 		return fail_too_large(http);
 	buf_append(&http->head.text, at, len);
 	return 0;
@@ -33,6 +41,22 @@
 	return 0;
 }
 
+static http1_field_t *add_field(http1_head_t *head)
+{
+	if (head->field_count == head->field_cap) {
+		size_t cap = head->field_cap ? 2 * head->field_cap :
+					       HTTP1_IDLE_FIELDS;
+		http1_field_t *grown =
+			realloc(head->fields, cap * sizeof(*grown));
+
+		if (!grown)
+			abort();
+		head->fields = grown;
+		head->field_cap = cap;
+	}
+	return &head->fields[head->field_count++];
+}
+
 static int on_field(http_parser *parser, const char *at, size_t len)
 {
 	http1_t *http = parser->data;
@@ -42,9 +66,7 @@
 	if (head->complete)
 		return 0; /* trailers are not forwarded */
 	if (!head->field_count || http->in_value) {
-		if (head->field_count == HTTP1_MAX_FIELDS)
-			return fail_too_large(http);
-		field = &head->fields[head->field_count++];
+		field = add_field(head);
 		*field = (http1_field_t){.name = (uint32_t)head->text.len};
 		http->in_value = false;
 	}
@@ -62,10 +84,8 @@
 	if (head->complete)
 		return 0;
 	field = &head->fields[head->field_count - 1];
-	if (!http->in_value)
-		field->value = (uint32_t)head->text.len;
 	http->in_value = true;
-	field->value_len += (uint32_t)len;
+	field->value_len += (uint32_t)len & INT32_MAX;
 	return append_text(http, at, len);
 }
 
@@ -113,6 +133,7 @@
 
 	if (!has_valid_names(head))
 		return HTTP1_REJECT_HEAD;
+	hopfields_mark(head);
 	head->complete = true;
 	head->keep_alive = http_should_keep_alive(parser);
 	head->chunked = parser->flags & F_CHUNKED;
@@ -166,16 +187,25 @@
 void http1_release(http1_t *http)
 {
 	buf_release(&http->head.text);
+	free(http->head.fields);
+	http->head = (http1_head_t){.field_count = 0};
 }
 
 void http1_next(http1_t *http)
 {
-	buf_t text = http->head.text;
+	http1_head_t *head = &http->head;
 
-	buf_reset(&text);
-	if (text.cap > HTTP1_MAX_IDLE_HEAD_BYTES)
-		buf_release(&text);
-	http->head = (http1_head_t){.text = text};
+	buf_reset(&head->text);
+	if (head->text.cap > HTTP1_MAX_IDLE_HEAD_BYTES)
+		buf_release(&head->text);
+	if (head->field_cap > HTTP1_IDLE_FIELDS) {
+		free(head->fields);
+		head->fields = NULL;
+		head->field_cap = 0;
+	}
+	*head = (http1_head_t){.text = head->text,
+			       .fields = head->fields,
+			       .field_cap = head->field_cap};
 	http->in_value = false;
 	http->too_large = false;
 	http->done = false;
@@ -229,7 +259,8 @@
 {
 	const http1_field_t *field = &head->fields[index];
 
-	return (str_t){head->text.ptr + field->value, field->value_len};
+	return (str_t){head->text.ptr + field->name + field->name_len,
+		       field->value_len};
 }
 
 bool http1_name_equals(str_t a, str_t b)
@@ -245,54 +276,9 @@
 	return (str_t){NULL, 0};
 }
 
-static bool is_blank(char c)
-{
-	return c == ' ' || c == '\t';
-}
-
-bool http1_list_has(str_t value, str_t token)
-{
-	while (value.len) {
-		const char *comma = memchr(value.ptr, ',', value.len);
-		size_t len = comma ? (size_t)(comma - value.ptr) : value.len;
-		str_t item = {value.ptr, len};
-
-		while (item.len && is_blank(item.ptr[0]))
-			item = (str_t){item.ptr + 1, item.len - 1};
-		while (item.len && is_blank(item.ptr[item.len - 1]))
-			item.len--;
-		if (http1_name_equals(item, token))
-			return true;
-		if (!comma)
-			return false;
-		value = (str_t){comma + 1, value.len - len - 1};
-	}
-	return false;
-}
-
 bool http1_is_hop_by_hop_field(const http1_head_t *head, size_t index)
 {
-	static const str_t names[] = {{"Connection", 10},
-				      {"Keep-Alive", 10},
-				      {"Proxy-Connection", 16},
-				      {"Proxy-Authenticate", 18},
-				      {"Proxy-Authorization", 19},
-				      {"TE", 2},
-				      {"Trailer", 7},
-				      {"Transfer-Encoding", 17},
-				      {"Upgrade", 7},
-				      {"Content-Length", 14},
-				      {"Expect", 6}};
-	str_t name = http1_field_name(head, index);
-
-	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++)
-		if (http1_name_equals(name, names[i]))
-			return true;
-	for (size_t i = 0; i < head->field_count; i++)
-		if (http1_name_equals(http1_field_name(head, i), names[0]) &&
-		    http1_list_has(http1_field_value(head, i), name))
-			return true;
-	return false;
+	return head->fields[index].is_hop_by_hop;
 }
 
 const char *http1_reason(unsigned status)
--- a/lib/transport/http1.h
+++ b/lib/transport/http1.h
@@ -10,9 +10,10 @@
  *
  * An http1_t parses the successive messages of a connection. Each ends with
  * HTTP1_MESSAGE, after which http1_next() must be called; bytes that follow a
- * message are not consumed.
+ * message are not consumed. A head is bounded by its bytes alone: target, names
+ * and values, and the separators of the fields. Its buffers take up to four
+ * times that.
  */
-#define HTTP1_MAX_FIELDS 64
 
 typedef struct http1 http1_t;
 
@@ -30,14 +31,15 @@
 
 typedef struct http1_field {
 	uint32_t name, name_len;
-	uint32_t value, value_len;
+	uint32_t value_len : 31; /* the value follows the name */
+	uint32_t is_hop_by_hop : 1;
 } http1_field_t;
 
-/* The head of a message; http1_field_t holds offsets into `text`. */
+/* The head of a message; http1_field_t holds an offset into `text`. */
 typedef struct http1_head {
 	buf_t text;
-	http1_field_t fields[HTTP1_MAX_FIELDS];
-	size_t field_count;
+	http1_field_t *fields;
+	size_t field_count, field_cap;
 	uint32_t target_len; /* requests: the target is at the start of text */
 	bool complete;
 	bool keep_alive;
@@ -57,7 +59,7 @@
 	bool in_value;
 	bool too_large;
 	bool done;
-	bool no_body; /* response to a HEAD request */
+	bool no_body; /* responses are to a HEAD request; set by the owner */
 };
 
 void http1_init(http1_t *http, const http1_ops_t *ops,
@@ -91,12 +93,9 @@
 /* Compares field names without regard to case. */
 bool http1_name_equals(str_t a, str_t b);
 
-/* Looks for `token` in a comma-separated list, without regard to case. */
-bool http1_list_has(str_t value, str_t token);
-
 /*
- * True for hop-by-hop fields (RFC 9110, section 7.6.1), including those that
- * Connection lists, and for fields that frame the message.
+ * True for the fields of a complete head that concern this connection only, see
+ * hopfields.h.
  */
 bool http1_is_hop_by_hop_field(const http1_head_t *head, size_t index);
 
--- a/tests/unit/test_http1.c
+++ b/tests/unit/test_http1.c
@@ -181,6 +181,43 @@
 	buf_release(&text);
 }
 
+/* Feeds a request with `count` fields without a value, of 4 bytes each. */
+static http1_result_t feed_fields(http1_t *http, unsigned count)
+{
+	buf_t text = BUF_INIT;
+	http1_result_t result;
+	size_t consumed;
+
+	buf_append_str(&text, STR_LIT("GET / HTTP/1.1\r\n"));
+	for (unsigned i = 0; i < count; i++)
+		buf_append_str(&text, STR_LIT("X:\r\n"));
+	buf_append_str(&text, STR_LIT("Y: last\r\n\r\n"));
+	result = http1_feed(http, buf_view(&text), &consumed);
+	buf_release(&text);
+	return result;
+}
+
+/* Guards against refusing a head that is within its limit for the number of its
+ * fields, and against fields that take memory beyond the limit. */
+static void test_many_fields(void)
+{
+	http1_t http;
+
+	http1_init(&http, &ops, HTTP_REQUEST, HEAD_BYTES);
+	CU_ASSERT_EQUAL(feed_fields(&http, 120), HTTP1_MESSAGE);
+	CU_ASSERT_EQUAL(http.head.field_count, 121);
+	CU_ASSERT_TRUE(str_equals(http1_find(&http.head, STR_LIT("Y")),
+				  STR_LIT("last")));
+	CU_ASSERT_EQUAL(http1_field_value(&http.head, 0).len, 0);
+	http1_next(&http);
+	CU_ASSERT_EQUAL(feed_fields(&http, 3), HTTP1_MESSAGE);
+	CU_ASSERT_EQUAL(http.head.field_count, 4);
+	http1_next(&http);
+	CU_ASSERT_EQUAL(feed_fields(&http, HEAD_BYTES / 4 + 1),
+			HTTP1_HEAD_TOO_LARGE);
+	http1_release(&http);
+}
+
 /* Guards against reporting a truncated response as complete. */
 static void test_connection_closed(void)
 {
@@ -274,6 +311,7 @@
 			       {"long head", test_long_head},
 			       {"connection closed", test_connection_closed},
 			       {"cut anywhere", test_cut_anywhere},
+			       {"many fields", test_many_fields},
 			       {"upgrade with body", test_upgrade_with_body},
 			       {"response to head", test_response_to_head},
 			       {"hop fields", test_hop_fields},
