Fuzz requests that are sent one behind the other

Cause: pipelining had tests of named cases only; splits, pauses, freezes, reloads, HEAD, refused and malformed requests, callers that leave and a planned stop meet in more orders than those.

A server of the stand-in waits as long as the path says.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-# Targets: all, check, fuzz, soak, soak-limits, soak-restores, bench, bench-load, demo,
-# format, format-check, lint, clean, deps, programs, deploy.
+# Targets: all, check, fuzz, soak, soak-limits, soak-pipelines, soak-restores, bench,
+# bench-load, demo, format, format-check, lint, clean, deps, programs, deploy.
 # SAN=address,undefined or SAN=thread builds with the sanitizers into a directory
 # of its own.
 
@@ -43,7 +43,7 @@
 SOURCES := $(wildcard lib/*/*.[ch] platform/*.[ch] programs/*.[ch] programs/*/*.[ch] \
 	tests/*/*.[ch] lib/*/*.cpp)
 
-.PHONY: all check soak soak-limits soak-restores bench bench-load demo format format-check lint clean \
+.PHONY: all check soak soak-limits soak-pipelines soak-restores bench bench-load demo format format-check lint clean \
 	deps programs deploy fuzz
 
 all: programs $(STANDINS) $(UNITS) $(BENCHES)
@@ -166,6 +166,11 @@
 	$(MAKE) $(BUILD)/peridot-hostd
 	python3 tests/soak/restores.py $(BUILD) $(SEED) $(DURATION)
 
+# Random pipelines of requests to one host, against a model of the answers.
+soak-pipelines: deps
+	$(MAKE) $(BUILD)/peridot-hostd
+	tests/session/test_soak_pipelines.sh $(BUILD) $(SEED) $(DURATION)
+
 demo: deps
 	$(MAKE) all
 	scripts/demo.sh $(BUILD)
--- a/tests/session/hosts.sh
+++ b/tests/session/hosts.sh
@@ -74,7 +74,7 @@
 \"services\":[{\"name\":\"plain\",\"health_path\":\"/healthz\",\
 \"max_connections\":${max_connections:-100},\"cold_start_s\":0.0,\"cold_per_s\":0.0}],\
 \"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":${max_body_bytes:-10000},\
-\"header_timeout_ms\":1000,\"idle_timeout_ms\":3000},\
+\"header_timeout_ms\":${header_timeout_ms:-1000},\"idle_timeout_ms\":3000},\
 \"tenants\":[{\"name\":\"desk\",\"api_keys\":[$2],\"priority\":0}]}"
 }
 
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -45,12 +45,15 @@
           /control/crash?body=B&how=H  the same, on each request with the body B
           /control/crash               the same, once, now
 
+A server waits N ms before its answer if the path has a part wait-N.
+
 A server of kind "native" serves the endpoint interface of peridot-routerd
 instead.
 """
 
 import base64
 import json
+import re
 import socket
 import sys
 import threading
@@ -542,7 +545,8 @@
         """Responds to one request; returns False if the connection must be
         closed."""
         _, target, headers, _, body = request
-        time.sleep(self.delay_s)
+        wait = re.search("/wait-([0-9]+)/", target)
+        time.sleep(int(wait.group(1)) / 1000 if wait else self.delay_s)
         common = [(self.header_names["id"],
                    headers.get(self.header_names["id"].lower(), "")),
                   (self.header_names["stamp"], "stamp-" + self.name)]
