Test more of HEAD, and restores with longer lists and a slow store

Change: the fuzz of pipelines has HEAD requests of unknown routes and too large bodies, and looks for bytes behind the last answer; test_head asks for the metrics. The soak of restores has records of six spare servers around the others, which change and go, and periods in which the store takes up to 0.4 s for each page.

--- a/lib/transport/http1.h
+++ b/lib/transport/http1.h
@@ -11,7 +11,7 @@
  * An http1_t parses the successive messages of a connection. Each ends with
  * HTTP1_MESSAGE, after which http1_next() must be called; bytes that follow a
  * message are not consumed. A head is bounded by its bytes alone: target, names
- * and values, and the separators of the fields. Its buffers take up to four
+ * and values, and the separators of the fields. Its buffers take up to seven
  * times that.
  */
 
--- a/tests/session/test_head.sh
+++ b/tests/session/test_head.sh
@@ -66,8 +66,11 @@
 	"$(python3 "$work/exchange.py" "${address[h1]}" /stream/a | head -1)"
 expect_equal "each of six requests was sent once" 7 \
 	"$(control "$net.101:8000" /control/count)"
-body=$(curl -s "http://${host_ip[h1]}:8081/peridotpin/readyz")
-check_exchange "an address for operators" "${host_ip[h1]}:8081" \
-	/peridotpin/readyz "200 Content-Length: ${#body} ''" \
-	"200 Content-Length: ${#body} '$body'"
+check_exchange "a health check" "${host_ip[h1]}:8081" /peridotpin/readyz \
+	"200 Content-Length: 0 ''" "200 Content-Length: 0 ''"
+python3 "$work/exchange.py" "${host_ip[h1]}:9464" /metrics >"$work/metrics"
+pass_or_fail "the head of the metrics alone" grep -qx \
+	"200 Content-Length: [1-9][0-9]* ''" "$work/metrics"
+pass_or_fail "and then the metrics" \
+	sh -c "tail -n +2 '$work/metrics' | grep -q '^200 .*peridot'"
 finish
--- a/tests/soak/pipelines.py
+++ b/tests/soak/pipelines.py
@@ -55,6 +55,7 @@
     (b"POST /once/a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
      400),
     (b"POST /once/a HTTP/1.1\r\nContent-Length: 99999\r\n\r\n", 413),
+    (b"HEAD /again/a HTTP/1.1\r\nContent-Length: 99999\r\n\r\n", 413),
     (b"GET /again/a HTTP/1.1\r\nX: " + b"x" * 5000 + b"\r\n\r\n", 431),
 )
 
@@ -85,6 +86,8 @@
         path = "/none/" + request_id
     method = {"lookup": "GET", "call": "GET", "route": "GET", "key": "GET",
               "head": "HEAD"}.get(kind, "POST")
+    if kind == "route" and draw.random() < 0.5:
+        method = "HEAD"
     body, fields = b"", b""
     if method == "POST":
         fields, body = encode_body(
@@ -181,6 +184,14 @@
             self.breach("order: %s was answered with %r, not %d %r" % (
                 request.id, answer, request.status, request.body))
 
+    def check_end(self, request, answers):
+        try:
+            rest = answers.file.read(1)
+        except OSError:
+            return  # reset by bytes that came behind the request
+        if rest:
+            self.breach("order: bytes follow the answer to %s" % request.id)
+
     def read(self, sock, requests):
         """Returns the number of requests that were answered."""
         answers = Answers(sock)
@@ -197,6 +208,7 @@
                 return number
             self.check_answer(request, answer)
             if request.ends:
+                self.check_end(request, answers)
                 return number + 1
         return len(requests)
 
--- a/tests/soak/restores.py
+++ b/tests/soak/restores.py
@@ -7,7 +7,8 @@
 the seed, the operator publishes configurations and the store goes back to an
 older revision, also twice within a second; then the operator and the servers
 write again. Meanwhile hosts are killed, stopped and suspended, connections to
-the store are delayed, cut or reset, and the store compacts its history.
+the store are delayed, cut or reset, the store compacts its history, and answers
+slowly. Its records fill several pages of a listing.
 
 Checks these invariants by probes of every host; each configuration has a route
 of its own version only:
@@ -33,6 +34,10 @@
 APPLY_S = 3.0
 CATCH_UP_S = 4.0
 REWRITE_S = 1.0
+# Servers of a service without a route. Their records surround those of the others
+# in a listing, of which the stand-in sends two a page.
+SPARE_SERVERS = ("a0", "a1", "a2", "z0", "z1", "z2")
+MAX_STORE_DELAY_MS = 400
 
 
 class RestoreSoak(hosts.Soak):
@@ -55,6 +60,20 @@
             "state": state, "cold_remaining_ms": 0,
             "sequence": self.sequence, "born": self.born})
 
+    def put_spare_servers(self):
+        """Changes some records of the spare servers, and removes others."""
+        for name in SPARE_SERVERS:
+            draw = self.random.random()
+            if draw < 0.2:
+                self.store("/control/delete", key="servers/" + name)
+            elif draw < 0.6:
+                self.sequence += 1
+                self.put("servers/" + name, {
+                    "service": "spare", "zone": "d1",
+                    "address": "%s.199:8001" % self.net, "slots": 4,
+                    "state": "ready", "cold_remaining_ms": 0,
+                    "sequence": self.sequence, "born": self.born})
+
     def write_config(self):
         routes = [{"name": path, "hostname": "h.example",
                    "prefix": "/%s/" % path, "route_type": kind,
@@ -75,6 +94,7 @@
 
     def put_config(self):
         with self.records:
+            self.put_spare_servers()
             self.version += self.random.randrange(1, 4)
             self.write_config()
 
@@ -89,6 +109,7 @@
             time.sleep(self.random.uniform(0.0, REWRITE_S))
             for index in range(hosts.SERVERS):
                 self.put_server(index, "ready")
+            self.put_spare_servers()
             if self.random.random() < 0.7:
                 self.version += 1
             self.write_config()
@@ -96,7 +117,7 @@
     def inject_fault(self):
         kind = self.random.choice(("restore", "restore", "config", "config",
                                    "kill", "term", "pause", "proxy", "reset",
-                                   "forget"))
+                                   "forget", "slow", "spare"))
         self.count_fault(kind)
         duration = self.random.uniform(0.2, 1.5)
         index = self.random.randrange(self.hosts)
@@ -119,6 +140,15 @@
             proxy = self.proxies["store"]
             proxy.fault = self.random.choice(("delay", "silence", "cut-out"))
             self.run_later(duration, lambda: setattr(proxy, "fault", None))
+        elif kind == "slow":
+            self.store("/control/delay",
+                       ms=self.random.randrange(MAX_STORE_DELAY_MS))
+            self.run_later(duration,
+                           lambda: self.store("/control/delay", ms=0))
+        elif kind == "spare":
+            with self.records:
+                self.put_spare_servers()
+            duration = 0.0
         elif kind == "reset":
             self.proxies["store"].reset()
         else:
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -194,6 +194,7 @@
         self.gone = False
         self.silent = False
         self.silence_count = 0
+        self.delay_s = 0
 
     def change(self, key, value):
         with self.lock:
@@ -265,6 +266,9 @@
             self.silent = query["on"] == "1"
             self.silence_count += self.silent
             return 200, {}
+        if path == "/control/delay":
+            self.delay_s = int(query["ms"]) / 1000
+            return 200, {}
         if path == "/control/forget":
             with self.lock:
                 self.oldest_watchable = self.revision + 1
@@ -312,6 +316,8 @@
             silence_count = self.silence_count
             era = self.era
             status, body = self.handle(url.path, query)
+            if not url.path.startswith("/control/"):
+                time.sleep(self.delay_s)
             if era != self.era and url.path.startswith("/peridotpin/"):
                 connection.sock.close()
                 return
