Estimate how slow each endpoint is, from this host's streams

Engines of a service may differ by a factor of two or three.

Change: each stream to an endpoint with four pauses or more gives a sample, the lower quartile of its pauses (pauses), which a prefill at the same engine doesn't move. Samples of an endpoint are averaged by their logarithm and lose their weight over 20 s (speed). Each tick sets endpoint->slowness: 1 for the usual endpoint of the service, or when unknown; 2 for one that takes twice as long. A new process of an endpoint starts at 1. The samples of the prefill rate are multiplied by the slowness, so that the rate of the service is that of its usual endpoint; the rate of one endpoint is that divided by its slowness. Event 4112, a metric and a status field show it.

Result: test_speed (7 tests, 29 checks) and test_base, test_choose, test_choose_limits, test_choose_state, test_lanes, test_limits, test_waiting, test_streams, test_ctl and test_host pass.

Ruled out: the median as reference, since it jumps when half of a service's endpoints are slow; the mean over all, since one endpoint in trouble shifts it. The mean over the middle half does neither. A division by the number of requests that run was not added: nothing shows that it is needed.

--- a/lib/request/reply.c
+++ b/lib/request/reply.c
@@ -74,8 +74,8 @@
 	return before > 0.0 ? before + weight * (sample - before) : sample;
 }
 
-/* Updates the service's prefill speed from a long prompt that was the engine's
- * only prefill. */
+/* Updates the prefill speed of the service's usual engine from a long prompt
+ * that was the only prefill of its engine. */
 static void update_prefill_speed(const request_t *request, double taken_ms)
 {
 	service_stats_t *stats = request_stats(request);
@@ -93,6 +93,7 @@
 		speed = REPLY_MIN_TOKENS_PER_MS;
 	if (speed > REPLY_MAX_TOKENS_PER_MS)
 		speed = REPLY_MAX_TOKENS_PER_MS;
+	speed *= request->endpoint->slowness;
 	stats->prefill_tokens_per_ms =
 		mean(stats->prefill_tokens_per_ms, speed, REPLY_SPEED_WEIGHT);
 }
@@ -215,17 +216,26 @@
 {
 	event_t event;
 
+	uint64_t count_before = request->event_count;
+
 	events_feed(&request->events, data);
 	buf_reset(&request->answer);
 	while (events_next(&request->events, &event))
 		pass_event(request, &event);
+	if (request->event_count > count_before)
+		pauses_on_events(
+			&request->pauses,
+			(unsigned)(request->event_count - count_before),
+			request_now_ms(request));
 	if (!request->answer.len)
 		return;
 	if (request->state != REQUEST_ANSWERING)
 		begin_stream(request);
 	answer_part(request, buf_view(&request->answer));
-	if (caller_is_slow(request->caller))
+	if (caller_is_slow(request->caller)) {
+		pauses_on_held_back(&request->pauses);
 		channel_set_reading(request->channel, false);
+	}
 }
 
 static void update_buffered_bytes(request_t *request)
--- a/lib/request/request.h
+++ b/lib/request/request.h
@@ -1,6 +1,7 @@
 #ifndef REQUEST_REQUEST_H
 #define REQUEST_REQUEST_H
 
+#include "coordination/pauses.h"
 #include "request/admit.h"
 #include "request/events.h"
 #include "request/router.h"
@@ -139,6 +140,7 @@
 	int64_t first_event_ms;	    /* when it was received; 0: none yet */
 	int64_t last_event_ms;	    /* the same for the latest event */
 	int64_t longest_pause_ms;   /* between two events */
+	pauses_t pauses;	    /* between those of the current send */
 	loop_timer_t deadline_timer; /* ends the request */
 	loop_timer_t progress_timer; /* ends a send that makes no progress */
 	struct request *next, *prev; /* in router->waiting */
--- a/lib/request/router.c
+++ b/lib/request/router.c
@@ -62,6 +62,7 @@
 
 	fleet_expire_lingering(router->fleet, now_ms);
 	update_lanes(router, now_ms);
+	fleet_update_slowness(router->fleet, now_ms);
 	crashes_update(router);
 	limits_on_tick(router);
 	for (size_t i = 0; i < fleet_count(router->fleet); i++)
--- a/lib/request/router.h
+++ b/lib/request/router.h
@@ -51,7 +51,9 @@
 	double service_ms;	/* non-engine services: mean response time */
 	double busy_ms;		/* mean time a request occupies an endpoint */
 	double lane_busy_ms[2]; /* busy_ms of bulk [0] and express [1] lanes */
-	double prefill_tokens_per_ms; /* engines: prefill rate */
+	double prefill_tokens_per_ms; /* prefill rate of the usual engine; that
+					 of others is lower by the factor
+					 endpoint->slowness */
 	struct service_stats *next;
 } service_stats_t;
 
--- a/lib/request/send.c
+++ b/lib/request/send.c
@@ -57,6 +57,19 @@
 	update_mean(&stats->lane_busy_ms[request->endpoint->express], ms);
 }
 
+/* Counts the send's stream, also one that didn't end, for the speed of its
+ * endpoint. */
+static void record_speed(const request_t *request)
+{
+	double pause_ms = pauses_quiet_ms(&request->pauses);
+
+	if (pause_ms <= 0.0)
+		return;
+	metrics_inc(METRIC_SPEED_SAMPLES);
+	endpoint_add_quiet_pause(request->endpoint, pause_ms,
+				 request_now_ms(request));
+}
+
 void request_end_span(const request_t *request, trace_span_t **span,
 		      outcome_t outcome, const char *reason)
 {
@@ -80,6 +93,7 @@
 	request_release_backlog(request, endpoint);
 	endpoint->in_flight--;
 	record_busy_time(request);
+	record_speed(request);
 	request->endpoint = NULL;
 	endpoint_unref(endpoint);
 	waiting_on_capacity(request->router);
@@ -147,6 +161,7 @@
 	request->answer_began_ms = 0;
 	request->reported_sound = false;
 	request->noted_stalled = false;
+	pauses_reset(&request->pauses);
 	request->state = request->state == REQUEST_ANSWERING ?
 				 REQUEST_ANSWERING :
 				 REQUEST_SENT;
--- a/lib/state/fleet.c
+++ b/lib/state/fleet.c
@@ -187,6 +187,7 @@
 	endpoint->process_hash = XXH64(record->id.ptr, record->id.len,
 				       (uint64_t)record->incarnation);
 	endpoint->incarnation = record->incarnation;
+	endpoint->slowness = 1.0;
 	endpoint->notice_entry =
 		noticetable_find(&fleet->notices, endpoint->process_hash);
 	return endpoint;
--- a/lib/state/fleet.h
+++ b/lib/state/fleet.h
@@ -5,6 +5,7 @@
 #include "coordination/coldgate.h"
 #include "coordination/lanes.h"
 #include "coordination/loadboard.h"
+#include "coordination/speed.h"
 #include "coordination/warmth.h"
 #include "state/catalog.h"
 #include "state/noticetable.h"
@@ -78,6 +79,13 @@
 	double excess_ms; /* moving average of latency above the expected */
 	int64_t excess_updated_ms;
 	double service_ms;
+	/* See speed.h. */
+	speed_t own_speed;	/* from streams to this host */
+	speed_t fleet_speed;	/* from streams to all hosts, as received */
+	double slowness;	/* how many times as long as the service's usual
+				   endpoint it takes; 1 when unknown; from
+				   fleet_update_slowness() */
+	bool has_unusual_speed; /* reported as such in the log */
 	struct channel *idle_channels; /* idle connections, newest first */
 	unsigned channel_count;
 } endpoint_t;
@@ -152,6 +160,9 @@
 void fleet_update_lanes(fleet_t *fleet, str_t service,
 			double prefill_tokens_per_ms, int64_t now_ms);
 
+/* Updates the slowness of all endpoints from the samples known by now. */
+void fleet_update_slowness(const fleet_t *fleet, int64_t now_ms);
+
 /* Removes the lingering endpoints whose time is over. */
 void fleet_expire_lingering(fleet_t *fleet, int64_t now_ms);
 
@@ -178,6 +189,15 @@
 /* The load from all hosts: `total_load` with this host's part up to date. */
 load_t endpoint_load(const endpoint_t *endpoint, int64_t now_ms);
 
+/* Adds the lower quartile of the pauses between the events of a stream; 0 when
+ * the stream was too short to tell. */
+void endpoint_add_quiet_pause(endpoint_t *endpoint, double pause_ms,
+			      int64_t now_ms);
+
+/* Time between the events of a stream while nothing is prefilled at the
+ * endpoint. RETURN VALUE: 0 when unknown. */
+double endpoint_quiet_pause_ms(const endpoint_t *endpoint, int64_t now_ms);
+
 bool endpoint_is_cold(const endpoint_t *endpoint, int64_t now_ms);
 void endpoint_ref(endpoint_t *endpoint);
 void endpoint_unref(endpoint_t *endpoint);
--- a/lib/state/fleet_internal.h
+++ b/lib/state/fleet_internal.h
@@ -4,10 +4,10 @@
 #include "state/fleet.h"
 
 /*
- * fleet_internal - definitions shared by fleet.c and fleet_lanes.c
+ * fleet_internal - definitions shared by fleet.c, fleet_lanes.c, fleet_speed.c
  *
  * fleet.c maintains the list of endpoints; fleet_lanes.c marks them as express
- * or bulk.
+ * or bulk; fleet_speed.c compares their speeds.
  */
 #define FLEET_MS_PER_S 1000.0
 
