Share the speed of endpoints between hosts

Change: each second a host sends the counts and sums of its new samples to the relay of its region (speednews, speedsync); relays add them up and send them to the other relays and to the hosts of their region (speedqueue), at most 60 KB/s, endpoints taking turns. Every host adds what a relay sends to its estimate, and uses its own samples alone while it has more of these. An entry names a process of an endpoint, so a restart forgets.

Result: in test_speedqueue 63 hosts with 265 streams a second before 140 engines, a third of them 2.4 times as slow, see the slow ones 1.98 times as slow as the others after 8 s, and 2.29 times after 30 s; the estimates of two hosts differ by 5.7% and 1.4% at most. With a tenth of the messages lost and a relay that restarts it is 2.18 times and 9.3% after 30 s. At 350 hosts and 760 endpoints in two regions a host receives 347 B/s, where loads have a bound of 2,291 B/s. test_speeds passes three times in a row and fails when nothing is distributed. Its first form failed once: what was sent to a relay that had been killed is lost until the others notice (5 s), and the test had sent streams only in that time. It now sends them until the host knows, for 30 s at most. test_speed, test_base, test_choose, test_choose_limits, test_choose_state, test_lanes, test_gossip, test_peersync, test_prefixnews, test_ratelimit, test_hosts, test_named_limit and test_spread pass.

Ruled out: the board of loads with all sums of all hosts, which survives lost messages and restarts, but takes the bytes of all entries each second and a slot per host and endpoint at the relay. Samples are replaced within seconds, so what is lost need not be sent again.

--- a/Makefile
+++ b/Makefile
@@ -85,7 +85,7 @@
 	gossip_message lanes \
 	limitnews loadboard notice pauses peersync peersync_pull policy prefixmap promptparts \
 	prefixnews pullcodec ratelimit readers rendezvous retryafter retrybudget sendring \
-	speed unitshare warmth) \
+	speed speednews speedqueue unitshare warmth) \
 	$(patsubst %,lib/state/%.c,catalog fleet fleet_lanes fleet_speed hostsettings \
 	noticetable replica replica_era) \
 	$(patsubst %,lib/transport/%.c,address frame hopfields http1 httptext loop monitor tcp \
--- a/lib/request/loadsync.c
+++ b/lib/request/loadsync.c
@@ -11,6 +11,7 @@
 #include "request/limitsync.h"
 #include "request/notices.h"
 #include "request/relays.h"
+#include "request/speedsync.h"
 #include "transport/udp.h"
 
 #define MESSAGE_BYTES 2048
@@ -27,6 +28,7 @@
 	relays_t relays;
 	crashsync_t crashsync;
 	limitsync_t limitsync;
+	speedsync_t speedsync;
 	loadboard_entry_t entries[MAX_ENDPOINTS];
 	/* On a relay: keys to be sent to the hosts of its own region. */
 	prefixnews_t other_region_keys;
@@ -143,18 +145,15 @@
 	int64_t now_ms = current_ms(loadsync);
 	size_t count = loadboard_sum(loadsync->board, LOADBOARD_ALL, now_ms,
 				     loadsync->entries, MAX_ENDPOINTS);
-	size_t receivers = 0;
 	buf_t message = BUF_INIT;
 	err_t err;
 
 	if (!count)
 		return;
-	for (size_t i = 0; i < gossip_member_count(gossip); i++)
-		receivers += relays_in_region(&loadsync->relays,
-					      gossip_member(gossip, i));
 	count = loadboard_select_most_loaded(
 		loadsync->entries, count,
-		loadboard_max_totals(receivers, round_ms));
+		loadboard_max_totals(relays_count_receivers(&loadsync->relays),
+				     round_ms));
 	for (size_t i = 0; i < gossip_member_count(gossip); i++) {
 		const member_t *member = gossip_member(gossip, i);
 
@@ -258,6 +257,7 @@
 	send_prefix_keys(loadsync);
 	crashsync_on_round(&loadsync->crashsync, round_ms);
 	limitsync_on_round(&loadsync->limitsync);
+	speedsync_on_round(&loadsync->speedsync);
 	loop_timer_set(loadsync->router->loop, &loadsync->timer, round_ms,
 		       on_round, loadsync);
 }
@@ -294,6 +294,8 @@
 		return crashsync_read(&loadsync->crashsync, message, err);
 	if (limitnews_is_message(message))
 		return limitsync_read(&loadsync->limitsync, message, err);
+	if (speednews_is_message(message))
+		return speedsync_read(&loadsync->speedsync, message, err);
 	return loadboard_read(loadsync->board, message, current_ms(loadsync),
 			      err);
 }
@@ -338,6 +340,7 @@
 	crashsync_init(&loadsync->crashsync, router, &loadsync->relays,
 		       loadsync->host_id);
 	limitsync_init(&loadsync->limitsync, router, &loadsync->relays);
+	speedsync_init(&loadsync->speedsync, router, &loadsync->relays);
 	loadsync->port = port;
 	loadsync->fd = fd;
 	loop_watch(router->loop, fd, EPOLLIN, on_datagram, loadsync);
--- a/lib/request/relays.c
+++ b/lib/request/relays.c
@@ -77,6 +77,16 @@
 	       str_equals(get_region(relays, member), router->region);
 }
 
+size_t relays_count_receivers(const relays_t *relays)
+{
+	const gossip_t *gossip = peersync_gossip(relays->peersync);
+	size_t receivers = 0;
+
+	for (size_t i = 0; i < gossip_member_count(gossip); i++)
+		receivers += relays_in_region(relays, gossip_member(gossip, i));
+	return receivers;
+}
+
 bool relays_repeats_all(const relays_t *relays)
 {
 	unsigned hosts;
--- a/lib/request/relays.h
+++ b/lib/request/relays.h
@@ -66,6 +66,9 @@
 /* True when the other host is live and in this host's region. */
 bool relays_in_region(const relays_t *relays, const member_t *member);
 
+/* Number of other hosts in this host's region. */
+size_t relays_count_receivers(const relays_t *relays);
+
 /* True for relays, and at random for few of the other hosts: they repeat all
  * that they know, for hosts that have missed news or restarted. */
 bool relays_repeats_all(const relays_t *relays);
--- a/lib/state/fleet.h
+++ b/lib/state/fleet.h
@@ -80,8 +80,12 @@
 	int64_t excess_updated_ms;
 	double service_ms;
 	/* See speed.h. */
-	speed_t own_speed;	/* from streams to this host */
-	speed_t fleet_speed;	/* from streams to all hosts, as received */
+	speed_t own_speed;   /* from streams to this host */
+	speed_t fleet_speed; /* from streams to all hosts, as received */
+	/* Samples not sent to other hosts yet: of this host and, at a relay, of
+	 * others in its region; and of other regions, at a relay only. */
+	speed_sums_t unsent_speed;
+	speed_sums_t unsent_far_speed;
 	double slowness;	/* how many times as long as the service's usual
 				   endpoint it takes; 1 when unknown; from
 				   fleet_update_slowness() */
--- a/lib/state/fleet_speed.c
+++ b/lib/state/fleet_speed.c
@@ -11,8 +11,8 @@
 /* Endpoints that are reported in one update; others follow later. */
 #define FLEET_MAX_REPORTS 8
 
-/* The samples of all hosts, or this host's own while it has more of them: then
- * it receives none. */
+/* The samples of all hosts, which include this host's; or its own while these
+ * are more, as on a host that others can't reach. */
 static speed_sums_t known_speed(const endpoint_t *endpoint, int64_t now_ms)
 {
 	speed_sums_t own = speed_at(&endpoint->own_speed, now_ms);
@@ -28,6 +28,7 @@
 
 	speed_sums_add_pause(&sample, pause_ms);
 	speed_add(&endpoint->own_speed, &sample, now_ms);
+	speed_sums_add(&endpoint->unsent_speed, &sample);
 }
 
 double endpoint_quiet_pause_ms(const endpoint_t *endpoint, int64_t now_ms)
