Place streams by engine speed, spread requests while slots are short

Cause: the placement took all engines of a service for equally fast. While slots are short, hosts that see the same loads 0.3 s late sent up to 45 requests to one engine within 0.1 s, and engines refused 800 in two seconds.

Change: prefill time, prefill share and the wait for a slot count with the engine's slowness; slow engines are the last ones of the express lane. decode forecasts the pauses and the end of a stream on each engine, from what streams have shown, and charges what would be late or lost. shortage lets a request compare a few engines of its lane while most slots are taken. An endpoint that can't be connected to no longer counts as one of the four failed sends after which a request is given up; eight of those end it.

--- a/Makefile
+++ b/Makefile
@@ -81,11 +81,11 @@
 	$(patsubst %,lib/base/%.c,buf err histogram mclock metrics \
 	msgcodec plog str) \
 	$(patsubst %,lib/coordination/%.c,balance breaker coldgate crashboard \
-	crashboard_blocks crashnews floors gossip \
+	crashboard_blocks crashnews decode floors gossip \
 	gossip_message lanes \
 	limitnews loadboard notice pauses peersync peersync_pull policy prefixmap promptparts \
 	prefixnews pullcodec ratelimit readers rendezvous retryafter retrybudget sendring \
-	speed speednews speedqueue unitshare warmth) \
+	shortage speed speednews speedqueue unitshare warmth) \
 	$(patsubst %,lib/state/%.c,catalog fleet fleet_lanes fleet_speed hostsettings \
 	noticetable replica replica_era) \
 	$(patsubst %,lib/transport/%.c,address frame hopfields http1 httptext loop monitor tcp \
--- a/lib/coordination/balance.c
+++ b/lib/coordination/balance.c
@@ -45,6 +45,12 @@
 	return charges[distance];
 }
 
+/* How many times as long as the service's usual engine it takes. */
+static double slowness(const balance_option_t *option)
+{
+	return option->slowness > 0.0 ? option->slowness : 1.0;
+}
+
 static double queue_ms(const balance_option_t *option)
 {
 	unsigned slots = option->slots ? option->slots : 1;
@@ -52,7 +58,7 @@
 		option->in_flight >= slots ? option->in_flight - slots + 1 : 0;
 
 	return option->service_ms * (1.0 + (double)option->in_flight / slots) +
-	       option->busy_ms * queued_ahead / slots;
+	       option->busy_ms * slowness(option) * queued_ahead / slots;
 }
 
 double balance_sample_share(unsigned hosts)
@@ -69,7 +75,7 @@
 double balance_prefill_share(const balance_option_t *option,
 			     const balance_rates_t *rates)
 {
-	return option->prefill_tokens_per_s /
+	return option->prefill_tokens_per_s * slowness(option) /
 	       (rates->prefill_tokens_per_ms * MS_PER_S);
 }
 
@@ -93,7 +99,8 @@
 		(double)(option->backlog_tokens + option->prefill_tokens);
 
 	return balance_round_trip_ms(option->distance) + option->excess_ms +
-	       queue_ms(option) + tokens / rates->prefill_tokens_per_ms;
+	       queue_ms(option) +
+	       tokens * slowness(option) / rates->prefill_tokens_per_ms;
 }
 
 double balance_lane_charge_ms(uint64_t prompt_tokens, bool express)
@@ -119,6 +126,6 @@
 	       COPIED_CHARGE_MS_PER_TOKEN * (double)option->copied_tokens +
 	       (option->copied_tokens ? COPY_SETUP_MS : 0.0) +
 	       option->failure_share * rates->failure_cost_ms +
-	       option->lane_charge_ms +
+	       option->lane_charge_ms + option->decode_charge_ms +
 	       (option->last_resort ? LAST_RESORT_CHARGE_MS : 0.0);
 }
--- a/lib/coordination/balance.h
+++ b/lib/coordination/balance.h
@@ -40,9 +40,11 @@
 	double excess_ms;  /* recent response times in excess of the expected */
 	double service_ms; /* typical response time; for engines a constant */
 	double busy_ms;	   /* mean time that a request occupies a slot */
-	double failure_share;  /* share of recent requests that failed */
-	double lane_charge_ms; /* from balance_lane_charge_ms() */
-	bool last_resort;      /* use only if there is no other option */
+	double slowness;   /* of the engine, see speed.h; 0: 1 */
+	double failure_share;	 /* share of recent requests that failed */
+	double lane_charge_ms;	 /* from balance_lane_charge_ms() */
+	double decode_charge_ms; /* from decode_charge_ms() of decode.h */
+	bool last_resort;	 /* use only if there is no other option */
 } balance_option_t;
 
 typedef struct balance_rates {
--- a/lib/request/choose.c
+++ b/lib/request/choose.c
@@ -189,6 +189,7 @@
 		option.prefill_tokens_per_s = (double)load.tokens_per_s;
 		ranking_set_tokens(ranking, request, endpoint, &option);
 		option.service_ms = ROUTER_ENGINE_BASE_MS;
+		option.slowness = endpoint->slowness;
 		if (lanes_follow_load(request->router->all_hosts))
 			option.busy_ms =
 				router_service_stats(
@@ -216,11 +217,16 @@
 /* The search for the cheapest endpoint of a request. */
 typedef struct search {
 	const request_t *request;
+	const service_stats_t *stats;
 	domain_limits_t domains;
 	ranking_t ranking;
 	balance_rates_t rates;
 	int64_t now_ms;
 	double sample_share; /* part of the endpoints to evaluate */
+	bool stays_on_lane;  /* considers no endpoint of the other lane */
+	/* Of streams, see decode.h. */
+	double quiet_pause_ms;
+	double expected_events;
 	double best_cost;
 	bool any_at_limit; /* an endpoint is full, cold or refusing work */
 	choose_result_t result;
@@ -231,6 +237,10 @@
  * the request's `id_hash` selects. */
 static bool is_sampled(const search_t *search, const endpoint_t *endpoint)
 {
+	if (search->stays_on_lane &&
+	    balance_lane_charge_ms(search->request->call.prompt_tokens,
+				   endpoint->express) > 0.0)
+		return false;
 	return search->sample_share >= 1.0 ||
 	       ranking_contains(&search->ranking, endpoint) ||
 	       ranking_rendezvous_weight(endpoint, search->request->id_hash) <
@@ -274,6 +284,28 @@
 	return true;
 }
 
+/* Charge for how the endpoint would decode the request's stream. */
+static double forecast_charge_ms(const search_t *search,
+				 const endpoint_t *endpoint,
+				 const balance_option_t *option)
+{
+	const request_t *request = search->request;
+	const catalog_route_t *route = request->admission.route;
+	decode_stream_t stream = {
+		.events = search->expected_events,
+		.left_ms = (double)(request->deadline_ms - search->now_ms),
+		.gap_target_ms = route->event_gap_target_ms,
+		.miss_charge_ms = search->rates.failure_cost_ms};
+	decode_engine_t engine = {
+		.quiet_pause_ms = search->quiet_pause_ms * endpoint->slowness,
+		.prefill_share = balance_prefill_share(option, &search->rates),
+		.expected_ms = balance_expected_ms(option, &search->rates)};
+
+	if (route->kind != CATALOG_STREAM || request->call.not_streamed)
+		return 0.0;
+	return decode_charge_ms(&search->stats->decode, &stream, &engine);
+}
+
 static void evaluate(search_t *search, endpoint_t *endpoint)
 {
 	const request_t *request = search->request;
@@ -295,6 +327,9 @@
 	option = make_option(request, &search->ranking, endpoint,
 			     search->domains.distance[endpoint->domain_index],
 			     search->now_ms);
+	if (request->call.prompt_tokens)
+		option.decode_charge_ms =
+			forecast_charge_ms(search, endpoint, &option);
 	cost = policy->ops->cost(policy, &option, &search->rates);
 	if (choice->endpoint && cost >= search->best_cost)
 		return;
@@ -319,32 +354,56 @@
 			evaluate(search, router->candidates[i]);
 }
 
+/*
+ * Narrows the search to a few endpoints of the request's lane while slots are
+ * short. Requests with a long shared prefix are spread by it already, and would
+ * have it read again elsewhere.
+ */
+static void sample_if_short(search_t *search, size_t count)
+{
+	const request_t *request = search->request;
+	double share = shortage_sample_share(&search->stats->shortage, count);
+
+	if (prompt_parts_shared_tokens(&request->call.parts) >=
+		    BALANCE_LONG_PROMPT_TOKENS ||
+	    request->state == REQUEST_ANSWERING ||
+	    share >= search->sample_share)
+		return;
+	search->sample_share = share;
+	search->stays_on_lane = true;
+}
+
 choose_result_t choose_endpoint(const request_t *request, choice_t *choice)
 {
 	router_t *router = request->router;
-	search_t search = {.request = request,
-			   .now_ms = router_now_ms(router),
-			   .sample_share =
-				   balance_sample_share(router->all_hosts),
-			   .result = CHOOSE_NONE,
-			   .choice = choice};
+	search_t search = {
+		.request = request,
+		.stats = router_service_stats(router,
+					      request->admission.service_name),
+		.now_ms = router_now_ms(router),
+		.sample_share = balance_sample_share(router->all_hosts),
+		.result = CHOOSE_NONE,
+		.choice = choice};
 	size_t count;
 
 	search.rates = (balance_rates_t){
-		.prefill_tokens_per_ms =
-			router_service_stats(router,
-					     request->admission.service_name)
-				->prefill_tokens_per_ms,
+		.prefill_tokens_per_ms = search.stats->prefill_tokens_per_ms,
 		.failure_cost_ms = CHOOSE_FAILURE_COST_FACTOR *
 				   request->admission.route->target_ms};
 	*choice = (choice_t){.endpoint = NULL};
 	fleet_update_express(router->fleet);
 	check_domains(request, &search.domains);
 	count = find_candidates(request, &search.domains);
+	sample_if_short(&search, count);
+	search.quiet_pause_ms = fleet_quiet_pause_ms(
+		router->fleet, request->admission.service_name);
+	search.expected_events = decode_expected_events(
+		&search.stats->decode, request_class_id(request));
 	search.ranking = ranking_make(request, count);
 	evaluate_candidates(&search, count);
 	if (!choice->endpoint && search.sample_share < 1.0) {
 		search.sample_share = 1.0;
+		search.stays_on_lane = false;
 		evaluate_candidates(&search, count);
 	}
 	if (search.any_at_limit)
--- a/lib/request/reply.c
+++ b/lib/request/reply.c
@@ -314,6 +314,18 @@
 	channel_set_reading(request->channel, true);
 }
 
+/* Notes how the endpoint decoded a complete stream. */
+static void note_decoded(const request_t *request)
+{
+	double quiet_pause_ms = fleet_quiet_pause_ms(
+		request->router->fleet, request->admission.service_name);
+
+	decode_on_stream(
+		&request_stats(request)->decode, request_class_id(request),
+		(double)request->event_count, (double)request->longest_pause_ms,
+		quiet_pause_ms * request->endpoint->slowness);
+}
+
 static void on_success(request_t *request, const http1_head_t *head)
 {
 	if (!request->answer_began_ms)
@@ -326,6 +338,8 @@
 			   request_now_ms(request));
 	if (!request->event_count)
 		update_estimates(request);
+	else
+		note_decoded(request);
 }
 
 static void end_stream(request_t *request, const http1_head_t *head)
--- a/lib/request/request.h
+++ b/lib/request/request.h
@@ -79,7 +79,8 @@
 	/* All sends so far. */
 	unsigned sends;		/* written to a connected endpoint */
 	unsigned possible_runs; /* sends that the endpoint may have run */
-	unsigned failures;	/* failed sends of any kind */
+	unsigned failures;	/* failed sends to a connected endpoint */
+	unsigned unconnected;	/* endpoints that couldn't be connected to */
 	unsigned broken_sends;	/* whose connection broke before an answer */
 	uint64_t tried[REQUEST_MAX_TRIED]; /* hashes of endpoints that failed;
 					      they aren't chosen again */
@@ -194,6 +195,9 @@
 /* Ends the request. Called once its response has been sent to the caller. */
 void request_finish(request_t *request, outcome_t outcome, const char *reason);
 
+/* Identifies the request's class: a hash of its route's name. */
+uint64_t request_class_id(const request_t *request);
+
 /* True when a send to the endpoint has failed. */
 bool request_was_tried(const request_t *request, const endpoint_t *endpoint);
 
--- a/lib/request/router.c
+++ b/lib/request/router.c
@@ -55,6 +55,29 @@
 				   service->prefill_tokens_per_ms, now_ms);
 }
 
+/* Compares the requests in flight at each service's engines with their slots.
+ */
+static void update_shortages(const router_t *router, int64_t now_ms)
+{
+	for (service_stats_t *service = router->services; service;
+	     service = service->next) {
+		int index = fleet_find_service(router->fleet,
+					       str_from(service->name));
+		uint64_t in_flight = 0, slots = 0;
+
+		for (size_t i = 0; i < fleet_count(router->fleet); i++) {
+			const endpoint_t *endpoint = fleet_at(router->fleet, i);
+
+			if ((int)endpoint->service_index != index ||
+			    endpoint->state != ENDPOINT_READY)
+				continue;
+			in_flight += endpoint_load(endpoint, now_ms).in_flight;
+			slots += endpoint->slots;
+		}
+		shortage_update(&service->shortage, in_flight, slots);
+	}
+}
+
 static void on_tick(void *user)
 {
 	router_t *router = user;
@@ -62,6 +85,7 @@
 
 	fleet_expire_lingering(router->fleet, now_ms);
 	update_lanes(router, now_ms);
+	update_shortages(router, now_ms);
 	fleet_update_slowness(router->fleet, now_ms);
 	crashes_update(router);
 	limits_on_tick(router);
--- a/lib/request/router.h
+++ b/lib/request/router.h
@@ -2,12 +2,14 @@
 #define REQUEST_ROUTER_H
 
 #include "coordination/crashboard.h"
+#include "coordination/decode.h"
 #include "coordination/floors.h"
 #include "coordination/gossip.h"
 #include "coordination/policy.h"
 #include "coordination/prefixmap.h"
 #include "coordination/prefixnews.h"
 #include "coordination/retrybudget.h"
+#include "coordination/shortage.h"
 #include "request/dialect.h"
 #include "request/tracer.h"
 #include "state/catalog.h"
@@ -54,6 +56,8 @@
 	double prefill_tokens_per_ms; /* prefill rate of the usual engine; that
 					 of others is lower by the factor
 					 endpoint->slowness */
+	shortage_t shortage;	      /* engines: whether slots are short */
+	decode_stats_t decode;	      /* engines: what streams have shown */
 	struct service_stats *next;
 } service_stats_t;
 
--- a/lib/request/send.c
+++ b/lib/request/send.c
@@ -11,6 +11,9 @@
 
 /* Failed sends of any kind after which a request is given up. */
 #define SEND_MAX_FAILURES 4
+/* The same for endpoints that could not be connected to, which costs little:
+ * many crash at once, and each host finds out by itself. */
+#define SEND_MAX_UNCONNECTED 8
 /* Sends whose connection broke before an answer began, after which a request is
  * given up: it may be what crashes the endpoints. */
 #define SEND_MAX_BROKEN 2
@@ -318,23 +321,25 @@
 		start_progress_timer(request, limit_ms);
 	metrics_add(METRIC_SENDS, request->admission.service_name, 1);
 	prompt_parts_print(&request->call.parts, parts);
-	plog_write(PLOG_REQUEST_SENT,
-		   "id=%" STR_FMT " endpoint=%s send=%u wait_ms=%lld "
-		   "left_ms=%lld expected_ms=%.0f in_flight=%u unread=%llu "
-		   "backlog=%llu reading=%.2f source=%s cold=%d limit=%g "
-		   "version=%lld parts=%s",
-		   STR_ARG(request->call.id), request->endpoint->id,
-		   request->sends,
-		   (long long)(request->sent_ms - request->arrived_ms),
-		   (long long)(request->deadline_ms - request->sent_ms),
-		   request->expected_ms, request->endpoint->in_flight,
-		   (unsigned long long)request->prefill_tokens,
-		   (unsigned long long)request->endpoint->backlog_tokens,
-		   request->prefill_share,
-		   request->prefix_source[0] ? request->prefix_source : "-",
-		   choose_is_cold(request, request->endpoint, request->sent_ms),
-		   endpoint_limit_per_s(request->endpoint),
-		   (long long)catalog_version(request->catalog), parts);
+	plog_write(
+		PLOG_REQUEST_SENT,
+		"id=%" STR_FMT " endpoint=%s send=%u wait_ms=%lld "
+		"left_ms=%lld expected_ms=%.0f in_flight=%u total=%u unread=%llu "
+		"backlog=%llu reading=%.2f express=%d source=%s cold=%d limit=%g "
+		"version=%lld parts=%s",
+		STR_ARG(request->call.id), request->endpoint->id,
+		request->sends,
+		(long long)(request->sent_ms - request->arrived_ms),
+		(long long)(request->deadline_ms - request->sent_ms),
+		request->expected_ms, request->endpoint->in_flight,
+		endpoint_load(request->endpoint, request->sent_ms).in_flight,
+		(unsigned long long)request->prefill_tokens,
+		(unsigned long long)request->endpoint->backlog_tokens,
+		request->prefill_share, request->endpoint->express,
+		request->prefix_source[0] ? request->prefix_source : "-",
+		choose_is_cold(request, request->endpoint, request->sent_ms),
+		endpoint_limit_per_s(request->endpoint),
+		(long long)catalog_version(request->catalog), parts);
 }
 
 bool request_may_send_again(const request_t *request)
@@ -345,6 +350,7 @@
 		return false;
 	if (request_now_ms(request) >= request->deadline_ms ||
 	    request->failures >= SEND_MAX_FAILURES ||
+	    request->unconnected >= SEND_MAX_UNCONNECTED ||
 	    request->broken_sends >= SEND_MAX_BROKEN)
 		return false;
 	return !request->possible_runs ||
@@ -451,7 +457,10 @@
 
 void request_on_failure(request_t *request, send_failure_t failure)
 {
-	request->failures++;
+	if (failure == SEND_NOT_CONNECTED)
+		request->unconnected++;
+	else
+		request->failures++;
 	if (failure == SEND_NOT_RUN)
 		request->possible_runs--;
 	log_failure(request, failure);
--- a/lib/request/waiting.c
+++ b/lib/request/waiting.c
@@ -6,7 +6,7 @@
 
 #define WAITING_RETRY_MS 20
 
-static uint64_t class_id(const request_t *request)
+uint64_t request_class_id(const request_t *request)
 {
 	str_t name = request->admission.route->name;
 
@@ -20,7 +20,7 @@
 
 	if (!route->floor_percent && !route->max_waiting)
 		return NULL;
-	return floors_get(&request->router->floors, class_id(request),
+	return floors_get(&request->router->floors, request_class_id(request),
 			  route->floor_percent);
 }
 
@@ -54,7 +54,7 @@
 	request_t *at = router->waiting;
 
 	while (due && at &&
-	       (!at->waits_for_capacity || class_id(at) != due->id))
+	       (!at->waits_for_capacity || request_class_id(at) != due->id))
 		at = at->next;
 	return due ? at : NULL;
 }
@@ -201,6 +201,6 @@
 
 void waiting_on_send(const request_t *request)
 {
-	floors_on_send(&request->router->floors, class_id(request));
+	floors_on_send(&request->router->floors, request_class_id(request));
 	customers_on_send(request);
 }
--- a/lib/state/fleet.c
+++ b/lib/state/fleet.c
@@ -83,9 +83,14 @@
 		realloc(fleet->marked_express_shares,
 			(fleet->service_count + 1) *
 				sizeof(*fleet->marked_express_shares));
-	if (!fleet->lanes || !fleet->marked_express_shares)
+	fleet->quiet_pauses_ms =
+		realloc(fleet->quiet_pauses_ms,
+			(fleet->service_count + 1) * sizeof(double));
+	if (!fleet->lanes || !fleet->marked_express_shares ||
+	    !fleet->quiet_pauses_ms)
 		abort();
 	fleet->marked_express_shares[fleet->service_count] = 0.0;
+	fleet->quiet_pauses_ms[fleet->service_count] = 0.0;
 	fleet->lanes[fleet->service_count] = (lanes_t){.share = 0.0};
 	fleet->services[fleet->service_count] = copy_text(name);
 	return (unsigned)fleet->service_count++;
@@ -142,6 +147,7 @@
 	free(fleet->services);
 	free(fleet->lanes);
 	free(fleet->marked_express_shares);
+	free(fleet->quiet_pauses_ms);
 	noticetable_release(&fleet->notices);
 	free(fleet);
 }
--- a/lib/state/fleet.h
+++ b/lib/state/fleet.h
@@ -90,6 +90,7 @@
 				   endpoint it takes; 1 when unknown; from
 				   fleet_update_slowness() */
 	bool has_unusual_speed; /* reported as such in the log */
+	bool is_slow;		/* takes much longer than the usual endpoint */
 	struct channel *idle_channels; /* idle connections, newest first */
 	unsigned channel_count;
 } endpoint_t;
@@ -165,7 +166,11 @@
 			double prefill_tokens_per_ms, int64_t now_ms);
 
 /* Updates the slowness of all endpoints from the samples known by now. */
-void fleet_update_slowness(const fleet_t *fleet, int64_t now_ms);
+void fleet_update_slowness(fleet_t *fleet, int64_t now_ms);
+
+/* Time in ms between the events of a stream at the service's usual endpoint
+ * while nothing is prefilled there; 0 when unknown. */
+double fleet_quiet_pause_ms(const fleet_t *fleet, str_t service);
 
 /* Removes the lingering endpoints whose time is over. */
 void fleet_expire_lingering(fleet_t *fleet, int64_t now_ms);
--- a/lib/state/fleet_internal.h
+++ b/lib/state/fleet_internal.h
@@ -22,6 +22,8 @@
 	lanes_t *lanes; /* of each service */
 	/* The express share of each service at the last marking. */
 	double *marked_express_shares;
+	/* Of each service, see fleet_quiet_pause_ms(). */
+	double *quiet_pauses_ms;
 	size_t service_count;
 	bool express_is_stale; /* endpoints must be marked again */
 	noticetable_t notices;
--- a/lib/state/fleet_lanes.c
+++ b/lib/state/fleet_lanes.c
@@ -11,8 +11,9 @@
 	return endpoint_limit_per_s(endpoint) > 0.0;
 }
 
-/* Orders endpoints by service and domain, which form a group, then by hash;
- * those with a limited rate come last. */
+/* Orders endpoints by service and domain, which form a group; then slow ones
+ * after others, whose streams suffer less from prefill, and by hash. Those with
+ * a limited rate come last. */
 static int compare_groups(const void *a, const void *b)
 {
 	const endpoint_t *x = *(endpoint_t *const *)a;
@@ -24,6 +25,8 @@
 		return x->domain_index < y->domain_index ? -1 : 1;
 	if (is_limited(x) != is_limited(y))
 		return is_limited(x) ? 1 : -1;
+	if (x->is_slow != y->is_slow)
+		return x->is_slow ? 1 : -1;
 	return x->hash < y->hash ? -1 : x->hash > y->hash;
 }
 
@@ -103,7 +106,7 @@
 		if ((int)endpoint->service_index != index || !endpoint->slots)
 			continue;
 		loads[endpoint->express].prefill_share_sum +=
-			(double)load.tokens_per_s /
+			(double)load.tokens_per_s * endpoint->slowness /
 			(prefill_tokens_per_ms * FLEET_MS_PER_S);
 		loads[endpoint->express].slot_share_sum +=
 			(double)load.in_flight / endpoint->slots;
--- a/lib/state/fleet_speed.c
+++ b/lib/state/fleet_speed.c
@@ -62,6 +62,18 @@
 		   endpoint_quiet_pause_ms(endpoint, now_ms), unusual);
 }
 
+/* RETURN VALUE: whether this has changed. */
+static bool update_is_slow(endpoint_t *endpoint)
+{
+	bool is_slow = endpoint->slowness > (endpoint->is_slow ?
+						     FLEET_USUAL_SLOWNESS :
+						     FLEET_UNUSUAL_SLOWNESS);
+	bool changed = is_slow != endpoint->is_slow;
+
+	endpoint->is_slow = is_slow;
+	return changed;
+}
+
 static double find_reference_ms(const fleet_t *fleet, unsigned service,
 				speed_sums_t *list, int64_t now_ms)
 {
@@ -74,7 +86,7 @@
 	return speed_reference_ms(list, count);
 }
 
-static void update_service(const fleet_t *fleet, unsigned service,
+static void update_service(fleet_t *fleet, unsigned service,
 			   double reference_ms, int64_t now_ms)
 {
 	unsigned reports = 0;
@@ -88,18 +100,29 @@
 		sums = known_speed(endpoint, now_ms);
 		endpoint->slowness = speed_slowness(&sums, reference_ms);
 		report(endpoint, &reports, now_ms);
+		if (update_is_slow(endpoint))
+			fleet->express_is_stale = true;
 	}
 }
 
-void fleet_update_slowness(const fleet_t *fleet, int64_t now_ms)
+void fleet_update_slowness(fleet_t *fleet, int64_t now_ms)
 {
 	speed_sums_t *list = malloc((fleet->count + 1) * sizeof(*list));
 
 	if (!list)
 		abort();
-	for (unsigned service = 0; service < fleet->service_count; service++)
-		update_service(fleet, service,
-			       find_reference_ms(fleet, service, list, now_ms),
+	for (unsigned service = 0; service < fleet->service_count; service++) {
+		fleet->quiet_pauses_ms[service] =
+			find_reference_ms(fleet, service, list, now_ms);
+		update_service(fleet, service, fleet->quiet_pauses_ms[service],
 			       now_ms);
+	}
 	free(list);
 }
+
+double fleet_quiet_pause_ms(const fleet_t *fleet, str_t service)
+{
+	int index = fleet_find_service(fleet, service);
+
+	return index < 0 ? 0.0 : fleet->quiet_pauses_ms[index];
+}
