Fuzz messages about speeds, and measure the update of all speeds

Cause: the new message is read from other hosts, and the update of all speeds runs on the loop of a host that also serves callers.

--- a/tests/bench/bench_decision.c
+++ b/tests/bench/bench_decision.c
@@ -12,6 +12,7 @@
 #include <stdlib.h>
 
 #define ROUNDS 20000
+#define SPEED_ROUNDS 2000
 #define DISTINCT_PROMPTS 200
 #define HEAD_BYTES 16384
 #define SLOTS 64
@@ -82,6 +83,24 @@
 		exit(1);
 }
 
+/* The samples of all endpoints are known, as in a busy fleet. */
+static void measure_speeds(const router_t *router)
+{
+	const fleet_t *fleet = router->fleet;
+	int64_t start_us;
+
+	for (size_t i = 0; i < fleet_count(fleet); i++)
+		endpoint_add_quiet_pause(fleet_at(fleet, i),
+					 30.0 + (double)(i * 37 % 50), 1);
+	start_us = mclock_now_us(mclock_system());
+	for (int i = 0; i < SPEED_ROUNDS; i++)
+		fleet_update_slowness(fleet, i + 1);
+	printf("endpoints %zu: %.1f us an update of all speeds\n",
+	       fleet_count(fleet),
+	       (double)(mclock_now_us(mclock_system()) - start_us) /
+		       SPEED_ROUNDS);
+}
+
 static void measure(unsigned count)
 {
 	static const http1_ops_t http_ops = {on_body};
@@ -113,6 +132,7 @@
 	printf("endpoints %u: %.1f us a decision (%u of %d placed)\n", count,
 	       (double)(mclock_now_us(mclock_system()) - start_us) / ROUNDS,
 	       routed, ROUNDS);
+	measure_speeds(router);
 	http1_release(&http);
 	catalog_unref(catalog);
 	router_free(router);
--- a/tests/fuzz/fuzz.c
+++ b/tests/fuzz/fuzz.c
@@ -27,6 +27,14 @@
 	size_t count;
 } corpus_t;
 
+void fuzz_require(bool condition, const char *what)
+{
+	if (condition)
+		return;
+	fprintf(stderr, "violated: %s\n", what);
+	abort();
+}
+
 /* xorshift64* */
 static uint64_t next_random(uint64_t *state)
 {
--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -3,12 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "coordination/crashnews.h"
 #include "coordination/gossip.h"
-#include "coordination/limitnews.h"
-#include "coordination/loadboard.h"
-#include "coordination/ratelimit.h"
-#include "coordination/prefixnews.h"
 #include "coordination/pullcodec.h"
 #include "coordination/sheetsync.h"
 #include "platform/headers.h"
@@ -29,15 +24,6 @@
 #define NOW_MS 1000
 #define MAX_BODY_BYTES 1048576
 
-/* Aborts unless an invariant holds. */
-static void require(bool condition, const char *what)
-{
-	if (condition)
-		return;
-	fprintf(stderr, "violated: %s\n", what);
-	abort();
-}
-
 static size_t body_bytes;
 
 static void count_body(http1_t *http, str_t data)
@@ -68,14 +54,15 @@
 	result.result = http1_feed(http, (str_t){input.ptr, cut}, &consumed);
 	result.consumed = consumed;
 	if (result.result == HTTP1_MORE) {
-		require(consumed == cut,
-			"an incomplete message is fully consumed");
+		fuzz_require(consumed == cut,
+			     "an incomplete message is fully consumed");
 		result.result = http1_feed(
 			http, (str_t){input.ptr + cut, input.len - cut},
 			&consumed);
 		result.consumed += consumed;
 	}
-	require(result.consumed <= input.len, "no more consumed than given");
+	fuzz_require(result.consumed <= input.len,
+		     "no more consumed than given");
 	result.body = body_bytes;
 	result.status = http->head.status;
 	result.fields = http->head.field_count;
@@ -93,12 +80,12 @@
 	http_result_t b = read_message(type, input, cut, &parts);
 
 	if (a.result == HTTP1_MESSAGE) {
-		require(b.result == HTTP1_MESSAGE,
-			"a split changes no message");
-		require(a.consumed == b.consumed,
-			"a split changes no message end");
-		require(a.body == b.body, "a split changes no body");
-		require(a.fields == b.fields, "a split changes no fields");
+		fuzz_require(b.result == HTTP1_MESSAGE,
+			     "a split changes no message");
+		fuzz_require(a.consumed == b.consumed,
+			     "a split changes no message end");
+		fuzz_require(a.body == b.body, "a split changes no body");
+		fuzz_require(a.fields == b.fields, "a split changes no fields");
 	}
 	http1_release(&whole);
 	http1_release(&parts);
@@ -136,10 +123,10 @@
 						 &params, &out);
 			http1_init(&written, &http_ops, HTTP_REQUEST,
 				   4 * HEAD_BYTES);
-			require(http1_feed(&written, buf_view(&out),
-					   &consumed) == HTTP1_MESSAGE &&
-					consumed == out.len,
-				"a call is written as one message");
+			fuzz_require(http1_feed(&written, buf_view(&out),
+						&consumed) == HTTP1_MESSAGE &&
+					     consumed == out.len,
+				     "a call is written as one message");
 			http1_release(&written);
 		}
 	}
@@ -177,10 +164,10 @@
 		dialect->ops->read_reply(dialect, &http.head, &reply);
 		dialect->ops->write_reply(dialect, &http.head, &params, &out);
 		http1_init(&written, &http_ops, HTTP_RESPONSE, 4 * HEAD_BYTES);
-		require(http1_feed(&written, buf_view(&out), &consumed) ==
-					HTTP1_MESSAGE &&
-				consumed == out.len,
-			"a response is written as one message");
+		fuzz_require(http1_feed(&written, buf_view(&out), &consumed) ==
+					     HTTP1_MESSAGE &&
+				     consumed == out.len,
+			     "a response is written as one message");
 		http1_release(&written);
 	}
 	http1_release(&http);
@@ -216,8 +203,8 @@
 		event_id_is_after(event.id, event.data);
 	}
 	buf_append_str(&seen, events_rest(&events));
-	require(str_equals(buf_view(&seen), input),
-		"events and the rest make up the stream");
+	fuzz_require(str_equals(buf_view(&seen), input),
+		     "events and the rest make up the stream");
 	events_release(&events);
 	buf_release(&seen);
 }
@@ -230,8 +217,8 @@
 	(void)random_value;
 	if (chat_parse(input, &chat, &err))
 		return;
-	require(*chat.model, "a chat has a model");
-	require(chat.parts.count > 0, "a chat has a message");
+	fuzz_require(*chat.model, "a chat has a model");
+	fuzz_require(chat.parts.count > 0, "a chat has a message");
 }
 
 static void run_config(str_t input, uint64_t random_value)
@@ -255,7 +242,7 @@
 	(void)random_value;
 	if (records_read_endpoint(STR_LIT("e1"), input, &endpoint, &err))
 		return;
-	require(endpoint.record.address.len, "an endpoint has an address");
+	fuzz_require(endpoint.record.address.len, "an endpoint has an address");
 	records_release(&endpoint);
 }
 
@@ -265,7 +252,7 @@
 	psettings_t *settings = psettings_parse(input, &report);
 
 	(void)random_value;
-	require(settings || report.len, "a refusal has a reason");
+	fuzz_require(settings || report.len, "a refusal has a reason");
 	psettings_free(settings);
 	buf_release(&report);
 }
@@ -276,7 +263,7 @@
 	settings_t *settings = settings_parse(input, "f", &report);
 
 	(void)random_value;
-	require(settings || report.len, "a refusal has a reason");
+	fuzz_require(settings || report.len, "a refusal has a reason");
 	settings_free(settings);
 	buf_release(&report);
 }
@@ -290,7 +277,7 @@
 	sheet_t *sheet = sheetcheck_parse(input, "f", &report);
 
 	(void)random_value;
-	require(sheet || report.len, "a refusal has a reason");
+	fuzz_require(sheet || report.len, "a refusal has a reason");
 	if (sheet)
 		catalog_unref(nativeroutes_catalog(sheet, &options));
 	sheet_free(sheet);
@@ -328,92 +315,11 @@
 	gossip_targets(gossip, NOW_MS, targets);
 	gossip_write(gossip, &(gossip_state_t){.position.revision = 1}, NULL,
 		     NOW_MS, &out);
-	require(out.len <= GOSSIP_MESSAGE_BYTES, "gossip fits a datagram");
+	fuzz_require(out.len <= GOSSIP_MESSAGE_BYTES, "gossip fits a datagram");
 	gossip_free(gossip);
 	buf_release(&out);
 }
 
-static void run_loads(str_t input, uint64_t random_value)
-{
-	loadboard_t *board = loadboard_create();
-	loadboard_entry_t entries[LOADBOARD_MESSAGE_ENTRIES];
-	err_t err;
-
-	loadboard_read(board, input, NOW_MS, &err);
-	loadboard_sum(board, LOADBOARD_ALL, NOW_MS, entries,
-		      LOADBOARD_MESSAGE_ENTRIES);
-	loadboard_get(board, (uint32_t)random_value, NOW_MS);
-	loadboard_expire(board, 2 * NOW_MS + LOADBOARD_TTL_MS);
-	loadboard_free(board);
-}
-
-static void run_crash_news(str_t input, uint64_t random_value)
-{
-	crashboard_t *board = crashboard_create();
-	bool is_message = crashnews_is_message(input);
-	crashnews_t news;
-	size_t blocks;
-	err_t err;
-
-	crashboard_set_host(board, (uint32_t)random_value, 0);
-	if (crashnews_read(input, NOW_MS, &news, &err) == ERR_OK) {
-		require(is_message, "an accepted message has a known kind");
-		for (size_t i = 0; i < news.crash_count; i++)
-			crashboard_add(board, &news.crashes[i]);
-		for (size_t i = 0; i < news.sound_count; i++)
-			crashboard_add_sound(board, news.sound[i].input,
-					     news.sound[i].began_ms);
-		crashboard_update(board, NOW_MS);
-		crashboard_blocks(board, &blocks);
-		require((news.kind != CRASHNEWS_HOST &&
-			 news.kind != CRASHNEWS_DIGEST) ||
-				!blocks ||
-				news.source == (uint32_t)random_value,
-			"one host's message blocks nothing");
-	}
-	crashboard_free(board);
-}
-
-static void run_limit_news(str_t input, uint64_t random_value)
-{
-	ratelimit_t limit = {.per_s = 0.0};
-	bool is_message = limitnews_is_message(input);
-	limitnews_t news;
-	err_t err;
-
-	if (limitnews_read(input, NOW_MS, &news, &err))
-		return;
-	require(is_message, "an accepted message has a known kind");
-	for (size_t i = 0; i < news.count; i++) {
-		ratelimit_on_news(&limit, news.entries[i].per_s,
-				  news.entries[i].stated_ms);
-		require(limit.stated_ms <= NOW_MS,
-			"a statement is not from the future");
-		require(limit.per_s >= 0.0 &&
-				limit.per_s <= RATELIMIT_MAX_PER_S,
-			"a rate is within its range");
-	}
-	limit.all_units =
-		ratelimit_count_units(limit.per_s, random_value % 1000 + 1);
-	require(limit.all_units > 0, "a limit has units");
-	ratelimit_term(&limit, NOW_MS);
-}
-
-static void run_prefix_news(str_t input, uint64_t random_value)
-{
-	static prefixmap_t map;
-	prefixnews_t added = {.count = 0};
-	prefixnews_kind_t kind;
-	bool is_message = prefixnews_is_message(input);
-	err_t err;
-
-	(void)random_value;
-	if (prefixnews_read(input, &map, &kind, &added, &err))
-		return;
-	require(is_message, "an accepted message has a known kind");
-	require(added.count <= PREFIXNEWS_MAX_KEYS, "the queue is bounded");
-}
-
 static void ignore_record(void *user, str_t key, str_t value)
 {
 	(void)user;
@@ -444,8 +350,8 @@
 	(void)random_value;
 	pullcodec_read_request(input, &position, &err);
 	if (pullcodec_apply_response(replica, input, &applied, &err))
-		require(!replica_count(replica),
-			"a refused response changes nothing");
+		fuzz_require(!replica_count(replica),
+			     "a refused response changes nothing");
 	sheetsync_refresh(sync, "fuzz");
 	sheetsync_free(sync);
 	replica_free(replica);
@@ -460,8 +366,8 @@
 
 	(void)random_value;
 	if (!frame_peek(input, &content) && content.ptr)
-		require(content.len + FRAME_HEADER_BYTES <= input.len,
-			"a frame is within its bytes");
+		fuzz_require(content.len + FRAME_HEADER_BYTES <= input.len,
+			     "a frame is within its bytes");
 	str_copy(text, sizeof(text), input);
 	address_parse(text, &address, &err);
 }
@@ -482,10 +388,11 @@
 	{"sheet", run_sheet},
 	{"node", run_node},
 	{"gossip", run_gossip},
-	{"loads", run_loads},
-	{"prefix-news", run_prefix_news},
-	{"crash-news", run_crash_news},
-	{"limit-news", run_limit_news},
+	{"loads", fuzz_loads},
+	{"prefix-news", fuzz_prefix_news},
+	{"crash-news", fuzz_crash_news},
+	{"limit-news", fuzz_limit_news},
+	{"speed-news", fuzz_speed_news},
 	{"pull", run_pull},
 	{"frame", run_frame},
 	{NULL, NULL}};
