Measure the update of speeds on a fleet that it may change

Cause: the update marks lanes as stale since slow engines come last there, and bench_decision passed a const fleet. Change: no const.

--- a/tests/bench/bench_decision.c
+++ b/tests/bench/bench_decision.c
@@ -86,7 +86,7 @@
 /* The samples of all endpoints are known, as in a busy fleet. */
 static void measure_speeds(const router_t *router)
 {
-	const fleet_t *fleet = router->fleet;
+	fleet_t *fleet = router->fleet;
 	int64_t start_us;
 
 	for (size_t i = 0; i < fleet_count(fleet); i++)
