Serve customers over their share of a short service after the others

Cause: waiting requests of one priority are ordered by weights of a host's own customers, or by arrival. A customer with many requests at all hosts takes most of what is short.

Change: hosts exchange what customers use (custsync), only while a service is short somewhere. Within a priority, requests of customers over their share go last; they wait while all slots of the best endpoint are taken or others wait, up to 0.7 of their target; in a full queue of a class the last of them that has not run gives its place to another customer's request; their Retry-After is spread over the time until the customer is back at its share. While nothing is short, nothing is sent between hosts and nothing is ordered otherwise.

Ruled out: refusing at the door what is over the share, which decides before it is known whether a place becomes free; totals from the first report alone, since a few requests of one host show little.

--- a/lib/coordination/retryafter.c
+++ b/lib/coordination/retryafter.c
@@ -47,3 +47,8 @@
 	return is_urgent ? random_between(min_ms, middle_ms, random) :
 			   random_between(middle_ms, max_ms, random);
 }
+
+int64_t retryafter_over_share_ms(int64_t recovery_ms, uint64_t random)
+{
+	return random_between(BUSY_MIN_MS, BUSY_MAX_MS + recovery_ms, random);
+}
--- a/lib/coordination/retryafter.h
+++ b/lib/coordination/retryafter.h
@@ -44,4 +44,11 @@
 int64_t retryafter_limited_ms(int64_t next_ms, int64_t left_ms, bool is_urgent,
 			      uint64_t random);
 
+/*
+ * Time in ms until the retry of a customer over its share, which is back at its
+ * share in `recovery_ms` ms. Retries are spread over this time: at once they
+ * would bring it over its share again.
+ */
+int64_t retryafter_over_share_ms(int64_t recovery_ms, uint64_t random);
+
 #endif
--- a/lib/request/choose.c
+++ b/lib/request/choose.c
@@ -209,7 +209,8 @@
 bool choose_is_saturated(const request_t *request, const choice_t *choice)
 {
 	return request->router->policy->ops->holds_long_prompts &&
-	       request->call.prompt_tokens >= BALANCE_LONG_PROMPT_TOKENS &&
+	       (request->call.prompt_tokens >= BALANCE_LONG_PROMPT_TOKENS ||
+		request->share_excess > 0.0) &&
 	       choice->prefill_share > CHOOSE_SATURATED_SHARE;
 }
 
@@ -304,6 +305,7 @@
 	choice->prefill_tokens = option.prefill_tokens;
 	choice->prefill_share = balance_prefill_share(&option, &search->rates);
 	choice->prefills_alone = !option.backlog_tokens;
+	choice->slots_taken = option.slots && option.in_flight >= option.slots;
 	choice->round_trip_ms = balance_round_trip_ms(option.distance);
 	/* Without the excess, which is measured against this time. */
 	choice->expected_ms =
--- a/lib/request/choose.h
+++ b/lib/request/choose.h
@@ -22,6 +22,7 @@
 	double prefill_share; /* share of its time that the endpoint spends on
 				 prefill */
 	double expected_ms;   /* until the first token or response */
+	bool slots_taken;     /* the request would wait at the endpoint */
 	/* CHOOSE_LATER: the earliest time at which an endpoint that paused or
 	 * limits its rate accepts a request of this host; 0: some endpoint is
 	 * at another limit. */
@@ -31,8 +32,9 @@
 } choice_t;
 
 /*
- * True for a long prompt when prefill takes so much of the endpoint's time that
- * one more would slow all streams there: the request should wait.
+ * True for a long prompt, and for any prompt of a customer over its share, when
+ * prefill takes so much of the endpoint's time that one more would slow all
+ * streams there: the request should wait.
  */
 bool choose_is_saturated(const request_t *request, const choice_t *choice);
 
--- a/lib/request/loadsync.c
+++ b/lib/request/loadsync.c
@@ -8,6 +8,7 @@
 #include "base/metrics.h"
 #include "base/plog.h"
 #include "request/crashsync.h"
+#include "request/custsync.h"
 #include "request/limitsync.h"
 #include "request/notices.h"
 #include "request/relays.h"
@@ -27,6 +28,7 @@
 	relays_t relays;
 	crashsync_t crashsync;
 	limitsync_t limitsync;
+	custsync_t custsync;
 	loadboard_entry_t entries[MAX_ENDPOINTS];
 	/* On a relay: keys to be sent to the hosts of its own region. */
 	prefixnews_t other_region_keys;
@@ -258,6 +260,7 @@
 	send_prefix_keys(loadsync);
 	crashsync_on_round(&loadsync->crashsync, round_ms);
 	limitsync_on_round(&loadsync->limitsync);
+	custsync_on_round(&loadsync->custsync);
 	loop_timer_set(loadsync->router->loop, &loadsync->timer, round_ms,
 		       on_round, loadsync);
 }
@@ -294,6 +297,8 @@
 		return crashsync_read(&loadsync->crashsync, message, err);
 	if (limitnews_is_message(message))
 		return limitsync_read(&loadsync->limitsync, message, err);
+	if (custnews_is_message(message))
+		return custsync_read(&loadsync->custsync, message, err);
 	return loadboard_read(loadsync->board, message, current_ms(loadsync),
 			      err);
 }
@@ -338,6 +343,8 @@
 	crashsync_init(&loadsync->crashsync, router, &loadsync->relays,
 		       loadsync->host_id);
 	limitsync_init(&loadsync->limitsync, router, &loadsync->relays);
+	custsync_init(&loadsync->custsync, router, &loadsync->relays,
+		      loadsync->host_id);
 	loadsync->port = port;
 	loadsync->fd = fd;
 	loop_watch(router->loop, fd, EPOLLIN, on_datagram, loadsync);
@@ -353,6 +360,7 @@
 	loop_unwatch(loadsync->router->loop, loadsync->fd);
 	loadsync->router->crash_observer.on_crash = NULL;
 	loadsync->router->limit_observer.on_change = NULL;
+	custsync_release(&loadsync->custsync);
 	close(loadsync->fd);
 	loadboard_free(loadsync->board);
 	free(loadsync->name);
--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -22,6 +22,7 @@
 /* The same for an engine saturated with prefill; the request is sent to it when
  * this time is over. */
 #define REQUEST_SATURATED_WAIT_FRACTION 0.7
+#define OVER_SHARE_REASON "others use less than their share of the service"
 #define BLOCKED_REASON "the request, or a part of its prompt, crashes endpoints"
 
 #define RATE_LIMITED_REASON "the endpoints accept no more requests a second"
@@ -80,6 +81,10 @@
 	if (pause_left_ms > 0)
 		return retryafter_pause_ms(pause_left_ms,
 					   router_random(request->router));
+	if (request->share_excess > 0.0 && !is_absent)
+		return retryafter_over_share_ms(
+			custshare_recovery_ms(request->share_excess),
+			router_random(request->router));
 	return retryafter_ms(is_absent ? RETRYAFTER_ABSENT : RETRYAFTER_BUSY,
 			     request->deadline_ms - request_now_ms(request),
 			     router_random(request->router));
@@ -234,6 +239,7 @@
 			retrybudget_on_request(
 				&request_stats(request)->retry_budget,
 				request_now_ms(request));
+			customers_on_demand(request);
 		}
 		return !first || admit_customer(request);
 	}
@@ -268,6 +274,19 @@
 	       fraction * request->admission.route->target_ms;
 }
 
+/* Refuses a waiting request of a customer over its share so that this one can
+ * take its place. RETURN VALUE: false when there is none. */
+static bool displace_waiting(const request_t *request)
+{
+	request_t *displaced = waiting_find_displaceable(request);
+
+	if (!displaced)
+		return false;
+	answer_not_run(displaced, 503, OVER_SHARE_REASON,
+		       retry_after(displaced));
+	return true;
+}
+
 /* Queues a request that may wait until its deadline. When the queue is full or
  * the expected wait is too long, answers 503 with a Retry-After instead. */
 static void queue_request(request_t *request)
@@ -279,6 +298,9 @@
 	int64_t min_ms = retry_after(request);
 	bool is_full = waiting_is_full(request);
 
+	if (is_full && !request->was_queued && !request->possible_runs &&
+	    expected_ms <= left_ms && displace_waiting(request))
+		is_full = false;
 	if (expected_ms < pause_left_ms)
 		expected_ms = pause_left_ms;
 	if (request->was_queued || request->possible_runs ||
@@ -295,6 +317,16 @@
 		       expected_ms);
 }
 
+/* True when the endpoint has no time for the request now, or the request leaves
+ * it to others since its customer is over its share. */
+static bool should_wait(const request_t *request, const choice_t *choice)
+{
+	return choose_is_saturated(request, choice) ||
+	       (request->share_excess > 0.0 && !request->floor_is_due &&
+		request->state != REQUEST_ANSWERING &&
+		(choice->slots_taken || waiting_yields(request)));
+}
+
 /* RETURN VALUE: true when the request was queued or answered, false when it is
  * to be sent or failed now. */
 static bool wait_or_refuse(request_t *request, choose_result_t result,
@@ -311,7 +343,7 @@
 	else if (result == CHOOSE_LATER &&
 		 may_wait(request, REQUEST_WAIT_FRACTION, until_ms))
 		waiting_add(request, true);
-	else if (result == CHOOSE_OK && choose_is_saturated(request, choice) &&
+	else if (result == CHOOSE_OK && should_wait(request, choice) &&
 		 may_wait(request, REQUEST_SATURATED_WAIT_FRACTION, now_ms))
 		waiting_add(request, false);
 	else
@@ -419,6 +451,7 @@
 
 	if (!admit(request) || refuse_blocked(request) || refuse_late(request))
 		return;
+	customers_update_excess(request);
 	if (!has_more_urgent_waiting(request))
 		result = choose_endpoint(request, &choice);
 	request->no_eligible_endpoint =
@@ -426,6 +459,8 @@
 	request->paused_until_ms =
 		result == CHOOSE_LATER ? choice.paused_until_ms : 0;
 	request->rate_limited = result == CHOOSE_LATER && choice.rate_limited;
+	if (result == CHOOSE_OK && choice.slots_taken)
+		customers_on_short(request);
 	if (wait_or_refuse(request, result, &choice))
 		return;
 	if (result != CHOOSE_OK)
--- a/lib/request/request.h
+++ b/lib/request/request.h
@@ -63,8 +63,10 @@
 	trace_span_t *send_span;   /* of the current send; NULL without one */
 	char trace_context[TRACE_PARENT_BYTES]; /* sent to the endpoint */
 	struct customer_load *customer_load;	/* NULL: not counted */
-	double fair_order; /* place in the weighted order of customers within
-			      the class, lowest first; 0: order of arrival */
+	double fair_order;   /* place in the weighted order of customers within
+				the class, lowest first; 0: order of arrival */
+	double share_excess; /* how many times its share the customer uses of a
+				service that is short; 0: within its share */
 	uint64_t inputs[REQUEST_MAX_INPUTS]; /* that may crash an endpoint, see
 						crashes.h */
 	size_t input_count;
--- a/lib/request/router.c
+++ b/lib/request/router.c
@@ -97,6 +97,7 @@
 	router->crash_observer.host = ROUTER_DEFAULT_HOST_ID;
 	crashboard_set_host(router->crashes, ROUTER_DEFAULT_HOST_ID,
 			    CRASHBOARD_BEGIN_MS);
+	router->custshare = custshare_create(router_now_ms(router));
 	router->read_buffer = malloc(ROUTER_READ_BYTES);
 	if (!router->read_buffer)
 		abort();
@@ -130,6 +131,7 @@
 		free(service);
 	}
 	customers_free(router);
+	custshare_free(router->custshare);
 	run_deferred_frees(router);
 	free(router->deferred_frees);
 	free(router->candidates);
--- a/lib/request/router.h
+++ b/lib/request/router.h
@@ -2,6 +2,7 @@
 #define REQUEST_ROUTER_H
 
 #include "coordination/crashboard.h"
+#include "coordination/custshare.h"
 #include "coordination/floors.h"
 #include "coordination/gossip.h"
 #include "coordination/policy.h"
@@ -125,6 +126,7 @@
 	struct crashcheck *crash_checks; /* in progress */
 	unsigned crash_check_count;
 	struct customer_load *customers; /* those with requests in progress */
+	custshare_t *custshare;		 /* what customers use of services */
 	/* Of the weighted fair queue among customers: the highest virtual start
 	 * time of a request that was sent. */
 	double virtual_time;
--- a/lib/request/waiting.c
+++ b/lib/request/waiting.c
@@ -91,10 +91,25 @@
 	}
 }
 
+static bool is_over_share(const request_t *request)
+{
+	return request->share_excess > 0.0;
+}
+
+/* Arrival, and later the further the customer is over its share. */
+static int64_t queued_ms(const request_t *request)
+{
+	return request->arrived_ms + custshare_delay_ms(request->share_excess);
+}
+
 static bool goes_before(const request_t *a, const request_t *b)
 {
 	if (a->admission.priority != b->admission.priority)
 		return a->admission.priority < b->admission.priority;
+	if (is_over_share(a) != is_over_share(b))
+		return is_over_share(b);
+	if (is_over_share(a))
+		return queued_ms(a) < queued_ms(b);
 	if (a->fair_order != b->fair_order)
 		return a->fair_order < b->fair_order;
 	return a->arrived_ms < b->arrived_ms;
@@ -106,6 +121,7 @@
 	request_t *before = NULL;
 	request_t *at = router->waiting;
 
+	customers_on_short(request);
 	request->waits_for_capacity = for_capacity;
 	while (at && !goes_before(request, at)) {
 		before = at;
@@ -146,6 +162,32 @@
 	return false;
 }
 
+bool waiting_yields(const request_t *request)
+{
+	const request_t *at = request->router->waiting;
+
+	if (!is_over_share(request))
+		return false;
+	for (; at && at->admission.priority <= request->admission.priority;
+	     at = at->next)
+		if (!is_over_share(at) && is_same_service(at, request))
+			return true;
+	return false;
+}
+
+request_t *waiting_find_displaceable(const request_t *request)
+{
+	request_t *last = NULL;
+
+	if (is_over_share(request))
+		return NULL;
+	for (request_t *at = request->router->waiting; at; at = at->next)
+		if (is_over_share(at) && class_id(at) == class_id(request) &&
+		    at->state == REQUEST_WAITING && !at->possible_runs)
+			last = at;
+	return last;
+}
+
 bool waiting_is_full(const request_t *request)
 {
 	const floors_class_t *class = find_class(request);
--- a/lib/request/waiting.h
+++ b/lib/request/waiting.h
@@ -8,7 +8,8 @@
  *
  * Requests are dispatched again every few ms, and at once when an endpoint
  * has capacity again: first one of a class whose floor is due, then all by
- * priority, by weighted fair queuing among customers, and by arrival.
+ * priority, those of customers over their share last (custshare.h), by weighted
+ * fair queuing among customers, and by arrival.
  */
 
 /* `for_capacity`: the request waits because every endpoint is at a limit.
@@ -21,6 +22,18 @@
  */
 bool waiting_is_blocked(const request_t *request);
 
+/* True when the request's customer is over its share, and a request of the same
+ * service that is as urgent waits and whose customer is not. */
+bool waiting_yields(const request_t *request);
+
+/*
+ * The waiting request of the same class that gives its place to this one: the
+ * last one of a customer over its share that has not run.
+ *
+ * RETURN VALUE: NULL when there is none, or this customer is over its share.
+ */
+request_t *waiting_find_displaceable(const request_t *request);
+
 /* True when the request's class has reached its limit of waiting requests. */
 bool waiting_is_full(const request_t *request);
 
--- a/tests/unit/test_waiting.c
+++ b/tests/unit/test_waiting.c
@@ -2,6 +2,8 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
 
 #include "protocol/native.h"
 #include "request/choose.h"
@@ -248,6 +250,81 @@
 	tear_down();
 }
 
+static uint32_t hash_name(const char *name)
+{
+	return (uint32_t)XXH64(name, strlen(name), 0);
+}
+
+/* Gives the router totals by which the customer "large" demands eight times its
+ * usual and uses seven times as much as "small". */
+static void set_large_over_share(void)
+{
+	uint32_t service = hash_name("model/bear");
+	custshare_use_t totals[] = {
+		{service, hash_name("large"), 1, 700.0, 800.0, 100.0},
+		{service, hash_name("small"), 1, 100.0, 100.0, 100.0}};
+
+	custshare_set_totals(router->custshare, totals, 2,
+			     router_now_ms(router));
+}
+
+static request_t *add_updated_request(const char *class, const char *customer)
+{
+	request_t *request = make_request(class, customer);
+
+	customers_update_excess(request);
+	waiting_add(request, true);
+	mclock_manual_advance(&manual_clock, 1);
+	return request;
+}
+
+/* Scenario: a service is short, and one customer sends many times its usual to
+ * the fleet. Guards against requests of others that wait behind its own or are
+ * refused for a full queue that its own fill, against a report that gives way
+ * to a tag (P1), and against any effect while nothing is short or the totals
+ * are old. */
+static void test_customer_over_share(void)
+{
+	request_t *large[2], *report, *small;
+
+	set_up();
+	add_engine("e0");
+	set_large_over_share();
+	large[0] = make_request("tag", "large");
+	customers_update_excess(large[0]);
+	CU_ASSERT_EQUAL(large[0]->share_excess, 0.0);
+	waiting_add(large[0], true);
+	mclock_manual_advance(&manual_clock, 1);
+	large[1] = add_updated_request("tag", "large");
+	CU_ASSERT_EQUAL(large[1]->share_excess, 1.75);
+	waiting_remove(large[0]);
+	customers_update_excess(large[0]);
+	waiting_add(large[0], true);
+	report = add_updated_request("report", "large");
+	CU_ASSERT_FALSE(waiting_yields(large[0]));
+	small = add_updated_request("tag", "small");
+	CU_ASSERT_EQUAL(small->share_excess, 0.0);
+	CU_ASSERT_PTR_EQUAL(router->waiting, report);
+	CU_ASSERT_PTR_EQUAL(report->next, small);
+	CU_ASSERT_PTR_EQUAL(small->next, large[0]);
+	CU_ASSERT_PTR_EQUAL(large[0]->next, large[1]);
+	CU_ASSERT_TRUE(waiting_yields(large[0]));
+	CU_ASSERT_FALSE(waiting_yields(small));
+	CU_ASSERT_FALSE(waiting_yields(report));
+	CU_ASSERT_PTR_EQUAL(waiting_find_displaceable(small), large[1]);
+	large[1]->possible_runs = 1;
+	CU_ASSERT_PTR_EQUAL(waiting_find_displaceable(small), large[0]);
+	CU_ASSERT_PTR_NULL(waiting_find_displaceable(large[0]));
+	mclock_manual_advance(&manual_clock, CUSTSHARE_TOTALS_TTL_MS);
+	customers_update_excess(large[0]);
+	CU_ASSERT_EQUAL(large[0]->share_excess, 0.0);
+	free_request(large[0]);
+	free_request(large[1]);
+	free_request(report);
+	free_request(small);
+	tear_down();
+}
+
 /* Scenario: an engine with as many requests in flight as the sheet allows.
  * Guards against sending one more, whether the requests are this host's own or
  * those of others. */
@@ -308,6 +385,7 @@
 		{"customer limit", test_customer_limit},
 		{"queue is bounded", test_queue_is_bounded},
 		{"expected wait", test_expected_wait},
+		{"customer over its share", test_customer_over_share},
 		{"full engine", test_full_engine},
 		{"cold units", test_cold_units},
 		CU_TEST_INFO_NULL};
