Wait for all reports before totals name customers, at a new relay too

Cause: the first totals of a relay hold the few requests of the hosts that noticed the shortage first; a host that became the relay while the exchange ran sent such totals. At 350 hosts a round takes 1.35 s, so one lost message ended the reports of a host for a while (2.5 s).

Change: a relay's first totals are empty and only ask for reports, counted from when it became the relay; hosts go on for 4 s, the life of totals. test_custshare follows the burst for 22 s in place of 12: without the bound on what is learnt while over the share it fails now, which no test showed before.

Result: all unit programs pass, and test_customer_shares.

--- a/lib/request/custsync.c
+++ b/lib/request/custsync.c
@@ -5,7 +5,7 @@
 #define INTERVAL_MS 1000
 /* A host goes on reporting for this long after the last totals that say that a
  * service is short: one lost message doesn't end the exchange. */
-#define HEARD_MS 2500
+#define HEARD_MS CUSTSHARE_TOTALS_TTL_MS
 
 /* What a host or a relay sends in a round, as one message on its way to all. */
 typedef struct outgoing {
@@ -92,7 +92,9 @@
 	custboard_sum(sync->board, &outgoing->totals, now_ms);
 	/* Before all hosts have reported, the totals only ask them to: one
 	 * host's few requests show little. */
-	if (now_ms - sync->active_since_ms < INTERVAL_MS)
+	if (!sync->summing_since_ms)
+		sync->summing_since_ms = now_ms;
+	if (now_ms - sync->summing_since_ms < INTERVAL_MS)
 		outgoing->totals.count = 0;
 	apply_totals(sync, &outgoing->totals, now_ms);
 }
@@ -105,13 +107,9 @@
 		.base = {&message_ops},
 		.host = {.kind = CUSTNEWS_HOST, .source = sync->host_id}};
 
-	if (!is_active(sync, now_ms)) {
-		sync->active_since_ms = 0;
-		return;
-	}
-	if (!sync->active_since_ms)
-		sync->active_since_ms = now_ms;
-	if (now_ms < sync->next_ms)
+	if (!is_active(sync, now_ms) || !relays_is_self(sync->relays))
+		sync->summing_since_ms = 0;
+	if (now_ms < sync->next_ms || !is_active(sync, now_ms))
 		return;
 	sync->next_ms = now_ms + INTERVAL_MS;
 	outgoing.host.is_short = custshare_is_short(share, now_ms);
--- a/lib/request/custsync.h
+++ b/lib/request/custsync.h
@@ -16,8 +16,8 @@
 	const relays_t *relays;
 	custboard_t *board;
 	uint32_t host_id;
-	int64_t next_ms;	 /* of the next messages */
-	int64_t active_since_ms; /* 0: nothing is exchanged now */
+	int64_t next_ms;	  /* of the next messages */
+	int64_t summing_since_ms; /* at a relay; 0: nothing is exchanged now */
 	/* When totals last said that a service is short somewhere; 0: never. */
 	int64_t heard_short_ms;
 	/* The relay whose totals are used: the highest number heard within
--- a/tests/unit/test_custshare.c
+++ b/tests/unit/test_custshare.c
@@ -314,7 +314,7 @@
 	start_burst();
 	sim_run(4);
 	clear_counts();
-	sim_run(12);
+	sim_run(22);
 	CU_ASSERT(lowest_small_share() >= 0.97);
 	for (unsigned i = 0; i < LARGE_CUSTOMERS; i++)
 		CU_ASSERT(served_share(i) >= 0.8 * left_for_large());
