Spill a share of requests from a region that lacks room

Cause: the cost of an endpoint holds 150 ms for the link to another region, and all hosts of a region see the same loads, 0.1 to 0.2 s old. So a region that lacks room sends all requests away at once and takes all back at once.

Change: each host keeps a share of spilled requests for each service (spill), which follows the missing room of its region by total loads (spillover) within seconds, as far as other regions have room. The request's id decides; for those the link costs nothing. While the share is above 0, each request considers a sample of the endpoints. The share is 0, and nothing changes, while the region has room, the others have none, or there is one region.

Ruled out in a trial: the share without a sample, with which parts of 0.2 s still swung between 0.14 and 0.99.

--- a/Makefile
+++ b/Makefile
@@ -84,7 +84,7 @@
 	crashboard_blocks crashnews custboard custnews custshare floors gossip \
 	gossip_message lanes \
 	limitnews loadboard notice peersync peersync_pull policy prefixmap promptparts \
-	prefixnews pullcodec ratelimit readers rendezvous retryafter retrybudget sendring \
+	prefixnews pullcodec ratelimit readers rendezvous retryafter retrybudget sendring spill \
 	unitshare warmth) \
 	$(patsubst %,lib/state/%.c,catalog fleet fleet_lanes hostsettings \
 	noticetable replica replica_era) \
--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -474,6 +474,10 @@
 		 !retrybudget_take(&request_stats(request)->retry_budget,
 				   request_now_ms(request)))
 		request_fail(request, "no further send is allowed");
-	else
+	else {
+		if (choice.spilled)
+			metrics_add(METRIC_SPILLED,
+				    request->admission.service_name, 1);
 		request_send_to(request, &choice);
+	}
 }
--- a/lib/request/router.c
+++ b/lib/request/router.c
@@ -10,6 +10,7 @@
 #include "request/limits.h"
 #include "request/probe.h"
 #include "request/request.h"
+#include "request/spillover.h"
 
 #define ROUTER_TICK_MS 250
 /* Numbers of hosts assumed to share a limit until gossip reports members. */
@@ -62,6 +63,7 @@
 
 	fleet_expire_lingering(router->fleet, now_ms);
 	update_lanes(router, now_ms);
+	spillover_update(router);
 	crashes_update(router);
 	limits_on_tick(router);
 	for (size_t i = 0; i < fleet_count(router->fleet); i++)
--- a/lib/request/router.h
+++ b/lib/request/router.h
@@ -9,6 +9,7 @@
 #include "coordination/prefixmap.h"
 #include "coordination/prefixnews.h"
 #include "coordination/retrybudget.h"
+#include "coordination/spill.h"
 #include "request/dialect.h"
 #include "request/tracer.h"
 #include "state/catalog.h"
@@ -53,6 +54,7 @@
 	double busy_ms;		/* mean time a request occupies an endpoint */
 	double lane_busy_ms[2]; /* busy_ms of bulk [0] and express [1] lanes */
 	double prefill_tokens_per_ms; /* engines: prefill rate */
+	spill_t spill;		      /* to other regions */
 	struct service_stats *next;
 } service_stats_t;
 
