Merge fleet-wide customer shares, and spilling between regions

Cause: a customer who presses takes what is short from all others, and regions that lack room sent all requests away at once. Change: custshare and spill, see docs/design.

--- a/lib/request/loadsync.c
+++ b/lib/request/loadsync.c
@@ -8,6 +8,7 @@
 #include "base/metrics.h"
 #include "base/plog.h"
 #include "request/crashsync.h"
+#include "request/custsync.h"
 #include "request/limitsync.h"
 #include "request/notices.h"
 #include "request/relays.h"
@@ -29,6 +30,7 @@
 	crashsync_t crashsync;
 	limitsync_t limitsync;
 	speedsync_t speedsync;
+	custsync_t custsync;
 	loadboard_entry_t entries[MAX_ENDPOINTS];
 	/* On a relay: keys to be sent to the hosts of its own region. */
 	prefixnews_t other_region_keys;
@@ -258,6 +260,7 @@
 	crashsync_on_round(&loadsync->crashsync, round_ms);
 	limitsync_on_round(&loadsync->limitsync);
 	speedsync_on_round(&loadsync->speedsync);
+	custsync_on_round(&loadsync->custsync);
 	loop_timer_set(loadsync->router->loop, &loadsync->timer, round_ms,
 		       on_round, loadsync);
 }
@@ -296,6 +299,8 @@
 		return limitsync_read(&loadsync->limitsync, message, err);
 	if (speednews_is_message(message))
 		return speedsync_read(&loadsync->speedsync, message, err);
+	if (custnews_is_message(message))
+		return custsync_read(&loadsync->custsync, message, err);
 	return loadboard_read(loadsync->board, message, current_ms(loadsync),
 			      err);
 }
@@ -341,6 +346,8 @@
 		       loadsync->host_id);
 	limitsync_init(&loadsync->limitsync, router, &loadsync->relays);
 	speedsync_init(&loadsync->speedsync, router, &loadsync->relays);
+	custsync_init(&loadsync->custsync, router, &loadsync->relays,
+		      loadsync->host_id);
 	loadsync->port = port;
 	loadsync->fd = fd;
 	loop_watch(router->loop, fd, EPOLLIN, on_datagram, loadsync);
@@ -356,6 +363,7 @@
 	loop_unwatch(loadsync->router->loop, loadsync->fd);
 	loadsync->router->crash_observer.on_crash = NULL;
 	loadsync->router->limit_observer.on_change = NULL;
+	custsync_release(&loadsync->custsync);
 	close(loadsync->fd);
 	loadboard_free(loadsync->board);
 	free(loadsync->name);
--- a/lib/request/router.c
+++ b/lib/request/router.c
@@ -10,6 +10,7 @@
 #include "request/limits.h"
 #include "request/probe.h"
 #include "request/request.h"
+#include "request/spillover.h"
 
 #define ROUTER_TICK_MS 250
 /* Numbers of hosts assumed to share a limit until gossip reports members. */
@@ -87,6 +88,7 @@
 	update_lanes(router, now_ms);
 	update_shortages(router, now_ms);
 	fleet_update_slowness(router->fleet, now_ms);
+	spillover_update(router);
 	crashes_update(router);
 	limits_on_tick(router);
 	for (size_t i = 0; i < fleet_count(router->fleet); i++)
@@ -122,6 +124,7 @@
 	router->crash_observer.host = ROUTER_DEFAULT_HOST_ID;
 	crashboard_set_host(router->crashes, ROUTER_DEFAULT_HOST_ID,
 			    CRASHBOARD_BEGIN_MS);
+	router->custshare = custshare_create(router_now_ms(router));
 	router->read_buffer = malloc(ROUTER_READ_BYTES);
 	if (!router->read_buffer)
 		abort();
@@ -155,6 +158,7 @@
 		free(service);
 	}
 	customers_free(router);
+	custshare_free(router->custshare);
 	run_deferred_frees(router);
 	free(router->deferred_frees);
 	free(router->candidates);
--- a/lib/request/router.h
+++ b/lib/request/router.h
@@ -3,6 +3,7 @@
 
 #include "coordination/crashboard.h"
 #include "coordination/decode.h"
+#include "coordination/custshare.h"
 #include "coordination/floors.h"
 #include "coordination/gossip.h"
 #include "coordination/policy.h"
@@ -10,6 +11,7 @@
 #include "coordination/prefixnews.h"
 #include "coordination/retrybudget.h"
 #include "coordination/shortage.h"
+#include "coordination/spill.h"
 #include "request/dialect.h"
 #include "request/tracer.h"
 #include "state/catalog.h"
@@ -58,6 +60,7 @@
 					 endpoint->slowness */
 	shortage_t shortage;	      /* engines: whether slots are short */
 	decode_stats_t decode;	      /* engines: what streams have shown */
+	spill_t spill;		      /* to other regions */
 	struct service_stats *next;
 } service_stats_t;
 
@@ -131,6 +134,7 @@
 	struct crashcheck *crash_checks; /* in progress */
 	unsigned crash_check_count;
 	struct customer_load *customers; /* those with requests in progress */
+	custshare_t *custshare;		 /* what customers use of services */
 	/* Of the weighted fair queue among customers: the highest virtual start
 	 * time of a request that was sent. */
 	double virtual_time;
