--- a/lib/request/waiting.c
+++ b/lib/request/waiting.c
@@ -182,7 +182,8 @@
 	if (is_over_share(request))
 		return NULL;
 	for (request_t *at = request->router->waiting; at; at = at->next)
-		if (is_over_share(at) && class_id(at) == class_id(request) &&
+		if (is_over_share(at) &&
+		    request_class_id(at) == request_class_id(request) &&
 		    at->state == REQUEST_WAITING && !at->possible_runs)
 			last = at;
 	return last;
