--- a/tests/session/hosts.sh
+++ b/tests/session/hosts.sh
@@ -73,7 +73,7 @@
 \"max_attempts\":1,\"public\":false}],\
 \"services\":[{\"name\":\"plain\",\"health_path\":\"/healthz\",\
 \"max_connections\":${max_connections:-100},\"cold_start_s\":0.0,\"cold_per_s\":0.0}],\
-\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":${max_body_bytes:-10000},\
+\"limits\":{\"max_header_bytes\":${max_header_bytes:-4096},\"max_body_bytes\":${max_body_bytes:-10000},\
 \"header_timeout_ms\":${header_timeout_ms:-1000},\"idle_timeout_ms\":3000},\
 \"tenants\":[{\"name\":\"desk\",\"api_keys\":[$2],\"priority\":0}]}"
 }
@@ -100,6 +100,7 @@
 bounds.retry_budget_slack=100
 bounds.budget_window_s=10
 platform.address=$store_address
+${more_settings:-}
 END
 	"$build/peridot-hostd" --settings="$work/$1.conf" \
 		>>"$work/$1.out" 2>>"$work/$1.err" &
