Bound what clients outside the limits take of a host

Cause: the memory of callers' connections was bounded by constants for bodies alone, by their length. Nothing bounded the answers that nobody reads: requests sent ahead were parsed and answered while output piled up, ended requests (2 KB each) were kept until the next tick, and each answer let 16 KB more of input in. Monitors kept the first 32 clients for a minute each, whoever came after.

Change: callermem counts the capacity of all buffers in two pools by the machine's memory (limits.memory_mb, limits.max_fds, else what the system reports). A monitor replaces the client that was served the longest time ago, and reads on once its response is sent; a response that doesn't fit the socket is sent whole before a close.

Ruled out: buffered log lines as the cause of the memory (they are bounded).

--- a/lib/base/buf.c
+++ b/lib/base/buf.c
@@ -7,16 +7,23 @@
 
 #define BUF_MIN_BYTES 64
 
-void buf_reserve(buf_t *buf, size_t extra)
+size_t buf_grown_cap(const buf_t *buf, size_t extra)
 {
 	size_t needed = buf->len + extra;
 	size_t cap = buf->cap ? buf->cap : BUF_MIN_BYTES;
-	char *grown;
 
-	if (needed <= buf->cap)
-		return;
 	while (cap < needed)
 		cap *= 2;
+	return cap;
+}
+
+void buf_reserve(buf_t *buf, size_t extra)
+{
+	size_t cap = buf_grown_cap(buf, extra);
+	char *grown;
+
+	if (buf->len + extra <= buf->cap)
+		return;
 	grown = realloc(buf->ptr, cap);
 	if (!grown)
 		abort();
--- a/lib/base/buf.h
+++ b/lib/base/buf.h
@@ -21,6 +21,9 @@
 		NULL, 0, 0 \
 	}
 
+/* RETURN VALUE: the capacity after buf_reserve() of `extra` bytes. */
+size_t buf_grown_cap(const buf_t *buf, size_t extra);
+
 /* Makes room for `extra` bytes after the current content. */
 void buf_reserve(buf_t *buf, size_t extra);
 void buf_append(buf_t *buf, const void *data, size_t len);
--- a/lib/request/caller.h
+++ b/lib/request/caller.h
@@ -1,6 +1,7 @@
 #ifndef REQUEST_CALLER_H
 #define REQUEST_CALLER_H
 
+#include "request/callermem.h"
 #include "request/request.h"
 #include "transport/tcp.h"
 
@@ -24,6 +25,13 @@
 	loop_timer_t timer;	  /* limit of reading, idling or lingering */
 	loop_timer_t parse_timer; /* due when `pipelined` can be parsed */
 	int64_t opened_ms;
+	callermem_share_t memory;
+	/* When the caller last sent or read a part of some size, and what it
+	 * has sent, and this host has written, up to then. */
+	int64_t progress_ms;
+	size_t progress_bytes;
+	uint64_t progress_written;
+	bool answered;	       /* at least one request */
 	bool closing;	       /* no further request is read */
 	bool lingering;	       /* sent everything; discards further input */
 	bool too_large;	       /* the body exceeds the catalog's limit */
@@ -32,7 +40,8 @@
 	struct caller *next, *prev; /* in router->callers */
 } caller_t;
 
-/* Accepts all waiting connections. */
+/* Accepts all waiting connections. When there are too many, those that are idle
+ * or stalled yield to new ones. */
 void caller_accept(router_t *router, int listen_fd);
 
 /* Sends bytes of a response. A broken connection is handled by the event loop,
--- a/lib/request/router.c
+++ b/lib/request/router.c
@@ -12,6 +12,8 @@
 #include "request/request.h"
 
 #define ROUTER_TICK_MS 250
+/* Objects that wait to be freed above which they are freed before the tick. */
+#define ROUTER_MAX_DEFERRED 64
 /* Numbers of hosts assumed to share a limit until gossip reports members. */
 #define ROUTER_DEFAULT_DOMAIN_HOSTS 4
 #define ROUTER_DEFAULT_ALL_HOSTS 12
@@ -43,6 +45,12 @@
 	router->deferred_frees[router->deferred_free_count++] = object;
 }
 
+void router_free_deferred(router_t *router)
+{
+	if (router->deferred_free_count > ROUTER_MAX_DEFERRED)
+		run_deferred_frees(router);
+}
+
 static void update_lanes(const router_t *router, int64_t now_ms)
 {
 	if (!lanes_follow_load(router->all_hosts)) {
@@ -92,6 +100,10 @@
 	router->domain = options->domain;
 	router->region = options->region;
 	router->bounds = options->bounds;
+	router->caller_memory.limits =
+		options->caller_limits.max_callers ?
+			options->caller_limits :
+			callermem_limits(UINT64_MAX, UINT64_MAX / 2);
 	router->fleet = fleet_create(&observer);
 	router->crashes = crashboard_create();
 	router->crash_observer.host = ROUTER_DEFAULT_HOST_ID;
@@ -115,6 +127,7 @@
 		return;
 	loop_timer_cancel(router->loop, &router->tick_timer);
 	loop_timer_cancel(router->loop, &router->wait_timer);
+	loop_timer_cancel(router->loop, &router->caller_memory_timer);
 	for (size_t i = 0; i < fleet_count(router->fleet); i++)
 		channel_drop_idle(router, fleet_at(router->fleet, i));
 	probe_stop_all(router);
--- a/lib/request/router.h
+++ b/lib/request/router.h
@@ -8,6 +8,7 @@
 #include "coordination/prefixmap.h"
 #include "coordination/prefixnews.h"
 #include "coordination/retrybudget.h"
+#include "request/callermem.h"
 #include "request/dialect.h"
 #include "request/tracer.h"
 #include "state/catalog.h"
@@ -42,6 +43,7 @@
 	str_t domain;
 	str_t region;
 	router_bounds_t bounds;
+	callermem_limits_t caller_limits; /* max_callers 0: defaults */
 } router_options_t;
 
 /* Statistics and the retry budget of one service. */
@@ -104,8 +106,8 @@
 	int64_t late_ms;
 	int64_t end_ms;
 	int64_t started_ms;
-	/* Buffered request bodies, kept until their responses are complete. */
-	size_t request_body_bytes;
+	callermem_t caller_memory; /* buffers of callers' connections */
+	loop_timer_t caller_memory_timer;
 	/* Endpoint output buffered and not yet passed to callers. */
 	size_t held_response_bytes;
 	/* Written to callers but not yet accepted by their sockets. */
@@ -173,6 +175,13 @@
  */
 void router_defer_free(router_t *router, void *object);
 
+/*
+ * Frees these objects now if there are many. To be called at the end of a
+ * callback of the loop: requests that are answered at once, one behind the
+ * other, would take much memory until the next tick.
+ */
+void router_free_deferred(router_t *router);
+
 bool router_is_ready(const router_t *router);
 
 /*
--- a/lib/state/hostsettings.h
+++ b/lib/state/hostsettings.h
@@ -48,6 +48,9 @@
 	 * cold_per_s x cold_overshoot + cold_slack. */
 	double cold_overshoot;
 	double cold_slack;
+	/* Of the machine; 0: as the system reports them. */
+	uint64_t memory_mb;
+	uint64_t max_fds;
 } hostsettings_t;
 
 /* Sets the defaults and copies `text`. */
--- a/lib/state/settings.c
+++ b/lib/state/settings.c
@@ -9,6 +9,8 @@
 #define MIN_BODY_BYTES 1024
 #define MAX_BODY_BYTES (16L * 1024 * 1024)
 #define DEFAULT_BODY_BYTES (1024L * 1024)
+#define MAX_MEMORY_MB (1024L * 1024)
+#define MAX_FDS (1024L * 1024)
 #define MAX_GRACE_S 86400
 #define DEFAULT_GRACE_S 600
 #define MAX_ACCEPT_MS 60000
@@ -151,7 +153,11 @@
 
 static void read_limits(const tomlcheck_table_t *root, settings_t *settings)
 {
-	static const char *const keys[] = {"max_body_bytes", NULL};
+	static const char *const keys[] = {"max_body_bytes", "memory_mb",
+					   "max_fds", NULL};
+	static const tomlcheck_int_t memory = {"memory_mb", 0, MAX_MEMORY_MB, 0,
+					       false};
+	static const tomlcheck_int_t fds = {"max_fds", 0, MAX_FDS, 0, false};
 	static const tomlcheck_int_t body = {"max_body_bytes", MIN_BODY_BYTES,
 					     MAX_BODY_BYTES, DEFAULT_BODY_BYTES,
 					     false};
@@ -162,6 +168,8 @@
 		return;
 	tomlcheck_check_keys(&table, keys);
 	settings->max_body_bytes = (size_t)tomlcheck_get_int(&table, &body);
+	settings->base.memory_mb = (uint64_t)tomlcheck_get_int(&table, &memory);
+	settings->base.max_fds = (uint64_t)tomlcheck_get_int(&table, &fds);
 }
 
 static void read_all(const tomlcheck_table_t *root, reader_t *reader)
--- a/lib/transport/http1.c
+++ b/lib/transport/http1.c
@@ -191,6 +191,12 @@
 	http->head = (http1_head_t){.field_count = 0};
 }
 
+size_t http1_capacity(const http1_t *http)
+{
+	return http->head.text.cap +
+	       http->head.field_cap * sizeof(*http->head.fields);
+}
+
 void http1_next(http1_t *http)
 {
 	http1_head_t *head = &http->head;
--- a/lib/transport/http1.h
+++ b/lib/transport/http1.h
@@ -66,6 +66,9 @@
 		enum http_parser_type type, size_t max_head_bytes);
 void http1_release(http1_t *http);
 
+/* RETURN VALUE: the bytes that the buffers of the head take. */
+size_t http1_capacity(const http1_t *http);
+
 /* Prepares for the next message on the connection. */
 void http1_next(http1_t *http);
 
--- a/lib/transport/monitor.c
+++ b/lib/transport/monitor.c
@@ -13,6 +13,8 @@
 #define READ_BUFFER_BYTES 4096
 #define IDLE_TIMEOUT_MS 60000
 #define MAX_CLIENTS 32
+/* Bodies of all clients together, in largest bodies. */
+#define MAX_LARGEST_BODIES 2
 
 typedef struct client {
 	monitor_t *monitor;
@@ -21,6 +23,7 @@
 	loop_timer_t timer;
 	buf_t body;
 	bool body_too_large;
+	bool closes; /* once its last response is sent */
 	struct client *next, *prev;
 } client_t;
 
@@ -30,42 +33,105 @@
 	size_t max_body_bytes;
 	monitor_handler_t handler;
 	void *user;
-	client_t *clients;
+	client_t *clients; /* the one that was served last is the first */
 	size_t client_count;
+	size_t body_bytes; /* buffered for all clients */
 };
 
-static void destroy(client_t *client)
+static void link_client(client_t *client)
 {
 	monitor_t *monitor = client->monitor;
 
-	loop_timer_cancel(monitor->loop, &client->timer);
-	tcp_close(&client->tcp);
-	http1_release(&client->http);
-	buf_release(&client->body);
+	client->prev = NULL;
+	client->next = monitor->clients;
+	if (client->next)
+		client->next->prev = client;
+	monitor->clients = client;
+}
+
+static void unlink_client(client_t *client)
+{
 	if (client->prev)
 		client->prev->next = client->next;
 	else
-		monitor->clients = client->next;
+		client->monitor->clients = client->next;
 	if (client->next)
 		client->next->prev = client->prev;
+}
+
+static void release_body(client_t *client)
+{
+	client->monitor->body_bytes -= client->body.cap;
+	buf_release(&client->body);
+}
+
+static void destroy(client_t *client)
+{
+	monitor_t *monitor = client->monitor;
+
+	loop_timer_cancel(monitor->loop, &client->timer);
+	tcp_close(&client->tcp);
+	http1_release(&client->http);
+	release_body(client);
+	unlink_client(client);
 	monitor->client_count--;
 	free(client);
 }
 
+/* RETURN VALUE: the client that was served, or opened, the longest time ago. */
+static client_t *find_oldest(const monitor_t *monitor)
+{
+	client_t *client = monitor->clients;
+
+	while (client->next)
+		client = client->next;
+	return client;
+}
+
 static void on_idle_timeout(void *user)
 {
 	destroy(user);
 }
 
+/* True when the body of a client may grow to the capacity `cap`. */
+static bool has_body_room(const client_t *client, size_t cap)
+{
+	const monitor_t *monitor = client->monitor;
+	size_t others = monitor->body_bytes - client->body.cap;
+
+	return !others ||
+	       others + cap <= MAX_LARGEST_BODIES * monitor->max_body_bytes;
+}
+
+/* Closes the oldest other clients that hold a body, until this one may grow. */
+static void make_body_room(client_t *client, size_t cap)
+{
+	client_t *prev;
+
+	for (client_t *other = find_oldest(client->monitor);
+	     other && !has_body_room(client, cap); other = prev) {
+		prev = other->prev;
+		if (other != client && other->body.cap)
+			destroy(other);
+	}
+}
+
 static void on_body(http1_t *http, str_t data)
 {
 	client_t *client =
 		(client_t *)((char *)http - offsetof(client_t, http));
 
-	if (client->body.len + data.len > client->monitor->max_body_bytes)
+	monitor_t *monitor = client->monitor;
+	size_t cap = buf_grown_cap(&client->body, data.len);
+
+	if (client->body_too_large ||
+	    client->body.len + data.len > monitor->max_body_bytes) {
 		client->body_too_large = true;
-	else
-		buf_append_str(&client->body, data);
+		return;
+	}
+	make_body_room(client, cap);
+	monitor->body_bytes += cap - client->body.cap;
+	buf_append_str(&client->body, data);
 }
 
 static const http1_ops_t http_ops = {on_body};
@@ -104,7 +170,7 @@
 		monitor->handler(monitor->user, &request, &response);
 	write_response(client, &response);
 	buf_release(&response.body);
-	buf_release(&client->body);
+	release_body(client);
 	client->body_too_large = false;
 }
 
@@ -118,76 +184,103 @@
 		   "peer=%s step=monitor status=0 reason=malformed", peer);
 }
 
+/* Ends a request; the next one is read once the response is sent. */
+static void finish_request(client_t *client)
+{
+	handle_request(client);
+	client->closes = !client->http.head.keep_alive;
+	http1_next(&client->http);
+	unlink_client(client);
+	link_client(client);
+	loop_timer_set(client->monitor->loop, &client->timer, IDLE_TIMEOUT_MS,
+		       on_idle_timeout, client);
+}
+
+/* Reads on, or ends the connection, once all output is sent. */
+static void update(client_t *client)
+{
+	bool is_sent = !tcp_unsent(&client->tcp);
+
+	tcp_set_reading(&client->tcp, is_sent);
+	if (is_sent && client->closes)
+		tcp_shutdown_write(&client->tcp);
+}
+
+/* Bytes behind a request are dropped: clients wait for each response. */
+static void on_input(client_t *client, str_t data)
+{
+	size_t consumed;
+
+	if (client->closes)
+		return;
+	switch (http1_feed(&client->http, data, &consumed)) {
+	case HTTP1_MORE:
+		return;
+	case HTTP1_MESSAGE:
+		finish_request(client);
+		update(client);
+		return;
+	default:
+		log_malformed(client);
+		destroy(client);
+		return;
+	}
+}
+
 static void on_io(void *user, uint32_t events)
 {
 	client_t *client = user;
 	char buffer[READ_BUFFER_BYTES];
-	size_t len, consumed;
+	size_t len;
 
-	if ((events & EPOLLOUT) && !tcp_flush(&client->tcp)) {
-		destroy(client);
-		return;
+	if (events & EPOLLOUT) {
+		if (!tcp_flush(&client->tcp)) {
+			destroy(client);
+			return;
+		}
+		update(client);
 	}
 	if (!(events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
 		return;
 	switch (tcp_read(&client->tcp, buffer, sizeof(buffer), &len)) {
 	case TCP_READ_DATA:
-		break;
-	case TCP_READ_AGAIN:
-		return;
-	default:
-		destroy(client);
+		on_input(client, (str_t){buffer, len});
 		return;
-	}
-	switch (http1_feed(&client->http, (str_t){buffer, len}, &consumed)) {
-	case HTTP1_MORE:
-		return;
-	case HTTP1_MESSAGE:
-		handle_request(client);
-		if (client->http.head.keep_alive) {
-			http1_next(&client->http);
-			loop_timer_set(client->monitor->loop, &client->timer,
-				       IDLE_TIMEOUT_MS, on_idle_timeout,
-				       client);
-		} else {
-			tcp_shutdown_write(&client->tcp);
-		}
+	case TCP_READ_AGAIN:
 		return;
 	default:
-		log_malformed(client);
 		destroy(client);
 		return;
 	}
 }
 
+static void add_client(monitor_t *monitor, int fd)
+{
+	client_t *client = calloc(1, sizeof(*client));
+
+	if (!client)
+		abort();
+	client->monitor = monitor;
+	link_client(client);
+	monitor->client_count++;
+	http1_init(&client->http, &http_ops, HTTP_REQUEST, MAX_HEAD_BYTES);
+	tcp_open(&client->tcp, monitor->loop, fd, on_io, client);
+	loop_timer_set(monitor->loop, &client->timer, IDLE_TIMEOUT_MS,
+		       on_idle_timeout, client);
+}
+
+/* Accepts one connection; the loop calls again while others wait. */
 static void on_accept(void *user, uint32_t events)
 {
 	monitor_t *monitor = user;
-	int fd;
+	int fd = tcp_accept(monitor->listen_fd);
 
 	(void)events;
-	while ((fd = tcp_accept(monitor->listen_fd)) >= 0) {
-		client_t *client;
-
-		if (monitor->client_count >= MAX_CLIENTS) {
-			close(fd);
-			continue;
-		}
-		client = calloc(1, sizeof(*client));
-		if (!client)
-			abort();
-		client->monitor = monitor;
-		client->next = monitor->clients;
-		if (client->next)
-			client->next->prev = client;
-		monitor->clients = client;
-		monitor->client_count++;
-		http1_init(&client->http, &http_ops, HTTP_REQUEST,
-			   MAX_HEAD_BYTES);
-		tcp_open(&client->tcp, monitor->loop, fd, on_io, client);
-		loop_timer_set(monitor->loop, &client->timer, IDLE_TIMEOUT_MS,
-			       on_idle_timeout, client);
-	}
+	if (fd < 0)
+		return;
+	add_client(monitor, fd);
+	if (monitor->client_count > MAX_CLIENTS)
+		destroy(find_oldest(monitor));
 }
 
 monitor_t *monitor_create(const monitor_options_t *options, err_t *err)
--- a/lib/transport/monitor.h
+++ b/lib/transport/monitor.h
@@ -11,6 +11,11 @@
  *
  * The handler gets each complete request and fills in the response, whose
  * status is 404 by default.
+ *
+ * A monitor keeps 32 clients; a new one replaces the one that was served, or
+ * opened, the longest time ago. A client's next request is read once its last
+ * response is sent. The bodies of all clients together take twice the largest
+ * one; the clients that were not served for the longest time yield.
  */
 typedef struct monitor monitor_t;
 
--- a/programs/host/host.c
+++ b/programs/host/host.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
+#include <sys/resource.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
@@ -26,6 +27,7 @@
  * endpoints to write again what it lost, and for the records of endpoints that
  * are gone to expire. */
 #define SETTLE_MS 4000
+#define BYTES_PER_MB (1024ull * 1024)
 
 int64_t host_now_ms(const host_t *host)
 {
@@ -379,11 +381,27 @@
 	return ERR_OK;
 }
 
+/* RETURN VALUE: the limits by the settings, or by what the system reports. */
+static callermem_limits_t caller_limits(const hostsettings_t *settings)
+{
+	uint64_t memory = settings->memory_mb * BYTES_PER_MB;
+	uint64_t fds = settings->max_fds;
+	struct rlimit limit;
+
+	if (!memory)
+		memory = (uint64_t)sysconf(_SC_PHYS_PAGES) *
+			 (uint64_t)sysconf(_SC_PAGESIZE);
+	if (!fds && !getrlimit(RLIMIT_NOFILE, &limit))
+		fds = limit.rlim_cur;
+	return callermem_limits(memory, fds);
+}
+
 static router_options_t router_options(const host_t *host)
 {
 	const hostsettings_t *settings = host->settings;
 
 	return (router_options_t){.loop = host->loop,
+				  .caller_limits = caller_limits(settings),
 				  .dialect = host->ops->dialect(),
 				  .policy = host->policy,
 				  .tracer = host->tracer,
