--- a/tests/session/crowd.sh
+++ b/tests/session/crowd.sh
@@ -1,6 +1,7 @@
 # Crowds of clients outside the platform's limits against one host. Source after
 # hosts.sh. The machine of these tests has 24 MB and 500 descriptors; both are
-# the bounds that the checks use.
+# the bounds that the checks use. A test of another host process sets crowd_host
+# and the bounds, and defines restart_host and ordinary_request_is_served.
 
 crowd_memory_mb=24
 crowd_max_fds=500
@@ -9,18 +10,20 @@
 crowd_idle_clients=600
 max_body_bytes=$((256 * 1024))
 max_header_bytes=16384
+# The process that the crowd meets.
+crowd_host=h1
 more_settings="limits.memory_mb=$crowd_memory_mb
 limits.max_fds=$crowd_max_fds"
 
 # peak_kb: prints the host's peak resident memory.
 peak_kb()
 {
-	sed -n 's/^VmHWM:[^0-9]*\([0-9]*\).*/\1/p' "/proc/${pid[h1]}/status"
+	sed -n 's/^VmHWM:[^0-9]*\([0-9]*\).*/\1/p' "/proc/${pid[$crowd_host]}/status"
 }
 
 fd_count()
 {
-	ls "/proc/${pid[h1]}/fd" | wc -l
+	ls "/proc/${pid[$crowd_host]}/fd" | wc -l
 }
 
 ordinary_request_is_served()
@@ -29,14 +32,14 @@
 	grep -q ': 200 ' "$work/ordinary"
 }
 
-host_runs()
+restart_host()
 {
-	kill -0 "${pid[h1]}" 2>"$work/kill.err"
+	start_host h1 1 d1
 }
 
-crowd_is_gone()
+host_runs()
 {
-	! kill -0 "$1" 2>"$work/kill.err"
+	kill -0 "${pid[$crowd_host]}" 2>"$work/kill.err"
 }
 
 # check_crowd KIND ADDRESS PATH [PROBE...]: runs one crowd against a host that has
@@ -51,8 +54,8 @@
 	what="$kind at ${to##*:}$path"
 	rm -f "$work/end"
 	mkfifo "$work/end"
-	stop_program h1 KILL
-	start_host h1 1 d1
+	stop_program "$crowd_host" KILL
+	restart_host
 	python3 "$(dirname "${BASH_SOURCE[0]}")/crowd.py" "$kind" "$to" "$path" \
 		"$clients" "$max_body_bytes" "$max_header_bytes" \
 		<"$work/end" >"$work/crowd" 2>"$work/crowd.log" &
--- a/tests/session/fleet.sh
+++ b/tests/session/fleet.sh
@@ -206,6 +206,8 @@
 		printf '[peers]\nseeds = [%s]\n' "$(seed_list)"
 		test -z "$sheet_file" ||
 			printf '[sheet]\nfile = "%s"\n' "$sheet_file"
+		test -z "${native_limits:-}" ||
+			printf '[limits]\n%s\n' "$native_limits"
 		printf '[operator]\nkey_sha256 = "%s"\n' "$(sha256 "$operator_key")"
 		if test -n "${trace_dir:-}"
 		then
--- a/tests/unit/test_platform_settings.c
+++ b/tests/unit/test_platform_settings.c
@@ -8,6 +8,7 @@
 	"listen.readiness=127.0.0.1:2\nlisten.control_plane=127.0.0.1:3\n"
 	"internal_port_range=7340,7355\nseed_nodes=127.0.0.1:3,127.0.0.2:3\n"
 	"bounds.grace_s=6\nbounds.retry_budget_ratio=0.25\nunknown.field=1\n"
+	"limits.memory_mb=160\nlimits.max_fds=4100\n"
 	"platform.address=127.0.0.1:4\r\n";
 
 /* Guards against a host that starts with other addresses, ports or limits than
@@ -27,6 +28,8 @@
 		str_equals(settings->base.seeds[1], STR_LIT("127.0.0.2:3")));
 	CU_ASSERT_EQUAL(settings->base.last_port, 7355);
 	CU_ASSERT_EQUAL(settings->base.grace_ms, 6000);
+	CU_ASSERT_EQUAL(settings->base.memory_mb, 160);
+	CU_ASSERT_EQUAL(settings->base.max_fds, 4100);
 	CU_ASSERT_TRUE(
 		str_equals(settings->store_address, STR_LIT("127.0.0.1:4")));
 	psettings_free(settings);
