Limit endpoints that have started or recovered by how they answer

Cause: an endpoint that has just started has no load, so all hosts take it for the best choice at the same moment, and see each other's sends 0.1 to 1 s late. Conversely, a cold limit lower than the number of hosts of a domain was divided to nothing, so that the endpoint stood idle while cold.

Change: pace.h caps the requests in flight of all hosts at an endpoint process that is new, has turned warm, or could not be reached before. The cap starts at an eighth of the slots, doubles with each round of answers within the route's target, is halved by faults and late answers, and ends at the slots; hosts use units of it. Without answers of its own a host raises the cap by steps of 200 ms, unless exactly the cap is in use. A cold limit lower than the number of hosts is dealt in halves to single hosts, and a host that started less than 3 s ago sends nothing to cold endpoints.

Ruled out: a ramp after each opened breaker, which would hold back endpoints that fail single requests and are charged for it already; starting a ramp for all endpoints that a host lists first, since other hosts use them.

--- a/Makefile
+++ b/Makefile
@@ -83,7 +83,7 @@
 	$(patsubst %,lib/coordination/%.c,balance breaker coldgate crashboard \
 	crashboard_blocks crashnews floors gossip \
 	gossip_message lanes \
-	limitnews loadboard notice peersync peersync_pull policy prefixmap promptparts \
+	limitnews loadboard notice pace peersync peersync_pull policy prefixmap promptparts \
 	prefixnews pullcodec ratelimit readers rendezvous retryafter retrybudget sendring \
 	unitshare warmth) \
 	$(patsubst %,lib/state/%.c,catalog fleet fleet_lanes hostsettings \
--- a/lib/request/choose.c
+++ b/lib/request/choose.c
@@ -6,6 +6,7 @@
 #include "request/channel.h"
 #include "request/limits.h"
 #include "request/notices.h"
+#include "request/pacing.h"
 #include "request/probe.h"
 #include "request/ranking.h"
 
@@ -56,21 +57,20 @@
 
 /* True when the endpoint has no cold limit, or this host's share of the limit
  * is not used up. Only hosts in the endpoint's domain have a share. */
-static bool has_cold_share(const request_t *request, const endpoint_t *endpoint,
+static bool has_cold_share(const request_t *request, endpoint_t *endpoint,
 			   int64_t now_ms)
 {
 	const router_t *router = request->router;
 	const catalog_service_t *service = request->admission.service;
-	unsigned share;
 
 	if (!service || service->cold_per_s <= 0.0)
 		return true;
 	if (!str_equals(str_from(endpoint->domain), router->domain))
 		return false;
-	share = coldgate_share(service->cold_per_s,
-			       router->bounds.cold_overshoot,
-			       router->bounds.cold_slack, router->domain_hosts);
-	return coldgate_allows(&endpoint->sends, share, now_ms);
+	return coldgate_allows(
+		&endpoint->sends,
+		pacing_cold_share(router, endpoint, service->cold_per_s),
+		now_ms);
 }
 
 bool choose_is_cold(const request_t *request, const endpoint_t *endpoint,
@@ -86,8 +86,8 @@
 /* True when the endpoint is warm or its cold limit has room; false while an
  * engine refuses work. Starts a probe of an engine that refused work or isn't
  * proven to be warm. */
-static bool may_send_now(const request_t *request, endpoint_t *endpoint,
-			 int64_t now_ms)
+static bool is_warm_enough(const request_t *request, endpoint_t *endpoint,
+			   int64_t now_ms)
 {
 	const catalog_service_t *service = request->admission.service;
 
@@ -106,6 +106,13 @@
 	       endpoint->cold_units;
 }
 
+static bool may_send_now(const request_t *request, endpoint_t *endpoint,
+			 int64_t now_ms)
+{
+	return is_warm_enough(request, endpoint, now_ms) &&
+	       pacing_allows(request->router, endpoint);
+}
+
 static bool is_eligible(const request_t *request, const endpoint_t *endpoint,
 			int service, const domain_limits_t *domains)
 {
--- a/lib/request/limits.c
+++ b/lib/request/limits.c
@@ -10,9 +10,7 @@
 #define UPDATE_INTERVAL_MS 1000
 #define KEY_BYTES 160
 
-/* The hosts that share the limit in this term; this one comes first if it is
- * one of them. */
-static size_t list_hosts(const router_t *router, const endpoint_t *endpoint,
+size_t limits_list_hosts(const router_t *router, const endpoint_t *endpoint,
 			 unsigned term, str_t *names)
 {
 	int64_t now_ms = router_now_ms(router);
@@ -39,7 +37,7 @@
 	size_t count;
 
 	term = ratelimit_term(limit, now_ms);
-	count = list_hosts(router, endpoint, term, names);
+	count = limits_list_hosts(router, endpoint, term, names);
 	limit->all_units = ratelimit_count_units(limit->per_s, count);
 	limit->units = 0;
 	if (now_ms - router->started_ms < LIMITS_QUARANTINE_MS ||
--- a/lib/request/limits.h
+++ b/lib/request/limits.h
@@ -14,6 +14,16 @@
 /* A host that has started doesn't know all others yet, and gets no unit. */
 #define LIMITS_QUARANTINE_MS 2000
 
+/*
+ * Lists the hosts that share limits of the endpoint: those of its domain, or
+ * all if there is none or in a later `term`; this host comes first if it is one
+ * of them. `names` has room for GOSSIP_MAX_MEMBERS + 1.
+ *
+ * RETURN VALUE: their number.
+ */
+size_t limits_list_hosts(const router_t *router, const endpoint_t *endpoint,
+			 unsigned term, str_t *names);
+
 /* Applies a response to a request that was sent at `sent_ms`. `trusted` tells
  * that it is known to answer this request, so that it may end a limit; any
  * response may state one. */
--- a/lib/request/reply.c
+++ b/lib/request/reply.c
@@ -5,6 +5,7 @@
 #include "request/caller.h"
 #include "request/channel.h"
 #include "request/crashes.h"
+#include "request/pacing.h"
 
 /* Responses up to this size are buffered until they are complete, so that a
  * failed one can be replaced. The total over all requests fits the memory of a
@@ -121,6 +122,7 @@
 				     endpoint->process_hash,
 				     &request->call.parts);
 	request->prefix_uncached = false;
+	pacing_on_answer(request, taken_ms);
 	request_release_backlog(request, endpoint);
 }
 
@@ -360,12 +362,14 @@
 		request_on_failure(request, SEND_FAILED);
 		return;
 	}
-	if (reply->status >= 500)
+	if (reply->status >= 500) {
 		breaker_on_fault(&request->endpoint->breaker,
 				 BREAKER_REQUEST_FAILED,
 				 request_now_ms(request));
-	else
+		pacing_on_failure(request, SEND_FAILED);
+	} else {
 		on_success(request, head);
+	}
 	if (request->state == REQUEST_ANSWERING)
 		answer_end(request);
 	else
--- a/lib/request/send.c
+++ b/lib/request/send.c
@@ -7,6 +7,7 @@
 #include "request/choose.h"
 #include "request/crashes.h"
 #include "request/notices.h"
+#include "request/pacing.h"
 #include "request/waiting.h"
 
 /* Failed sends of any kind after which a request is given up. */
@@ -155,6 +156,7 @@
 		notice_on_send(&endpoint->notice_entry->notice,
 			       request_now_ms(request));
 	breaker_on_send(&endpoint->breaker, request_now_ms(request));
+	pace_on_send(&endpoint->pace, request_now_ms(request));
 	request->prefix_uncached =
 		prefixmap_cached_tokens(&request->router->prefixes,
 					endpoint->process_hash,
@@ -448,6 +450,7 @@
 						  OUTCOME_NOT_RUN,
 			 failure_name(failure));
 	update_breaker(request, failure);
+	pacing_on_failure(request, failure);
 	update_warmth(request, failure);
 	if (failure == SEND_LOST) {
 		request->broken_sends += broke_before_answer(request);
--- a/lib/state/fleet.c
+++ b/lib/state/fleet.c
@@ -222,23 +222,48 @@
 	       str_equals(str_from(endpoint->domain), record->domain);
 }
 
+static void set_cold_until(endpoint_t *endpoint, int64_t cold_until_ms)
+{
+	if (cold_until_ms <= endpoint->cold_until_ms)
+		return;
+	endpoint->cold_until_ms = cold_until_ms;
+	pace_restart_at(&endpoint->pace, cold_until_ms);
+}
+
+/* True when no other host is known to have used the process before. */
+static bool is_new_process(const fleet_t *fleet, bool replaces,
+			   const endpoint_record_t *record, int64_t now_ms)
+{
+	return replaces || record->cold_ms > 0 ||
+	       now_ms - fleet->first_put_ms > FLEET_FIRST_LISTING_MS;
+}
+
+static endpoint_t *add_endpoint(fleet_t *fleet, const endpoint_record_t *record,
+				bool replaces, int64_t now_ms)
+{
+	endpoint_t *endpoint = create_endpoint(fleet, record);
+
+	if (!fleet->first_put_ms)
+		fleet->first_put_ms = now_ms;
+	append(fleet, endpoint);
+	if (is_new_process(fleet, replaces, record, now_ms))
+		pace_start(&endpoint->pace, record->slots, now_ms);
+	return endpoint;
+}
+
 endpoint_t *fleet_put(fleet_t *fleet, const endpoint_record_t *record,
 		      int64_t now_ms)
 {
 	endpoint_t *endpoint = fleet_find(fleet, record->id);
-	int64_t cold_until_ms = now_ms + record->cold_ms;
+	bool replaces = endpoint && !is_same_process(endpoint, record);
 
-	if (endpoint && !is_same_process(endpoint, record)) {
+	if (replaces)
 		remove_endpoint(fleet, endpoint);
-		endpoint = NULL;
-	}
-	if (!endpoint) {
-		endpoint = create_endpoint(fleet, record);
-		append(fleet, endpoint);
-	}
+	if (!endpoint || replaces)
+		endpoint = add_endpoint(fleet, record, replaces, now_ms);
 	endpoint->slots = record->slots;
-	if (record->cold_ms > 0 && cold_until_ms > endpoint->cold_until_ms)
-		endpoint->cold_until_ms = cold_until_ms;
+	if (record->cold_ms > 0)
+		set_cold_until(endpoint, now_ms + record->cold_ms);
 	/* Warmth proved before the endpoint left doesn't hold after it
 	 * returned.
 	 */
@@ -284,9 +309,8 @@
 		warmth_invalidate(&endpoint->warmth, now_ms);
 		service = catalog_find_service(catalog,
 					       str_from(endpoint->service));
-		if (service && service->cold_per_s > 0.0 &&
-		    now_ms + service->cold_ms > endpoint->cold_until_ms)
-			endpoint->cold_until_ms = now_ms + service->cold_ms;
+		if (service && service->cold_per_s > 0.0)
+			set_cold_until(endpoint, now_ms + service->cold_ms);
 	}
 }
 
--- a/lib/state/fleet.h
+++ b/lib/state/fleet.h
@@ -5,6 +5,7 @@
 #include "coordination/coldgate.h"
 #include "coordination/lanes.h"
 #include "coordination/loadboard.h"
+#include "coordination/pace.h"
 #include "coordination/warmth.h"
 #include "state/catalog.h"
 #include "state/noticetable.h"
@@ -21,6 +22,9 @@
  * removed. Records expire while the configuration service is unavailable and
  * return within this time. */
 #define FLEET_LINGER_MS 2000
+/* Endpoints that a host reads within this time of its first one were there
+ * before, so that other hosts use them already. */
+#define FLEET_FIRST_LISTING_MS 2000
 
 typedef enum endpoint_state {
 	ENDPOINT_READY,
@@ -67,6 +71,11 @@
 	/* From this host's own requests and the loads of other hosts. */
 	sendring_t sends;
 	breaker_t breaker;
+	pace_t pace;
+	bool pace_reported; /* a limit by the pace is in the log */
+	/* Place of this host among those that share the endpoint's limits. */
+	size_t share_hosts, share_rank;
+	int64_t share_updated_ms; /* 0: not known */
 	unsigned in_flight;
 	uint64_t last_send_seq; /* among all sends of this host */
 	uint64_t backlog_tokens;
--- a/lib/state/fleet_internal.h
+++ b/lib/state/fleet_internal.h
@@ -23,6 +23,7 @@
 	/* The express share of each service at the last marking. */
 	double *marked_express_shares;
 	size_t service_count;
+	int64_t first_put_ms;  /* of the first record; 0: none yet */
 	bool express_is_stale; /* endpoints must be marked again */
 	noticetable_t notices;
 };
--- a/programs/routerd/status.c
+++ b/programs/routerd/status.c
@@ -59,12 +59,13 @@
 
 		/* "in_flight" counts requests of this host, "all_in_flight"
 		 * those of all hosts. "max_per_s" is the rate that the
-		 * endpoint states, 0 without a limit. */
+		 * endpoint states, "pace_cap" the limit of requests of
+		 * all hosts while it starts; 0 without a limit. */
 		json_array_append_new(
 			rows,
 			json_pack(
 				"{s:s, s:s, s:s, s:s, s:b, s:b, s:i, s:i, "
-				"s:i, s:i, s:f}",
+				"s:i, s:i, s:f, s:i}",
 				"name", endpoint->id, "address",
 				endpoint->address, "pool", endpoint->service,
 				"domain", endpoint->domain, "up", is_up, "warm",
@@ -73,7 +74,8 @@
 				(int)endpoint->in_flight, "all_in_flight",
 				(int)endpoint_load(endpoint, now_ms).in_flight,
 				"cold_units", (int)endpoint->cold_units,
-				"max_per_s", endpoint_limit_per_s(endpoint)));
+				"max_per_s", endpoint_limit_per_s(endpoint),
+				"pace_cap", (int)endpoint->pace.cap));
 	}
 	return rows;
 }
