Give hosts of other domains no units of an endpoint's pace

Cause: a host that isn't one of the sharing hosts ranks after them, but unitshare_of() gives every rank its equal part once the cap is larger than the number of hosts, so the sum exceeded the cap.

Change: own_units() is 0 for such a host. The new test fails without it.

--- a/lib/coordination/pace.c
+++ b/lib/coordination/pace.c
@@ -73,6 +73,8 @@
 
 static unsigned own_units(const pace_t *pace, const pace_view_t *view)
 {
+	if (view->rank >= view->hosts)
+		return 0;
 	return unitshare_of(pace->cap, view->hosts, view->rank);
 }
 
--- a/lib/coordination/pace.h
+++ b/lib/coordination/pace.h
@@ -38,7 +38,7 @@
 	unsigned own_in_flight;
 	unsigned all_in_flight; /* of all hosts, as last received */
 	size_t hosts;		/* that share the cap */
-	size_t rank;		/* of this host among them */
+	size_t rank; /* of this host among them; `hosts`: it is none of them */
 } pace_view_t;
 
 /* The endpoint is new. */
--- a/tests/unit/test_pace.c
+++ b/tests/unit/test_pace.c
@@ -197,6 +197,19 @@
 	CU_ASSERT_TRUE(pace_allows(&pace, &view));
 }
 
+/* Load: callers press on hosts of other domains, and the cap is larger than the
+ * number of hosts that share it. Guards against hosts that use units of others.
+ */
+static void test_host_of_other_domain(void)
+{
+	pace_t pace = {.cap = SLOTS / 2};
+	pace_view_t view = {.slots = SLOTS, .hosts = 3, .rank = 2};
+
+	CU_ASSERT_TRUE(pace_allows(&pace, &view));
+	view.rank = view.hosts;
+	CU_ASSERT_FALSE(pace_allows(&pace, &view));
+}
+
 /* Load: an endpoint answers later than callers need. Guards against a cap that
  * stays or falls below the first one, and against several cuts for the requests
  * of one moment. */
@@ -339,6 +352,7 @@
 		{"alone", test_alone},
 		{"without requests", test_without_requests},
 		{"outstanding request", test_outstanding_request},
+		{"host of other domain", test_host_of_other_domain},
 		{"late answers", test_late_answers},
 		{"herd of endpoints", test_herd_of_endpoints},
 		{"late loads", test_late_loads},
