Test that a ranked engine is passed over at its pace

Change: an engine that a prompt ranks first restarts; it gets its first cap, then another one is chosen, and after three steps it is chosen again. The test fails when choose.c ignores the pace.

--- a/tests/unit/test_choose_state.c
+++ b/tests/unit/test_choose_state.c
@@ -184,6 +184,36 @@
 	placing_tear_down();
 }
 
+/* Scenario: the engine that a prompt ranks first restarts, and callers press.
+ * Guards against a ranked engine that gets more than its pace, against requests
+ * that wait although others have room, and against one that is held back for
+ * longer than the steps of its pace. */
+static void test_engine_at_its_pace(void)
+{
+	endpoint_record_t record = {.service = STR_LIT("model"),
+				    .address = STR_LIT("127.0.0.1:1"),
+				    .slots = 64,
+				    .incarnation = 5};
+	endpoint_t *engine;
+	char id[16], domain[16];
+
+	placing_set_up();
+	engine = require_endpoint(3, 5000, 6000);
+	str_copy(id, sizeof(id), str_from(engine->id));
+	str_copy(domain, sizeof(domain), str_from(engine->domain));
+	record.id = str_from(id);
+	record.domain = str_from(domain);
+	engine = fleet_put(router->fleet, &record, START_MS);
+	CU_ASSERT_PTR_EQUAL(require_endpoint(3, 5000, 6000), engine);
+	engine->in_flight = record.slots / PACE_START_DIVISOR;
+	CU_ASSERT_PTR_NOT_EQUAL(require_endpoint(3, 5000, 6000), engine);
+	engine->in_flight = 0;
+	mclock_manual_advance(&manual_clock, 3 * PACE_STEP_MS);
+	CU_ASSERT_PTR_EQUAL(require_endpoint(3, 5000, 6000), engine);
+	CU_ASSERT_EQUAL(engine->pace.cap, 0);
+	placing_tear_down();
+}
+
 /* Scenario: the configuration changes while a connection is being established.
  * Guards against sending to the chosen endpoint although the catalog was
  * replaced (CONFIG), the endpoint is leaving (DRAIN) or its domain was
@@ -254,6 +284,7 @@
 		{"cold after evacuation", test_cold_after_evacuation},
 		{"expired records", test_expired_records},
 		{"new incarnation", test_new_incarnation},
+		{"engine at its pace", test_engine_at_its_pace},
 		{"outdated choice", test_outdated_choice},
 		{"refusing engine", test_refusing_engine},
 		CU_TEST_INFO_NULL};
