--- a/lib/state/fleet_internal.h
+++ b/lib/state/fleet_internal.h
@@ -25,6 +25,7 @@
 	/* Of each service, see fleet_quiet_pause_ms(). */
 	double *quiet_pauses_ms;
 	size_t service_count;
+	int64_t first_put_ms;  /* of the first record; 0: none yet */
 	bool express_is_stale; /* endpoints must be marked again */
 	noticetable_t notices;
 };
