--- a/Makefile
+++ b/Makefile
@@ -83,7 +83,7 @@
 	$(patsubst %,lib/coordination/%.c,balance breaker coldgate crashboard \
 	crashboard_blocks crashnews decode floors gossip custboard custnews custshare spill \
 	gossip_message lanes \
-	limitnews loadboard notice pauses peersync peersync_pull policy prefixmap promptparts \
+	limitnews loadboard notice pace pauses peersync peersync_pull policy prefixmap promptparts \
 	prefixnews pullcodec ratelimit readers rendezvous retryafter retrybudget sendring \
 	shortage speed speednews speedqueue unitshare warmth) \
 	$(patsubst %,lib/state/%.c,catalog fleet fleet_lanes fleet_speed hostsettings \
