Revert "Spill a share of requests from a region that lacks room"

Cause: a service counts as short of room when 0.9 of its slots are in use, and a spilled request pays 60 ms for the link where the route's target is 300 ms. Plain services of six slots were short nearly all the time. Not ruled out: spilling of streams alone.

--- a/Makefile
+++ b/Makefile
@@ -81,7 +81,7 @@
 	$(patsubst %,lib/base/%.c,buf err histogram mclock metrics \
 	msgcodec plog str) \
 	$(patsubst %,lib/coordination/%.c,balance breaker coldgate crashboard \
-	crashboard_blocks crashnews decode floors gossip custboard custnews custshare spill \
+	crashboard_blocks crashnews decode floors gossip custboard custnews custshare \
 	gossip_message lanes \
 	limitnews loadboard notice pace pauses peersync peersync_pull policy prefixmap promptparts \
 	prefixnews pullcodec ratelimit readers rendezvous retryafter retrybudget sendring \
--- a/lib/request/choose.c
+++ b/lib/request/choose.c
@@ -235,7 +235,6 @@
 	/* Of streams, see decode.h. */
 	double quiet_pause_ms;
 	double expected_events;
-	double link_discount_ms; /* see spill.h */
 	double best_cost;
 	bool any_at_limit; /* an endpoint is full, cold or refusing work */
 	choose_result_t result;
@@ -340,8 +339,6 @@
 		option.decode_charge_ms =
 			forecast_charge_ms(search, endpoint, &option);
 	cost = policy->ops->cost(policy, &option, &search->rates);
-	if (option.distance == BALANCE_OTHER_REGION)
-		cost -= search->link_discount_ms;
 	if (choice->endpoint && cost >= search->best_cost)
 		return;
 	search->best_cost = cost;
@@ -350,8 +347,6 @@
 	choice->prefill_tokens = option.prefill_tokens;
 	choice->prefill_share = balance_prefill_share(&option, &search->rates);
 	choice->prefills_alone = !option.backlog_tokens;
-	choice->spilled = option.distance == BALANCE_OTHER_REGION &&
-			  search->link_discount_ms > 0.0;
 	choice->slots_taken = option.slots && option.in_flight >= option.slots;
 	choice->round_trip_ms = balance_round_trip_ms(option.distance);
 	/* Without the excess, which is measured against this time. */
@@ -387,22 +382,6 @@
 	search->stays_on_lane = true;
 }
 
-/* Adapts the search while the own region lacks room. */
-static void apply_spill(search_t *search)
-{
-	const request_t *request = search->request;
-	const spill_t *spill =
-		&router_service_stats(request->router,
-				      request->admission.service_name)
-			 ->spill;
-	double sample_share = spill_sample_share(spill);
-
-	search->link_discount_ms =
-		spill_link_discount_ms(spill, request->id_hash);
-	if (sample_share < search->sample_share)
-		search->sample_share = sample_share;
-}
-
 choose_result_t choose_endpoint(const request_t *request, choice_t *choice)
 {
 	router_t *router = request->router;
@@ -421,7 +400,6 @@
 		.failure_cost_ms = CHOOSE_FAILURE_COST_FACTOR *
 				   request->admission.route->target_ms};
 	*choice = (choice_t){.endpoint = NULL};
-	apply_spill(&search);
 	fleet_update_express(router->fleet);
 	check_domains(request, &search.domains);
 	count = find_candidates(request, &search.domains);
--- a/lib/request/choose.h
+++ b/lib/request/choose.h
@@ -22,7 +22,6 @@
 	double prefill_share; /* share of its time that the endpoint spends on
 				 prefill */
 	double expected_ms;   /* until the first token or response */
-	bool spilled;	      /* to another region, see spill.h */
 	bool slots_taken;     /* the request would wait at the endpoint */
 	/* CHOOSE_LATER: the earliest time at which an endpoint that paused or
 	 * limits its rate accepts a request of this host; 0: some endpoint is
--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -474,10 +474,6 @@
 		 !retrybudget_take(&request_stats(request)->retry_budget,
 				   request_now_ms(request)))
 		request_fail(request, "no further send is allowed");
-	else {
-		if (choice.spilled)
-			metrics_add(METRIC_SPILLED,
-				    request->admission.service_name, 1);
+	else
 		request_send_to(request, &choice);
-	}
 }
--- a/lib/request/router.c
+++ b/lib/request/router.c
@@ -10,7 +10,6 @@
 #include "request/limits.h"
 #include "request/probe.h"
 #include "request/request.h"
-#include "request/spillover.h"
 
 #define ROUTER_TICK_MS 250
 /* Objects that wait to be freed above which they are freed before the tick. */
@@ -96,7 +95,6 @@
 	update_lanes(router, now_ms);
 	update_shortages(router, now_ms);
 	fleet_update_slowness(router->fleet, now_ms);
-	spillover_update(router);
 	crashes_update(router);
 	limits_on_tick(router);
 	for (size_t i = 0; i < fleet_count(router->fleet); i++)
--- a/lib/request/router.h
+++ b/lib/request/router.h
@@ -11,7 +11,6 @@
 #include "coordination/prefixnews.h"
 #include "coordination/retrybudget.h"
 #include "coordination/shortage.h"
-#include "coordination/spill.h"
 #include "request/callermem.h"
 #include "request/dialect.h"
 #include "request/tracer.h"
@@ -62,7 +61,6 @@
 					 endpoint->slowness */
 	shortage_t shortage;	      /* engines: whether slots are short */
 	decode_stats_t decode;	      /* engines: what streams have shown */
-	spill_t spill;		      /* to other regions */
 	struct service_stats *next;
 } service_stats_t;
 
--- a/tests/unit/test_choose_state.c
+++ b/tests/unit/test_choose_state.c
@@ -1,9 +1,6 @@
 #include "unit.h"
 
-#include <string.h>
-
 #include "placing.h"
-#include "request/spillover.h"
 
 /* Scenario: every engine asks for a pause, the longest first. Guards against a
  * request to an engine during its pause, and against a retry time other than
@@ -277,69 +274,6 @@
 	engines_cold_until_proven = false;
 }
 
-static void set_region_in_flight(const char *region, unsigned in_flight)
-{
-	for (size_t i = 0; i < fleet_count(router->fleet); i++) {
-		endpoint_t *engine = fleet_at(router->fleet, i);
-
-		if (str_equals(fleet_region(router->fleet,
-					    str_from(engine->domain)),
-			       str_from(region)))
-			engine->in_flight = in_flight;
-	}
-}
-
-/* Of 200 requests, those that go to another region. */
-static unsigned count_spilled(void)
-{
-	unsigned spilled = 0;
-	choice_t choice;
-
-	for (unsigned i = 0; i < 200; i++) {
-		make_request(0, 0, 100);
-		request.id_hash = i * 0x9e3779b97f4a7c15ull;
-		CU_ASSERT_EQUAL_FATAL(choose_endpoint(&request, &choice),
-				      CHOOSE_OK);
-		spilled += choice.spilled;
-		CU_ASSERT_EQUAL(choice.spilled,
-				strcmp(choice.endpoint->domain, "d0") != 0);
-	}
-	return spilled;
-}
-
-/* Scenario: the engines of the own region are nearly full, those of the others
- * idle. Guards against a share of spilled requests that the choice ignores, one
- * that starts before the region lacks room, and one that stays when the other
- * regions are full or evacuated. */
-static void test_region_without_room(void)
-{
-	spill_t *spill;
-
-	placing_set_up();
-	spill = &router_service_stats(router, STR_LIT("model"))->spill;
-	set_region_in_flight("r0", 30);
-	spillover_update(router);
-	mclock_manual_advance(&manual_clock, 1000);
-	spillover_update(router);
-	CU_ASSERT_EQUAL(spill->share, 0.0);
-	CU_ASSERT_EQUAL(count_spilled(), 0);
-	spill->share = 0.5;
-	CU_ASSERT(count_spilled() > 60 && count_spilled() < 140);
-	spill->share = 0.0;
-	set_region_in_flight("r0", 90);
-	mclock_manual_advance(&manual_clock, 1000);
-	spillover_update(router);
-	CU_ASSERT(spill->share > 0.0);
-	spill->share = 0.0;
-	fleet_set_evacuated(router->fleet, STR_LIT("d1"), true, catalog,
-			    START_MS);
-	set_region_in_flight("r2", 64);
-	mclock_manual_advance(&manual_clock, 1000);
-	spillover_update(router);
-	CU_ASSERT_EQUAL(spill->share, 0.0);
-	placing_tear_down();
-}
-
 int main(void)
 {
 	CU_TestInfo tests[] = {
@@ -353,7 +287,6 @@
 		{"engine at its pace", test_engine_at_its_pace},
 		{"outdated choice", test_outdated_choice},
 		{"refusing engine", test_refusing_engine},
-		{"region without room", test_region_without_room},
 		CU_TEST_INFO_NULL};
 
 	return unit_run("choose-state", tests);
