Reject answers cut while the request is sent, and invalid statuses

Cause 1: the end of a connection ends an answer without a length, also while the request was still being sent. An endpoint that stops there closes its connection like one that is done; the reset comes only once more of the request arrives. A body of 400 KB or 7 MB, answered at once with a part of a 200 and closed, was passed on as a whole 200 on routes of both kinds that don't stream, and on the own interface; with a reset alone it was 502 before, too. Now such an answer is complete only if the endpoint had acknowledged the whole request.

Cause 2: the kernel reports a reset once, and end of stream from then on, so that a read after a failed write would take the part for the whole. Only a write that fails midway on a kept connection could lead there; not seen with real processes. End of stream after an error is now a broken connection.

Cause 3: a status below 200 was taken for an interim answer, so that the caller of 000, 00, 0, 099, 20 or 101 waited until the route's timeout (504), on routes that may repeat as well: the send counted as stalled, and a stalled send is given up only for another endpoint. 0200 and 00200 were passed on as 200, since http_parser gives the value only. These heads are now malformed: 502 at once, or another endpoint. 600 to 999 are the endpoint's failures, as before.

Beside that, a whole answer or the head of a refusal that arrived before a reset now counts; a failed write of the request used to discard both (502).

Ruled out: the clients of the store and of peers accept no answer that ends with its connection.

--- a/lib/request/channel.c
+++ b/lib/request/channel.c
@@ -56,14 +56,6 @@
 	request_on_failure(request, failure);
 }
 
-/* Fails the send because its connection broke. */
-static void fail_broken(channel_t *channel, send_break_t cause)
-{
-	if (channel->request)
-		channel->request->last_break = cause;
-	fail(channel, channel->tcp.written ? SEND_LOST : SEND_NOT_CONNECTED);
-}
-
 static void on_connect_timeout(void *user)
 {
 	fail(user, SEND_NOT_CONNECTED);
@@ -74,6 +66,25 @@
 	return reply->not_run || reply->misdirected;
 }
 
+/* True when the head of a refusal has arrived, which is enough to know that the
+ * request did not run. */
+static bool was_refused(const channel_t *channel)
+{
+	return channel->head_read && !channel->for_other_request &&
+	       !channel->untrusted && is_refusal(&channel->reply);
+}
+
+/* Fails the send because its connection broke. */
+static void fail_broken(channel_t *channel, send_break_t cause)
+{
+	if (channel->request)
+		channel->request->last_break = cause;
+	if (!channel->tcp.written)
+		fail(channel, SEND_NOT_CONNECTED);
+	else
+		fail(channel, was_refused(channel) ? SEND_NOT_RUN : SEND_LOST);
+}
+
 /* Parses the response head and sets `for_other_request` and `untrusted`; see
  * channel_t. */
 static void classify(channel_t *channel)
@@ -169,17 +180,13 @@
 	reset_response(channel);
 }
 
-/* Fails the send after too many stray responses or discarded bytes. The head of
- * a refusal is enough to know that the request did not run. */
+/* Fails the send after too many stray responses or discarded bytes. */
 static void fail_too_long(channel_t *channel)
 {
-	bool refused = channel->head_read && !channel->for_other_request &&
-		       is_refusal(&channel->reply);
-
 	plog_write(PLOG_ANSWER_TOO_LONG, "endpoint=%s strays=%u ignored=%zu",
 		   channel->endpoint->id, channel->stray_answers,
 		   channel->discarded_bytes);
-	fail(channel, refused ? SEND_NOT_RUN : SEND_LOST);
+	fail(channel, was_refused(channel) ? SEND_NOT_RUN : SEND_LOST);
 }
 
 /* RETURN VALUE: true when the connection still waits for the response to its
@@ -234,8 +241,14 @@
 	}
 }
 
+/* Ends a response without a length, unless the endpoint closed the connection
+ * before it had taken the whole request: it may have failed then. */
 static void on_end(channel_t *channel)
 {
+	if (!tcp_is_acknowledged(&channel->tcp)) {
+		fail_broken(channel, SEND_BREAK_CLOSED);
+		return;
+	}
 	if (channel->request)
 		channel->request->last_break = SEND_BREAK_CLOSED;
 	if (http1_finish(&channel->http) == HTTP1_MESSAGE && channel->request) {
@@ -263,6 +276,8 @@
 		feed(channel, (str_t){buffer, len});
 		return;
 	case TCP_READ_AGAIN:
+		if (channel->tcp.write_broken)
+			fail_broken(channel, SEND_BREAK_RESET);
 		return;
 	case TCP_READ_END:
 		on_end(channel);
@@ -304,10 +319,10 @@
 
 	if (channel->tcp.connecting && !on_connected(channel))
 		return;
-	if ((events & EPOLLOUT) && !tcp_flush(&channel->tcp)) {
-		fail_broken(channel, SEND_BREAK_RESET);
-		return;
-	}
+	/* An endpoint may answer early and take no more of the request: what
+	 * it sent is read before the connection counts as broken. */
+	if ((events & EPOLLOUT) && !tcp_flush(&channel->tcp))
+		events |= EPOLLIN;
 	if (events & (EPOLLIN | EPOLLHUP | EPOLLERR))
 		read_input(channel);
 }
--- a/lib/transport/http1.c
+++ b/lib/transport/http1.c
@@ -1,5 +1,6 @@
 #include "transport/http1.h"
 
+#include <ctype.h>
 #include <stdlib.h>
 #include <strings.h>
 
@@ -14,6 +15,9 @@
 /* Return value of on_headers_complete() that makes http_parser fail; it gives
  * 0 to 2 other meanings. */
 #define HTTP1_REJECT_HEAD 3
+#define HTTP1_STATUS_DIGITS 3
+#define HTTP1_MIN_STATUS 100
+#define HTTP1_SWITCHING_PROTOCOLS 101
 
 static int fail_too_large(http1_t *http)
 {
@@ -126,12 +130,43 @@
 	return true;
 }
 
+/* Counts the digits of a response's status; http_parser yields its value only,
+ * and takes 0200 for 200. */
+static void count_status_digits(http1_t *http, str_t data)
+{
+	for (size_t i = 0; i < data.len; i++) {
+		char c = data.ptr[i];
+
+		if (http->status_place == HTTP1_AFTER_STATUS)
+			return;
+		if (c == ' ' && !http->status_digits)
+			http->status_place = HTTP1_IN_STATUS;
+		else if (http->status_place == HTTP1_IN_STATUS &&
+			 isdigit((unsigned char)c))
+			http->status_digits++;
+		else if (http->status_place == HTTP1_IN_STATUS)
+			http->status_place = HTTP1_AFTER_STATUS;
+	}
+}
+
+/* A request is never forwarded with an offer to change the protocol, so that
+ * nothing can follow 101. */
+static bool has_valid_status(const http1_t *http)
+{
+	const http_parser *parser = &http->parser;
+
+	return parser->type == HTTP_REQUEST ||
+	       (http->status_digits == HTTP1_STATUS_DIGITS &&
+		parser->status_code >= HTTP1_MIN_STATUS &&
+		parser->status_code != HTTP1_SWITCHING_PROTOCOLS);
+}
+
 static int on_headers_complete(http_parser *parser)
 {
 	http1_t *http = parser->data;
 	http1_head_t *head = &http->head;
 
-	if (!has_valid_names(head))
+	if (!has_valid_names(head) || !has_valid_status(http))
 		return HTTP1_REJECT_HEAD;
 	hopfields_mark(head);
 	head->complete = true;
@@ -209,6 +244,8 @@
 	http->in_value = false;
 	http->too_large = false;
 	http->done = false;
+	http->status_place = HTTP1_BEFORE_STATUS;
+	http->status_digits = 0;
 	http_parser_init(&http->parser,
 			 (enum http_parser_type)http->parser.type);
 }
@@ -219,6 +256,8 @@
 	/* http_parser treats 0 bytes as the end of the connection. */
 	if (!data.len)
 		return HTTP1_MORE;
+	if (http->parser.type == HTTP_RESPONSE)
+		count_status_digits(http, data);
 	*consumed = http_parser_execute(&http->parser, &callbacks, data.ptr,
 					data.len);
 	if (http->done)
--- a/lib/transport/http1.h
+++ b/lib/transport/http1.h
@@ -12,7 +12,8 @@
  * HTTP1_MESSAGE, after which http1_next() must be called; bytes that follow a
  * message are not consumed. A head is bounded by its bytes alone: target, names
  * and values, and the separators of the fields. Its buffers take up to seven
- * times that.
+ * times that. A response is malformed unless its status has three digits, is
+ * 100 or more, and is not 101 (Switching Protocols).
  */
 
 typedef struct http1 http1_t;
@@ -35,6 +36,13 @@
 	uint32_t is_hop_by_hop : 1;
 } http1_field_t;
 
+/* How far the status line of a response has been read. */
+typedef enum http1_status_place {
+	HTTP1_BEFORE_STATUS,
+	HTTP1_IN_STATUS,
+	HTTP1_AFTER_STATUS
+} http1_status_place_t;
+
 /* The head of a message; http1_field_t holds an offset into `text`. */
 typedef struct http1_head {
 	buf_t text;
@@ -59,6 +67,8 @@
 	bool in_value;
 	bool too_large;
 	bool done;
+	http1_status_place_t status_place; /* responses only, as the next */
+	unsigned status_digits;
 	bool no_body; /* responses are to a HEAD request; set by the owner */
 };
 
--- a/lib/transport/tcp.c
+++ b/lib/transport/tcp.c
@@ -1,9 +1,11 @@
 #include "transport/tcp.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -143,6 +145,17 @@
 	setsockopt(tcp->fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
 }
 
+/* True when the connection has broken. The kernel reports an error once, by the
+ * call that comes first, and end of stream from then on. */
+static bool has_error(const tcp_t *tcp)
+{
+	int code = 0;
+	socklen_t len = sizeof(code);
+
+	return tcp->write_broken ||
+	       getsockopt(tcp->fd, SOL_SOCKET, SO_ERROR, &code, &len) || code;
+}
+
 tcp_read_t tcp_read(tcp_t *tcp, char *data, size_t size, size_t *len)
 {
 	ssize_t got;
@@ -155,7 +168,7 @@
 		return TCP_READ_DATA;
 	}
 	if (!got)
-		return TCP_READ_END;
+		return has_error(tcp) ? TCP_READ_BROKEN : TCP_READ_END;
 	if (errno == EAGAIN || errno == EINTR)
 		return TCP_READ_AGAIN;
 	return errno == ETIMEDOUT ? TCP_READ_TIMED_OUT : TCP_READ_BROKEN;
@@ -188,8 +201,12 @@
 		ssize_t sent = send(tcp->fd, data.ptr + *written,
 				    data.len - *written, MSG_NOSIGNAL);
 
-		if (sent < 0)
-			return errno == EAGAIN || errno == EINTR;
+		if (sent < 0 && (errno == EAGAIN || errno == EINTR))
+			return true;
+		if (sent < 0) {
+			tcp->write_broken = true;
+			return false;
+		}
 		*written += (size_t)sent;
 		tcp->written += (uint64_t)sent;
 	}
@@ -245,6 +262,14 @@
 	return tcp->out.len - tcp->out_sent;
 }
 
+bool tcp_is_acknowledged(const tcp_t *tcp)
+{
+	int unacknowledged = 0;
+
+	return tcp->fd >= 0 && !tcp_unsent(tcp) &&
+	       !ioctl(tcp->fd, SIOCOUTQ, &unacknowledged) && !unacknowledged;
+}
+
 void tcp_set_reading(tcp_t *tcp, bool reading)
 {
 	if (tcp->fd < 0 || tcp->reading == reading)
--- a/lib/transport/tcp.h
+++ b/lib/transport/tcp.h
@@ -12,7 +12,8 @@
  * tcp_send() writes what the socket accepts and buffers the rest until the
  * socket is writable. The loop calls the owner's `io` for EPOLLIN, EPOLLHUP and
  * EPOLLERR, and for EPOLLOUT when a connect has ended or the socket accepts
- * more output; for EPOLLOUT the owner must call tcp_flush(). All functions may
+ * more output; for EPOLLOUT the owner must call tcp_flush(). After a failed
+ * write, tcp_read() still returns what the peer sent before. All functions may
  * be called on a closed tcp_t (fd -1).
  */
 #define TCP_CLOSED (-1)
@@ -24,9 +25,10 @@
 	bool connecting;
 	bool early_input; /* the peer sent something before this side did */
 	bool reading;
-	buf_t out;	  /* pending output, after the first out_sent bytes */
-	size_t out_sent;  /* bytes of `out` that are already written */
-	uint64_t written; /* bytes written to the socket since it was opened */
+	bool write_broken; /* a write has failed; received data may remain */
+	buf_t out;	   /* pending output, after the first out_sent bytes */
+	size_t out_sent;   /* bytes of `out` that are already written */
+	uint64_t written;  /* bytes written to the socket since it was opened */
 	loop_io_t io;
 	void *user;
 } tcp_t;
@@ -34,8 +36,8 @@
 typedef enum tcp_read {
 	TCP_READ_DATA,	   /* `len` bytes were read */
 	TCP_READ_AGAIN,	   /* no data available yet */
-	TCP_READ_END,	   /* end of stream */
-	TCP_READ_BROKEN,   /* reset, or closed on this side */
+	TCP_READ_END,	   /* the peer closed its sending side */
+	TCP_READ_BROKEN,   /* reset, also after that, or closed on this side */
 	TCP_READ_TIMED_OUT /* the peer stopped acknowledging */
 } tcp_read_t;
 
@@ -83,6 +85,9 @@
 /* Output bytes that are not yet written to the socket. */
 size_t tcp_unsent(const tcp_t *tcp);
 
+/* True when the peer has acknowledged all output. */
+bool tcp_is_acknowledged(const tcp_t *tcp);
+
 /* Stops or resumes reading, for back pressure. */
 void tcp_set_reading(tcp_t *tcp, bool reading);
 
--- a/tests/session/test_second_answers.sh
+++ b/tests/session/test_second_answers.sh
@@ -30,7 +30,8 @@
 
 echo "== a stream is broken off, and the other server's answer is no stream"
 for mode in error-length error-chunked error-close error-events redirect \
-	created other-type other-length other-close no-ids garbage foreign unstamped
+	created other-type other-length other-close no-ids garbage foreign unstamped \
+	status-000 status-0200 status-101
 do
 	sleep 2 # until the circuit breaker admits requests
 	set_modes "$s1" half-stream
--- a/tests/session/test_trouble_native.sh
+++ b/tests/session/test_trouble_native.sh
@@ -144,6 +144,25 @@
 	sleep 0.5
 done
 
+# Guards against a part of an answer that reaches the caller as a whole one
+# since its connection ended while the request was still being sent, and against
+# an answer without a status.
+head -c 900000 /dev/zero >"$work/large"
+for mode in early-close-reset early-close-fin-reset early-close-fin status-000 \
+	status-0200 status-101
+do
+	for call in book_return claim_status
+	do
+		sleep 2 # until the endpoint's circuit breaker admits requests
+		control service-1 "mode?next=$mode,$mode"
+		expect_equal "$mode, $call is no success" "502 unknown" \
+			"$(call_service north-1 $call "@$work/large") $(header X-Peridot-Outcome)"
+		control service-1 seen >"$work/seen"
+		pass_or_fail "$mode, $call reaches the service" \
+			grep -q " $mode\$" "$work/seen"
+	done
+done
+
 # requests_to_service COUNT: sends COUNT requests; prints how many reach the
 # service.
 requests_to_service()
--- a/tests/standins/http_connection.py
+++ b/tests/standins/http_connection.py
@@ -10,6 +10,7 @@
         self.sock = sock
         self.data = b""
         self.method = None  # of the latest request
+        self.answered_early = False  # the latest request
         self.refused_ids = set()
 
     def read_until(self, mark):
@@ -21,7 +22,9 @@
         head, self.data = self.data.split(mark, 1)
         return head
 
-    def read_request(self):
+    def read_request(self, on_head=None):
+        """Reads a request. on_head() gets its method, target and headers before
+        the body is read; the request ends the connection if it returns False."""
         head = self.read_until(b"\r\n\r\n")
         if head is None:
             return None
@@ -29,14 +32,16 @@
         fields = [line.split(": ", 1) for line in lines[1:]]
         headers = {name.lower(): value for name, value in fields}
         length = int(headers.get("content-length", 0))
+        method, target, _ = lines[0].split(" ")
+        self.method = method
+        if on_head and not on_head(method, target, headers):
+            return None
         while len(self.data) < length:
             more = self.sock.recv(65536)
             if not more:
                 return None
             self.data += more
         body, self.data = self.data[:length], self.data[length:]
-        method, target, _ = lines[0].split(" ")
-        self.method = method
         return method, target, headers, lines[1:], body
 
     def respond(self, status, headers, body, close=False):
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -21,8 +21,9 @@
           /control/calls               number of calls since the start
           /control/revision            the current revision
   server: /control/mode?next=M         response modes of the next requests, of
-                                       MODES and ENDLESS (platform_server.py),
-                                       separated by commas
+                                       MODES and ENDLESS (platform_server.py)
+                                       and of platform_faults.py, separated by
+                                       commas
           /control/always?mode=M       response mode of all other requests
           /control/limit?value=V&...   states the limits V in all answers; none
                                        without V
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -5,6 +5,8 @@
 import time
 import urllib.parse
 
+import platform_faults
+
 MODES = (
     "ok", "shed", "misdirected", "reset", "silent", "error", "truncate",
     "foreign", "unstamped", "extra", "garbage", "close-after", "half-stream",
@@ -70,6 +72,11 @@
 }
 
 
+def is_mode(mode):
+    return (mode in MODES + ENDLESS + tuple(SECOND_ANSWERS) or
+            platform_faults.is_mode(mode))
+
+
 class Server:
     """A server of one service: plain responses and event streams."""
 
@@ -106,7 +113,7 @@
         query = dict(urllib.parse.parse_qsl(url.query))
         if url.path == "/control/mode":
             modes = query["next"].split(",")
-            assert all(mode in MODES + ENDLESS + tuple(SECOND_ANSWERS) for mode in modes)
+            assert all(is_mode(mode) for mode in modes)
             with self.lock:
                 self.modes = modes
             connection.respond(200, [], b"")
@@ -115,7 +122,7 @@
             self.event_s = int(query.get("event_ms", 10)) / 1000
             connection.respond(200, [], b"")
         elif url.path == "/control/always":
-            assert query["mode"] in MODES + ENDLESS + tuple(SECOND_ANSWERS)
+            assert is_mode(query["mode"])
             self.default_mode = query["mode"]
             connection.respond(200, [], b"")
         elif url.path == "/control/crash":
@@ -288,21 +295,42 @@
         if mode.startswith("cut-"):
             connection.reset()
 
+    def common_fields(self, headers):
+        """Head fields of every answer to a request."""
+        common = [(self.header_names["id"],
+                   headers.get(self.header_names["id"].lower(), "")),
+                  (self.header_names["stamp"], "stamp-" + self.name)]
+        if self.native:
+            common.append(("X-Peridot-Boot", "boot-1"))
+        return common + [(self.header_names["limit"], value)
+                         for value in self.limits]
+
+    def answer_early(self, connection, method, target, headers):
+        """Answers a request before its body is read, if its mode says so;
+        returns False if the connection must be closed."""
+        with self.lock:
+            mode = self.modes[0] if self.modes else self.default_mode
+        if target.startswith("/control/") or not platform_faults.is_early(mode):
+            return True
+        self.next_mode()
+        connection.answered_early = True
+        self.record_request((method, target, headers, None, b""), mode)
+        return platform_faults.answer_early(
+            connection, mode, self.common_fields(headers),
+            self.header_names["not-run"])
+
     def run(self, connection, request, mode):
         """Responds to one request; returns False if the connection must be
         closed."""
         _, target, headers, _, body = request
         wait = re.search("/wait-([0-9]+)/", target)
         time.sleep(int(wait.group(1)) / 1000 if wait else self.delay_s)
-        common = [(self.header_names["id"],
-                   headers.get(self.header_names["id"].lower(), "")),
-                  (self.header_names["stamp"], "stamp-" + self.name)]
-        if self.native:
-            common.append(("X-Peridot-Boot", "boot-1"))
-        common += [(self.header_names["limit"], value)
-                   for value in self.limits]
+        common = self.common_fields(headers)
         streams = "/stream/" in target or b'"stream":true' in body
         text = ("%s %s %d" % (self.name, target, len(body))).encode()
+        if mode.startswith("status-"):
+            platform_faults.answer_with_status(connection, mode, common)
+            return True
         if mode in SECOND_ANSWERS:
             return self.send_second_answer(connection, mode, common)
         if mode == "late-refusal":
@@ -436,9 +464,13 @@
         if self.greets:
             self.refuse(connection, None)
         while True:
-            request = connection.read_request()
+            connection.answered_early = False
+            request = connection.read_request(
+                lambda *head: self.answer_early(connection, *head))
             if request is None:
                 return
+            if connection.answered_early:
+                continue
             url = urllib.parse.urlsplit(request[1])
             if url.path.startswith("/control/"):
                 self.control(connection, url)
--- a/tests/unit/test_http1.c
+++ b/tests/unit/test_http1.c
@@ -285,6 +285,46 @@
 	buf_release(&body);
 }
 
+static bool accepts_status(const char *status, bool bytewise)
+{
+	http1_result_t result;
+	buf_t text = BUF_INIT;
+	http1_t http;
+	size_t used;
+
+	buf_printf(&text, "HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n", status);
+	http1_init(&http, &ops, HTTP_RESPONSE, HEAD_BYTES);
+	/* The status is counted anew in each message. */
+	CU_ASSERT_EQUAL(
+		http1_feed(&http, STR_LIT("HTTP/1.1 204 X\r\n\r\n"), &used),
+		HTTP1_MESSAGE);
+	http1_next(&http);
+	result = bytewise ? feed_bytewise(&http, buf_view(&text), &used) :
+			    http1_feed(&http, buf_view(&text), &used);
+	http1_release(&http);
+	buf_release(&text);
+	return result == HTTP1_MESSAGE;
+}
+
+/* Guards against a status that is none: 000 was taken for an interim response,
+ * after which the caller waited for another one, and 0200 for 200. */
+static void test_statuses(void)
+{
+	static const char *const valid[] = {"100 X", "103 X", "200 X",	 "200",
+					    "200 ",  "599 X", "999 9999"};
+	static const char *const invalid[] = {
+		"000 X", "00 X",   "0 X",    "099 X",	"20 X",
+		"2 X",	 "0200 X", "0200",   "00200 X", "101 X",
+		"X",	 "1000 X", "2000 X", "-20 X",	"2x0 X"};
+
+	for (int bytewise = 0; bytewise < 2; bytewise++) {
+		for (size_t i = 0; i < sizeof(valid) / sizeof(*valid); i++)
+			CU_ASSERT_TRUE(accepts_status(valid[i], bytewise));
+		for (size_t i = 0; i < sizeof(invalid) / sizeof(*invalid); i++)
+			CU_ASSERT_FALSE(accepts_status(invalid[i], bytewise));
+	}
+}
+
 /* Guards against forwarding hop-by-hop headers. */
 static void test_hop_fields(void)
 {
@@ -314,6 +354,7 @@
 			       {"many fields", test_many_fields},
 			       {"upgrade with body", test_upgrade_with_body},
 			       {"response to head", test_response_to_head},
+			       {"statuses", test_statuses},
 			       {"hop fields", test_hop_fields},
 			       CU_TEST_INFO_NULL};
 
--- a/tests/unit/test_tcp.c
+++ b/tests/unit/test_tcp.c
@@ -117,10 +117,84 @@
 	loop_free(loop);
 }
 
+/* Makes the peer send a part of an answer and reset the connection; with
+ * `closes_first` it ends its sending side before that. */
+static void send_and_reset(int peer, bool closes_first)
+{
+	struct linger reset = {.l_onoff = 1, .l_linger = 0};
+
+	CU_ASSERT_EQUAL(send(peer, "part", 4, 0), 4);
+	if (closes_first)
+		shutdown(peer, SHUT_WR);
+	setsockopt(peer, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	close(peer);
+}
+
+/* Guards against a reset that reads as end of stream, by which the part of an
+ * answer before it would be a whole one: after a write that has failed on the
+ * reset, or when the peer closed its sending side first. */
+static void test_reset_after_part(void)
+{
+	for (int closes_first = 0; closes_first < 2; closes_first++)
+		for (int writes = 0; writes < 2; writes++) {
+			char buffer[16];
+			struct sockaddr_in address;
+			loop_t *loop = loop_create(mclock_system());
+			int listen_fd = listen_on(&address);
+			size_t len = 0;
+			tcp_t tcp;
+			int peer =
+				connect_to(listen_fd, &address, loop, &tcp, "");
+
+			send_and_reset(peer, closes_first);
+			if (writes)
+				CU_ASSERT_FALSE(
+					tcp_send(&tcp, STR_LIT("more")));
+			CU_ASSERT_EQUAL(
+				tcp_read(&tcp, buffer, sizeof(buffer), &len),
+				TCP_READ_DATA);
+			CU_ASSERT_EQUAL(len, 4);
+			CU_ASSERT_EQUAL(
+				tcp_read(&tcp, buffer, sizeof(buffer), &len),
+				TCP_READ_BROKEN);
+			tcp_close(&tcp);
+			close(listen_fd);
+			loop_free(loop);
+		}
+}
+
+/* Guards against an answer that counts as one to the whole request although the
+ * peer has not taken all of it. */
+static void test_acknowledged(void)
+{
+	static char bytes[SEND_BYTES];
+	struct sockaddr_in address;
+	loop_t *loop = loop_create(mclock_system());
+	int listen_fd = listen_on(&address);
+	tcp_t tcp;
+	int peer = connect_to(listen_fd, &address, loop, &tcp, "");
+
+	CU_ASSERT_EQUAL(recv(peer, bytes, sizeof(bytes), 0), 7);
+	CU_ASSERT_TRUE(tcp_is_acknowledged(&tcp));
+	while (!tcp_unsent(&tcp))
+		tcp_send(&tcp, (str_t){bytes, sizeof(bytes)});
+	CU_ASSERT_FALSE(tcp_is_acknowledged(&tcp));
+	/* Now the rest waits in the kernel alone. */
+	tcp.out_sent = tcp.out.len;
+	CU_ASSERT_FALSE(tcp_is_acknowledged(&tcp));
+	tcp_close(&tcp);
+	CU_ASSERT_FALSE(tcp_is_acknowledged(&tcp));
+	close(peer);
+	close(listen_fd);
+	loop_free(loop);
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {{"slow reader", test_slow_reader},
 			       {"early input", test_early_input},
+			       {"reset after a part", test_reset_after_part},
+			       {"acknowledged output", test_acknowledged},
 			       CU_TEST_INFO_NULL};
 
 	return unit_run("tcp", tests);
