Add peridotctl check-config for the platform's configuration

Operators asked for a check of a configuration before it is sent: errors, entries that can never match, limits that contradict each other, and what differs from the version in force. Nothing told them that a route is shadowed, or that a key belongs to another customer, before callers were refused.

API keys are counted and not printed. Exit status: 0 without a finding, 1 with warnings alone, 2 with errors.

Not built: the configuration in force from a host, regions without a failure domain, and the review of sheets (docs/design/configuration-check.md).

--- a/lib/state/catalog.c
+++ b/lib/state/catalog.c
@@ -282,6 +282,35 @@
 	return catalog->keys_count;
 }
 
+size_t catalog_service_count(const catalog_t *catalog)
+{
+	return catalog->services_count;
+}
+
+const catalog_route_t *catalog_get_route(const catalog_t *catalog, size_t index)
+{
+	return &catalog->routes[index];
+}
+
+const catalog_service_t *catalog_get_service(const catalog_t *catalog,
+					     size_t index)
+{
+	return &catalog->services[index];
+}
+
+const catalog_customer_t *catalog_get_customer(const catalog_t *catalog,
+					       size_t index)
+{
+	return &catalog->customers[index];
+}
+
+str_t catalog_get_key(const catalog_t *catalog, size_t index,
+		      const catalog_customer_t **customer)
+{
+	*customer = &catalog->customers[catalog->keys[index].customer];
+	return catalog->keys[index].key;
+}
+
 unsigned catalog_priority_levels(const catalog_t *catalog)
 {
 	return catalog->priority_levels;
--- a/lib/state/catalog.h
+++ b/lib/state/catalog.h
@@ -112,6 +112,18 @@
 size_t catalog_key_count(const catalog_t *catalog);
 /* One more than the largest priority of a route. */
 unsigned catalog_priority_levels(const catalog_t *catalog);
+size_t catalog_service_count(const catalog_t *catalog);
+
+/* Entries in the order in which they were added; `index` is below the count. */
+const catalog_route_t *catalog_get_route(const catalog_t *catalog,
+					 size_t index);
+const catalog_service_t *catalog_get_service(const catalog_t *catalog,
+					     size_t index);
+const catalog_customer_t *catalog_get_customer(const catalog_t *catalog,
+					       size_t index);
+/* RETURN VALUE: an API key, with the customer that was added with it. */
+str_t catalog_get_key(const catalog_t *catalog, size_t index,
+		      const catalog_customer_t **customer);
 const catalog_limits_t *catalog_get_limits(const catalog_t *catalog);
 bool catalog_requires_keys(const catalog_t *catalog);
 
--- a/programs/ctl/ctl.h
+++ b/programs/ctl/ctl.h
@@ -17,6 +17,7 @@
  */
 #define CTL_EXIT_OK 0
 #define CTL_EXIT_REFUSED 1 /* a host refused or could not be reached */
+#define CTL_EXIT_WARNED 1  /* check-config: warnings, but no error */
 #define CTL_EXIT_USAGE 2   /* wrong arguments or a faulty file */
 
 #define CTL_MAX_HOSTS 1024
@@ -39,6 +40,7 @@
 	const char *domain;
 	const char *endpoint;
 	const char *state;
+	const char *in_force; /* file of the configuration in force */
 } ctl_args_t;
 
 /* files.c: sheets and settings files */
@@ -57,6 +59,9 @@
 sheet_t *ctl_parse_sheet(str_t text, const char *path);
 sheet_t *ctl_load_sheet(const char *path);
 
+/* config.c: configurations of the platform */
+int ctl_run_check_config(const ctl_args_t *args);
+
 /* diff.c: differences between two sheets */
 int ctl_run_diff(const ctl_args_t *args);
 /* Appends one line per difference, ignoring the version. Returns the number of
--- a/programs/peridotctl.c
+++ b/programs/peridotctl.c
@@ -1,8 +1,9 @@
 /*
  * peridotctl - command line tool for operators
  *
- * EXIT STATUS: 0 on success, 1 if a host refused or could not be reached, 2 for
- * invalid arguments, an invalid file or a failed write.
+ * EXIT STATUS: 0 on success, 1 if a host refused or could not be reached or
+ * check-config has warnings alone, 2 for invalid arguments, an invalid file or
+ * a failed write.
  */
 #include "ctl/ctl.h"
 
@@ -29,6 +30,7 @@
 #define GROUP_WAIT 8U
 #define GROUP_OUT 16U
 #define GROUP_EDIT 32U
+#define GROUP_IN_FORCE 64U
 #define GROUP_HOSTS_OR_FLEET (GROUP_HOSTS | GROUP_FLEET)
 
 enum option_key {
@@ -42,7 +44,8 @@
 	OPTION_TIMEOUT,
 	OPTION_DOMAIN,
 	OPTION_ENDPOINT,
-	OPTION_STATE
+	OPTION_STATE,
+	OPTION_IN_FORCE
 };
 
 typedef struct command {
@@ -95,6 +98,9 @@
 	 {"endpoint", OPTION_ENDPOINT, "NAME", 0, "Change this endpoint", 0}},
 	{GROUP_EDIT,
 	 {"state", OPTION_STATE, "STATE", 0, "up, leaving or out", 0}},
+	{GROUP_IN_FORCE,
+	 {"in-force", OPTION_IN_FORCE, "FILE", 0,
+	  "Show what differs from this configuration, which is in force", 0}},
 };
 
 static const command_t commands[] = {
@@ -102,6 +108,8 @@
 	 ctl_run_check},
 	{"check-settings", "FILE", "Report every fault of a settings file.", 0,
 	 1, ctl_run_check_settings},
+	{"check-config", "FILE", "Review a configuration of the platform.",
+	 GROUP_IN_FORCE, 1, ctl_run_check_config},
 	{"diff", "OLD NEW", "Show what a new sheet changes.", 0, 2,
 	 ctl_run_diff},
 	{"edit", "SHEET", "Change one state and raise the version.",
@@ -269,6 +277,9 @@
 	case OPTION_ENDPOINT:
 		args->endpoint = value;
 		return 0;
+	case OPTION_IN_FORCE:
+		args->in_force = value;
+		return 0;
 	case OPTION_STATE:
 		parse_state(state, args, value);
 		return 0;
@@ -361,8 +372,9 @@
 			   commands[i].doc);
 	buf_printf(&doc, "\nEach command has its own --help.\n\n"
 			 "Exit status: 0 when all went well, 1 when a host "
-			 "refused or could not be reached, 2 for wrong "
-			 "arguments or a faulty file.\n");
+			 "refused or could not be reached or check-config "
+			 "has warnings alone, 2 for wrong arguments or a "
+			 "faulty file.\n");
 	buf_append(&doc, "", 1);
 	argp.doc = doc.ptr;
 	argp_err_exit_status = CTL_EXIT_USAGE;
