--- a/programs/routerd/status.c
+++ b/programs/routerd/status.c
@@ -77,8 +77,8 @@
 				(int)endpoint_load(endpoint, now_ms).in_flight,
 				"cold_units", (int)endpoint->cold_units,
 				"max_per_s", endpoint_limit_per_s(endpoint),
-				"slowness", endpoint->slowness,
-				"pace_cap", (int)endpoint->pace.cap));
+				"slowness", endpoint->slowness, "pace_cap",
+				(int)endpoint->pace.cap));
 	}
 	return rows;
 }
