Yield to customers within their share only when they wait

Cause: a request of a customer over its share waited up to 0.7 of its target whenever the endpoint's slots were taken, also if nobody else waited; on a host that has just started most customers count as over their share. Change: it waits only behind waiting requests of others; only engines count as short.

--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -317,14 +317,13 @@
 		       expected_ms);
 }
 
-/* True when the endpoint has no time for the request now, or the request leaves
- * it to others since its customer is over its share. */
+/* True when the endpoint has no time for the request now, or others wait for it
+ * whose customers are within their share. */
 static bool should_wait(const request_t *request, const choice_t *choice)
 {
 	return choose_is_saturated(request, choice) ||
 	       (request->share_excess > 0.0 && !request->floor_is_due &&
-		request->state != REQUEST_ANSWERING &&
-		(choice->slots_taken || waiting_yields(request)));
+		request->state != REQUEST_ANSWERING && waiting_yields(request));
 }
 
 /* RETURN VALUE: true when the request was queued or answered, false when it is
@@ -459,7 +458,8 @@
 	request->paused_until_ms =
 		result == CHOOSE_LATER ? choice.paused_until_ms : 0;
 	request->rate_limited = result == CHOOSE_LATER && choice.rate_limited;
-	if (result == CHOOSE_OK && choice.slots_taken)
+	if (result == CHOOSE_OK && choice.slots_taken &&
+	    request->admission.service->slots)
 		customers_on_short(request);
 	if (wait_or_refuse(request, result, &choice))
 		return;
