Let a pull replace connections of peers that send nothing

64 connections on which nothing was sent took all places for pulls, for a second each, or for up to 15 s when single bytes kept them open, so a starting host got no records from that peer meanwhile. A new connection now replaces the oldest one that has not sent its request. test_peersync fails without the change (no answer to the pull) and passes with it; test_hosts and test_config pass. Pulls that are served end with the host, which left their memory to the exit.

--- a/lib/coordination/peersync.c
+++ b/lib/coordination/peersync.c
@@ -273,6 +273,8 @@
 	loop_timer_cancel(peersync->loop, &peersync->behind_timer);
 	if (peersync->outgoing_pull)
 		peersync_end_pull(peersync->outgoing_pull);
+	while (peersync->served_pull_count)
+		peersync_end_pull(peersync->served_pulls[0]);
 	if (peersync->udp_fd >= 0) {
 		loop_unwatch(peersync->loop, peersync->udp_fd);
 		close(peersync->udp_fd);
--- a/lib/coordination/peersync.h
+++ b/lib/coordination/peersync.h
@@ -24,7 +24,10 @@
  * that pulls it, so the pulling hosts read the configuration service instead.
  */
 #define PEERSYNC_LARGE_RESPONSE_BYTES 65536
-#define PEERSYNC_MAX_SERVED_PULLS 64 /* at the same time */
+/* At the same time. A new one replaces the oldest that has not sent its
+ * request.
+ */
+#define PEERSYNC_MAX_SERVED_PULLS 64
 /* Spreads the pulls of hosts that learn of a change at the same moment. */
 #define PEERSYNC_SPREAD_MS 100
 
--- a/lib/coordination/peersync_internal.h
+++ b/lib/coordination/peersync_internal.h
@@ -48,7 +48,9 @@
 	loop_timer_t behind_timer;
 	unsigned domain_hosts, all_hosts;
 	pull_t *outgoing_pull; /* at most one at a time */
-	size_t served_pulls;
+	/* Pulls of peers, the oldest first. */
+	pull_t *served_pulls[PEERSYNC_MAX_SERVED_PULLS];
+	size_t served_pull_count;
 	loop_timer_t round_timer;
 };
 
--- a/lib/coordination/peersync_pull.c
+++ b/lib/coordination/peersync_pull.c
@@ -19,6 +19,18 @@
 	return mclock_now_ms(loop_clock(peersync->loop));
 }
 
+static void remove_served(const pull_t *pull)
+{
+	peersync_t *peersync = pull->peersync;
+	size_t kept = 0;
+
+	for (size_t i = 0; i < peersync->served_pull_count; i++)
+		if (peersync->served_pulls[i] != pull)
+			peersync->served_pulls[kept++] =
+				peersync->served_pulls[i];
+	peersync->served_pull_count = kept;
+}
+
 void peersync_end_pull(pull_t *pull)
 {
 	peersync_t *peersync = pull->peersync;
@@ -29,10 +41,24 @@
 	if (pull->outgoing)
 		peersync->outgoing_pull = NULL;
 	else
-		peersync->served_pulls--;
+		remove_served(pull);
 	free(pull);
 }
 
+/* Ends the oldest pull of a peer that has not sent its request.
+ *
+ * RETURN VALUE: false when all have. */
+static bool end_silent_pull(const peersync_t *peersync)
+{
+	for (size_t i = 0; i < peersync->served_pull_count; i++) {
+		if (peersync->served_pulls[i]->responded)
+			continue;
+		peersync_end_pull(peersync->served_pulls[i]);
+		return true;
+	}
+	return false;
+}
+
 /* Ends a failed pull. The next one from this host goes to another peer. */
 static void fail_pull(pull_t *pull)
 {
@@ -237,12 +263,13 @@
 	while ((fd = tcp_accept(peersync->listen_fd)) >= 0) {
 		pull_t *pull;
 
-		if (peersync->served_pulls >= PEERSYNC_MAX_SERVED_PULLS) {
+		if (peersync->served_pull_count == PEERSYNC_MAX_SERVED_PULLS &&
+		    !end_silent_pull(peersync)) {
 			close(fd);
 			continue;
 		}
 		pull = create_pull(peersync, false);
-		peersync->served_pulls++;
+		peersync->served_pulls[peersync->served_pull_count++] = pull;
 		tcp_open(&pull->tcp, peersync->loop, fd, on_pull_io, pull);
 		tcp_peer(&pull->tcp, pull->peer);
 	}
--- a/tests/unit/test_peersync.c
+++ b/tests/unit/test_peersync.c
@@ -41,6 +41,7 @@
 	buf_t response;
 	size_t sent_bytes;
 	unsigned part_count;	  /* in which the response is sent */
+	bool answered;		  /* the host, to a pull of the peer */
 	unsigned large_responses; /* that the host did not accept */
 	loop_timer_t part_timer, end_timer;
 	char own_ip[GOSSIP_IP_BYTES], peer_ip[GOSSIP_IP_BYTES];
@@ -268,12 +269,81 @@
 	tear_down(&fixture);
 }
 
+static void on_silent_io(void *user, uint32_t events)
+{
+	(void)user;
+	(void)events;
+}
+
+static void on_answer(void *user, uint32_t events)
+{
+	fixture_t *fixture = user;
+	tcp_t *connection = &fixture->pull_connection;
+	char byte;
+	size_t len;
+
+	if (events & EPOLLOUT) {
+		tcp_connect_result(connection);
+		tcp_flush(connection);
+	}
+	if (!(events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
+		return;
+	fixture->answered =
+		tcp_read(connection, &byte, 1, &len) == TCP_READ_DATA;
+	loop_stop(fixture->loop);
+}
+
+/* Sends the request of a pull by a peer without records. */
+static void send_request(fixture_t *fixture, const char *address)
+{
+	buf_t request = BUF_INIT;
+	buf_t out = BUF_INIT;
+	err_t err;
+
+	CU_ASSERT_EQUAL(tcp_connect(&fixture->pull_connection, fixture->loop,
+				    address, on_answer, fixture, &err),
+			ERR_OK);
+	pullcodec_write_request((position_t){.revision = 0}, &request);
+	frame_append(&out, buf_view(&request));
+	tcp_send(&fixture->pull_connection, buf_view(&out));
+	buf_release(&request);
+	buf_release(&out);
+}
+
+/* Load: as many connections as a host serves pulls at once, on which nothing is
+ * sent. Guards against a peer whose pull is refused meanwhile. */
+static void test_pull_beside_silent_connections(void)
+{
+	tcp_t silent[PEERSYNC_MAX_SERVED_PULLS];
+	char address[ADDRESS_BYTES];
+	fixture_t fixture;
+	err_t err;
+
+	set_up(&fixture, 100, 1);
+	snprintf(address, sizeof(address), "%s:%d", fixture.own_ip, PULL_PORT);
+	for (size_t i = 0; i < PEERSYNC_MAX_SERVED_PULLS; i++)
+		CU_ASSERT_EQUAL(tcp_connect(&silent[i], fixture.loop, address,
+					    on_silent_io, NULL, &err),
+				ERR_OK);
+	send_request(&fixture, address);
+	loop_timer_set(fixture.loop, &fixture.end_timer, TEST_TIMEOUT_MS,
+		       on_end, &fixture);
+	loop_run(fixture.loop);
+	loop_timer_cancel(fixture.loop, &fixture.end_timer);
+	CU_ASSERT_TRUE(fixture.answered);
+	for (size_t i = 0; i < PEERSYNC_MAX_SERVED_PULLS; i++)
+		tcp_close(&silent[i]);
+	tear_down(&fixture);
+}
+
 int main(void)
 {
 	CU_TestInfo tests[] = {
 		{"large response is dropped", test_large_response_is_dropped},
 		{"slow pull continues", test_slow_pull_continues},
 		{"small response is accepted", test_small_response_is_accepted},
+		{"pull beside silent connections",
+		 test_pull_beside_silent_connections},
 		CU_TEST_INFO_NULL};
 
 	return unit_run("peersync", tests);
