Leave the start of endpoints to the cold limit where one is named

Cause: the pace held back engines that a cold limit bounds already, and hosts of other domains passed over ranked engines for up to 0.6 s. Change: choose.c asks the pace only where no cold limit is named; the test covers both.

--- a/lib/request/choose.c
+++ b/lib/request/choose.c
@@ -106,11 +106,15 @@
 	       endpoint->cold_units;
 }
 
+/* Where a cold limit is named, it is the pace of an endpoint that starts. */
 static bool may_send_now(const request_t *request, endpoint_t *endpoint,
 			 int64_t now_ms)
 {
+	const catalog_service_t *service = request->admission.service;
+
 	return is_warm_enough(request, endpoint, now_ms) &&
-	       pacing_allows(request->router, endpoint);
+	       ((service && service->cold_per_s > 0.0) ||
+		pacing_allows(request->router, endpoint));
 }
 
 static bool is_eligible(const request_t *request, const endpoint_t *endpoint,
--- a/tests/unit/placing.c
+++ b/tests/unit/placing.c
@@ -19,6 +19,7 @@
 bool engines_copy_kv_cache = true;
 
 bool engines_cold_until_proven;
+double engines_cold_per_s = 12.0;
 
 void add_catalog(int64_t version)
 {
@@ -37,7 +38,7 @@
 				     .max_connections = 360,
 				     .slots = 64,
 				     .cold_ms = 3000,
-				     .cold_per_s = 12.0,
+				     .cold_per_s = engines_cold_per_s,
 				     .copies_kv_cache = engines_copy_kv_cache,
 				     .cold_until_proven =
 					     engines_cold_until_proven};
--- a/tests/unit/placing.h
+++ b/tests/unit/placing.h
@@ -27,6 +27,8 @@
 /* Whether engines count as cold until a response proves that they are warm, as
  * on the native interface. */
 extern bool engines_cold_until_proven;
+/* The cold limit that the configuration names; 0: none. */
+extern double engines_cold_per_s;
 
 void add_catalog(int64_t version);
 endpoint_t *add_engine(int domain, int index, int64_t cold_ms);
--- a/tests/unit/test_choose_state.c
+++ b/tests/unit/test_choose_state.c
@@ -187,7 +187,7 @@
 /* Scenario: the engine that a prompt ranks first restarts, and callers press.
  * Guards against a ranked engine that gets more than its pace, against requests
  * that wait although others have room, and against one that is held back for
- * longer than the steps of its pace. */
+ * longer than the steps of its pace, or where a cold limit is its pace. */
 static void test_engine_at_its_pace(void)
 {
 	endpoint_record_t record = {.service = STR_LIT("model"),
@@ -197,6 +197,7 @@
 	endpoint_t *engine;
 	char id[16], domain[16];
 
+	engines_cold_per_s = 0.0;
 	placing_set_up();
 	engine = require_endpoint(3, 5000, 6000);
 	str_copy(id, sizeof(id), str_from(engine->id));
@@ -207,11 +208,18 @@
 	CU_ASSERT_PTR_EQUAL(require_endpoint(3, 5000, 6000), engine);
 	engine->in_flight = record.slots / PACE_START_DIVISOR;
 	CU_ASSERT_PTR_NOT_EQUAL(require_endpoint(3, 5000, 6000), engine);
+	engines_cold_per_s = 12.0;
+	add_catalog(2);
+	CU_ASSERT_PTR_EQUAL(require_endpoint(3, 5000, 6000), engine);
+	engines_cold_per_s = 0.0;
+	add_catalog(3);
+	CU_ASSERT_PTR_NOT_EQUAL(require_endpoint(3, 5000, 6000), engine);
 	engine->in_flight = 0;
 	mclock_manual_advance(&manual_clock, 3 * PACE_STEP_MS);
 	CU_ASSERT_PTR_EQUAL(require_endpoint(3, 5000, 6000), engine);
 	CU_ASSERT_EQUAL(engine->pace.cap, 0);
 	placing_tear_down();
+	engines_cold_per_s = 12.0;
 }
 
 /* Scenario: the configuration changes while a connection is being established.
