--- a/review/6/case.py
+++ b/review/6/case.py
@@ -177,4 +177,4 @@
     return judge(servers, sound, crashing, calm, end, record)
 
 
-s.run_case(main, FOLDER)
+s.run_case(main, FOLDER, os.environ.get("TROUBLE", "1") != "0")
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -438,11 +438,10 @@
     return status, fields, body
 
 
-def run_case(main, folder):
+def run_case(main, folder, trouble):
     """Runs main(record, trouble), which returns whether the rule held; exits
     with 0 if it did, 1 if it was broken, 2 if the case couldn't run."""
     record = Record(folder)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add("trouble: %s" % ("yes" if trouble else "no"))
     try:
         held = asyncio.run(main(record, trouble))
